Add the thin path: one daemon, one engine, one streamed answer, one batch

Cause: nothing existed. The boundary that everything else stands on is the pure core, stepped by events with the clock passed in; the daemon's tasks own sockets and files and talk to it by messages.

--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,1 @@
+console.log("gooseberryctl");
--- /dev/null
+++ b/packages/core/src/charts/build_chart.ts
@@ -0,0 +1,23 @@
+import type { Chart, ChartFile } from "./types.ts";
+
+/** Builds the look-up table of a chart file, once, at start. */
+export function buildChart(file: ChartFile): Chart {
+  const arrows = new Map(
+    Object.entries(file.states).flatMap(([state, node]) =>
+      Object.entries(node.on ?? {}).map(
+        ([event, target]) => [`${state}\n${event}`, target] as const,
+      ),
+    ),
+  );
+  const events = Object.values(file.states).flatMap((node) =>
+    Object.keys(node.on ?? {}),
+  );
+  return {
+    id: file.id,
+    initial: file.initial,
+    states: Object.keys(file.states),
+    events: [...new Set(events)],
+    isFinal: (state) => file.states[state]?.type === "final",
+    next: (state, event) => arrows.get(`${state}\n${event}`),
+  };
+}
--- /dev/null
+++ b/packages/core/src/config/adopt_config.ts
@@ -0,0 +1,72 @@
+import type { CustomerId } from "../ids/types.ts";
+import { chainAll } from "../instance/chain_all.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { checkInvariant } from "../invariants/check_invariant.ts";
+import { refillBucket } from "../limits/refill_bucket.ts";
+import type { Bucket } from "../limits/types.ts";
+import type { Table } from "../shared/types.ts";
+import { buildUpstreams } from "../upstreams/build_upstreams.ts";
+import { cancelWork } from "../work/cancel_work.ts";
+import type { Config, ConfigDocument } from "./types.ts";
+
+/**
+ * Adopts a configuration of a higher revision; ignores any other. Work of a
+ * key that the new document no longer holds is cancelled.
+ */
+export function adoptConfig(
+  state: InstanceState,
+  config: Config,
+  nowMs: number,
+): Step {
+  const before = state.config?.revision ?? 0;
+  if (config.revision <= before) {
+    return { state, effects: [] };
+  }
+  checkInvariant(
+    "revision-never-reverts",
+    config.revision > before,
+    () => `${before} to ${config.revision}`,
+  );
+  const adopted: InstanceState = {
+    ...state,
+    config,
+    buckets: buildBuckets(state.buckets, config.document, nowMs),
+    upstreams: buildUpstreams(state.upstreams, config.document),
+  };
+  const withdrawn = Object.values(adopted.works)
+    .map(({ order }) => order)
+    .filter(
+      ({ keyId, customer }) =>
+        keyId !== undefined && !holdsKey(config.document, customer, keyId),
+    )
+    .map(({ workId }) => workId);
+  return chainAll(adopted, withdrawn, (at, workId) =>
+    cancelWork(at, workId, "key_withdrawn"),
+  );
+}
+
+function holdsKey(
+  document: ConfigDocument,
+  customer: CustomerId,
+  keyId: string,
+): boolean {
+  const keys = document.customers[customer]?.keys ?? [];
+  return keys.some(({ id }) => id === keyId);
+}
+
+function buildBuckets(
+  before: Table<Bucket>,
+  document: ConfigDocument,
+  nowMs: number,
+): Table<Bucket> {
+  return Object.fromEntries(
+    Object.entries(document.customers).map(([id, { rate, burst }]) => {
+      const held = before[id];
+      const tokens =
+        held === undefined
+          ? burst
+          : Math.min(burst, refillBucket(held, nowMs).tokens);
+      return [id, { tokens, cap: burst, ratePerSecond: rate, atMs: nowMs }];
+    }),
+  );
+}
--- /dev/null
+++ b/packages/core/src/config/check_config.ts
@@ -0,0 +1,65 @@
+import { CONFIG_SCHEMA } from "./config_schema.ts";
+import type { ConfigDocument, ConfigFault } from "./types.ts";
+
+/** The checked document, or every fault found in it. */
+export type CheckedConfig =
+  | { readonly kind: "valid"; readonly document: ConfigDocument }
+  | { readonly kind: "invalid"; readonly faults: readonly ConfigFault[] };
+
+/** Checks a document as a whole: shapes first, then references. */
+export function checkConfig(input: unknown): CheckedConfig {
+  const parsed = CONFIG_SCHEMA.safeParse(input);
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map((issue) => ({
+      path: issue.path.join("."),
+      message: issue.message,
+    }));
+    return { kind: "invalid", faults };
+  }
+  const faults = findDanglingNames(parsed.data);
+  return faults.length > 0
+    ? { kind: "invalid", faults }
+    : { kind: "valid", document: parsed.data };
+}
+
+function findDanglingNames(document: ConfigDocument): readonly ConfigFault[] {
+  const upstreams = Object.entries(document.upstreams).flatMap(
+    ([id, upstream]) => [
+      ...requireName(
+        document.services,
+        upstream.service,
+        `upstreams.${id}.service`,
+      ),
+      ...requireName(
+        document.dataCentres,
+        upstream.dataCentre,
+        `upstreams.${id}.dataCentre`,
+      ),
+    ],
+  );
+  const customers = Object.entries(document.customers).flatMap(
+    ([id, customer]) => [
+      ...requireName(
+        document.profiles,
+        customer.defaultProfile,
+        `customers.${id}.defaultProfile`,
+      ),
+      ...requireName(
+        document.profiles,
+        customer.batchProfile,
+        `customers.${id}.batchProfile`,
+      ),
+    ],
+  );
+  return [...upstreams, ...customers];
+}
+
+function requireName(
+  table: Readonly<Record<string, unknown>>,
+  name: string,
+  path: string,
+): readonly ConfigFault[] {
+  return Object.hasOwn(table, name)
+    ? []
+    : [{ path, message: `names "${name}", which the document lacks` }];
+}
--- /dev/null
+++ b/packages/core/src/instance/chain_all.ts
@@ -0,0 +1,15 @@
+import { chainStep } from "./chain_step.ts";
+import type { InstanceState, Step } from "./types.ts";
+
+/** Steps the state by each of `parts` in turn and joins the effects. */
+export function chainAll<Part>(
+  state: InstanceState,
+  parts: readonly Part[],
+  stepBy: (state: InstanceState, part: Part) => Step,
+): Step {
+  const start: Step = { state, effects: [] };
+  return parts.reduce(
+    (step, part) => chainStep(step, (at) => stepBy(at, part)),
+    start,
+  );
+}
--- /dev/null
+++ b/packages/core/src/instance/create_instance.ts
@@ -0,0 +1,20 @@
+import type { InstanceSelf, InstanceState } from "./types.ts";
+
+/** Creates an instance that knows nothing yet; `seed` feeds its choices. */
+export function createInstance(
+  self: InstanceSelf,
+  seed: number,
+): InstanceState {
+  return {
+    self,
+    seed,
+    attemptCount: 0,
+    isStopping: false,
+    config: undefined,
+    buckets: {},
+    upstreams: {},
+    works: {},
+    queue: [],
+    jobs: {},
+  };
+}
--- /dev/null
+++ b/packages/core/src/instance/step_instance.ts
@@ -0,0 +1,57 @@
+import { adoptConfig } from "../config/adopt_config.ts";
+import { cancelJob } from "../jobs/cancel_job.ts";
+import { offerJob } from "../jobs/offer_job.ts";
+import { settleResult } from "../jobs/settle_result.ts";
+import { assertNever } from "../shared/assert_never.ts";
+import { abandonRequest } from "../work/abandon_request.ts";
+import { acceptRequest } from "../work/accept_request.ts";
+import { dispatchWork } from "../work/dispatch_work.ts";
+import { endAttempt } from "../work/end_attempt.ts";
+import { expireWork } from "../work/expire_work.ts";
+import { noteFirstToken } from "../work/note_first_token.ts";
+import { chainStep } from "./chain_step.ts";
+import type { InstanceEvent, InstanceState, Step } from "./types.ts";
+
+/**
+ * Steps an instance by one event. Pure: the clock comes in as `nowMs`, and
+ * randomness from the seed in the state.
+ */
+export function stepInstance(
+  state: InstanceState,
+  event: InstanceEvent,
+  nowMs: number,
+): Step {
+  const handled = handleEvent(state, event, nowMs);
+  return chainStep(handled, (after) => dispatchWork(after, nowMs));
+}
+
+function handleEvent(
+  state: InstanceState,
+  event: InstanceEvent,
+  nowMs: number,
+): Step {
+  switch (event.kind) {
+    case "config-offered":
+      return adoptConfig(state, event.config, nowMs);
+    case "request-arrived":
+      return acceptRequest(state, event.order, nowMs);
+    case "request-abandoned":
+      return abandonRequest(state, event.workId);
+    case "job-offered":
+      return offerJob(state, event.spec);
+    case "job-cancel-asked":
+      return cancelJob(state, event.jobId);
+    case "attempt-first-token":
+      return noteFirstToken(state, event.attemptId);
+    case "attempt-ended":
+      return endAttempt(state, event, nowMs);
+    case "result-stored":
+      return settleResult(state, event);
+    case "stop-asked":
+      return { state: { ...state, isStopping: true }, effects: [] };
+    case "tick":
+      return expireWork(state, nowMs);
+    default:
+      return assertNever(event);
+  }
+}
--- /dev/null
+++ b/packages/core/src/instance/types.ts
@@ -0,0 +1,104 @@
+/** The instance as a value, and the messages it takes and gives. */
+import type { Config } from "../config/types.ts";
+import type {
+  AttemptId,
+  DataCentreId,
+  InstanceId,
+  JobId,
+  UpstreamId,
+  WorkId,
+} from "../ids/types.ts";
+import type { ItemResult, Job, JobSpec } from "../jobs/types.ts";
+import type { Bucket } from "../limits/types.ts";
+import type { Table } from "../shared/types.ts";
+import type { Upstream } from "../upstreams/types.ts";
+import type {
+  AttemptOutcome,
+  Refusal,
+  RunRecord,
+  Work,
+  WorkOrder,
+  WorkOrigin,
+} from "../work/types.ts";
+
+/** Who this instance is; read from its settings at start. */
+export type InstanceSelf = {
+  readonly instanceId: InstanceId;
+  readonly dataCentre: DataCentreId;
+  /** Unique for each start of the process. */
+  readonly incarnation: string;
+};
+
+/** All that an instance knows; plain data. */
+export type InstanceState = {
+  readonly self: InstanceSelf;
+  readonly seed: number;
+  readonly attemptCount: number;
+  readonly isStopping: boolean;
+  readonly config: Config | undefined;
+  readonly buckets: Table<Bucket>;
+  readonly upstreams: Table<Upstream>;
+  readonly works: Table<Work>;
+  /** Queued online work, first come first. */
+  readonly queue: readonly WorkId[];
+  readonly jobs: Table<Job>;
+};
+
+/** What happened, as told by the daemon's tasks. */
+export type InstanceEvent =
+  | { readonly kind: "config-offered"; readonly config: Config }
+  | { readonly kind: "request-arrived"; readonly order: WorkOrder }
+  | { readonly kind: "request-abandoned"; readonly workId: WorkId }
+  | { readonly kind: "job-offered"; readonly spec: JobSpec }
+  | { readonly kind: "job-cancel-asked"; readonly jobId: JobId }
+  | { readonly kind: "attempt-first-token"; readonly attemptId: AttemptId }
+  | {
+      readonly kind: "attempt-ended";
+      readonly attemptId: AttemptId;
+      readonly outcome: AttemptOutcome;
+    }
+  | {
+      readonly kind: "result-stored";
+      readonly jobId: JobId;
+      readonly index: number;
+      readonly result: ItemResult;
+    }
+  | { readonly kind: "stop-asked" }
+  | { readonly kind: "tick" };
+
+/** What the daemon's tasks have to do. */
+export type Effect =
+  | {
+      readonly kind: "start-attempt";
+      readonly attemptId: AttemptId;
+      readonly workId: WorkId;
+      readonly upstreamId: UpstreamId;
+      readonly origin: WorkOrigin;
+    }
+  | { readonly kind: "cancel-attempt"; readonly attemptId: AttemptId }
+  | { readonly kind: "complete-request"; readonly workId: WorkId }
+  | {
+      readonly kind: "refuse-request";
+      readonly workId: WorkId;
+      readonly refusal: Refusal;
+    }
+  | {
+      readonly kind: "store-result";
+      readonly jobId: JobId;
+      readonly index: number;
+      /** Attempt whose answer is the result; absent for an error. */
+      readonly attemptId: AttemptId | undefined;
+      readonly result: ItemResult;
+    }
+  | {
+      readonly kind: "end-job";
+      readonly jobId: JobId;
+      readonly phase: "completed" | "cancelled";
+    }
+  | { readonly kind: "record-run"; readonly run: RunRecord };
+
+/** The state after an event, and what is to be done. */
+export type Step = {
+  readonly state: InstanceState;
+  readonly effects: readonly Effect[];
+};
--- /dev/null
+++ b/packages/core/src/invariants/check_invariant.ts
@@ -0,0 +1,21 @@
+import { INVARIANTS } from "./invariant_counts.ts";
+import type { InvariantName } from "./types.ts";
+
+/**
+ * Asserts a promise of the product inside the program. Counts every check;
+ * a broken one is counted, and thrown where `INVARIANTS.shouldThrow` is set.
+ */
+export function checkInvariant(
+  name: InvariantName,
+  holds: boolean,
+  describe: () => string,
+): void {
+  INVARIANTS.checked[name] = (INVARIANTS.checked[name] ?? 0) + 1;
+  if (holds) {
+    return;
+  }
+  INVARIANTS.broken[name] = (INVARIANTS.broken[name] ?? 0) + 1;
+  if (INVARIANTS.shouldThrow) {
+    throw new Error(`invariant ${name} broken: ${describe()}`);
+  }
+}
--- /dev/null
+++ b/packages/core/src/mod.ts
@@ -0,0 +1,27 @@
+/** The decisions of the serving system: pure, without I/O. */
+export { loadChart } from "./charts/load_chart.ts";
+export type { Chart, ChartFile } from "./charts/types.ts";
+export { type CheckedConfig, checkConfig } from "./config/check_config.ts";
+export { CONFIG_SCHEMA } from "./config/config_schema.ts";
+export type * from "./config/types.ts";
+export type * from "./ids/types.ts";
+export { chainStep } from "./instance/chain_step.ts";
+export { createInstance } from "./instance/create_instance.ts";
+export { stepInstance } from "./instance/step_instance.ts";
+export type * from "./instance/types.ts";
+export { checkInvariant } from "./invariants/check_invariant.ts";
+export { INVARIANTS } from "./invariants/invariant_counts.ts";
+export type * from "./invariants/types.ts";
+export type * from "./jobs/types.ts";
+export { ITEM_STATES } from "./jobs/types.ts";
+export type * from "./limits/types.ts";
+export { assertNever } from "./shared/assert_never.ts";
+export { drawRandom } from "./shared/draw_random.ts";
+export { dropEntry } from "./shared/drop_entry.ts";
+export { hashText } from "./shared/hash_text.ts";
+export { rankByRendezvous } from "./shared/rank_by_rendezvous.ts";
+export { setEntry } from "./shared/set_entry.ts";
+export type * from "./shared/types.ts";
+export type * from "./upstreams/types.ts";
+export type * from "./work/types.ts";
+export { LANES } from "./work/types.ts";
--- /dev/null
+++ b/packages/core/src/work/accept_request.ts
@@ -0,0 +1,91 @@
+import type { InstanceState, Step } from "../instance/types.ts";
+import { takeTokens } from "../limits/take_tokens.ts";
+import type { Bucket } from "../limits/types.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import type { Fault, Work, WorkOrder } from "./types.ts";
+import { WORK_CHART } from "./work_chart.ts";
+
+const MS_PER_SECOND = 1000;
+
+/** Admits an online request into the queue, or refuses it, "not run". */
+export function acceptRequest(
+  state: InstanceState,
+  order: WorkOrder,
+  nowMs: number,
+): Step {
+  if (state.isStopping) {
+    return refuseOrder(state, order, {
+      code: "stopping",
+      message: "this instance is stopping",
+    });
+  }
+  const bucket = state.buckets[order.customer];
+  if (bucket === undefined) {
+    return enqueueOrder(state, order, nowMs);
+  }
+  const taken = takeTokens(bucket, 1, nowMs);
+  const after = {
+    ...state,
+    buckets: setEntry(state.buckets, order.customer, taken.bucket),
+  };
+  return taken.isTaken
+    ? enqueueOrder(after, order, nowMs)
+    : refuseOrder(after, order, {
+        code: "rate_limited",
+        message: "the customer's rate is used up",
+        retryAfterMs: measureWaitMs(taken.bucket),
+      });
+}
+
+function enqueueOrder(
+  state: InstanceState,
+  order: WorkOrder,
+  nowMs: number,
+): Step {
+  const work: Work = {
+    order,
+    phase: WORK_CHART.initial,
+    acceptedMs: nowMs,
+    attemptCount: 0,
+    attempt: undefined,
+  };
+  return {
+    state: {
+      ...state,
+      works: setEntry(state.works, order.workId, work),
+      queue: [...state.queue, order.workId],
+    },
+    effects: [],
+  };
+}
+
+function refuseOrder(
+  state: InstanceState,
+  order: WorkOrder,
+  why: {
+    readonly code: Fault["code"];
+    readonly message: string;
+    readonly retryAfterMs?: number;
+  },
+): Step {
+  const fault: Fault = {
+    code: why.code,
+    step: "admit",
+    peer: state.self.instanceId,
+    message: why.message,
+  };
+  const refusal = {
+    fault,
+    run: "not run",
+    retryAfterMs: why.retryAfterMs,
+  } as const;
+  return {
+    state,
+    effects: [{ kind: "refuse-request", workId: order.workId, refusal }],
+  };
+}
+
+function measureWaitMs(bucket: Bucket): number {
+  const missing = Math.max(0, 1 - bucket.tokens);
+  return Math.ceil((missing / bucket.ratePerSecond) * MS_PER_SECOND);
+}
--- /dev/null
+++ b/packages/core/src/work/advance_phase.ts
@@ -0,0 +1,14 @@
+import { checkInvariant } from "../invariants/check_invariant.ts";
+import type { Work } from "./types.ts";
+import { WORK_CHART } from "./work_chart.ts";
+
+/** Moves work along its chart; an event without an arrow changes nothing. */
+export function advancePhase(work: Work, event: string): Work {
+  const next = WORK_CHART.next(work.phase, event);
+  checkInvariant(
+    "chart-arrow-exists",
+    next !== undefined,
+    () => `${work.order.workId}: ${event} in ${work.phase}`,
+  );
+  return next === undefined ? work : { ...work, phase: next };
+}
--- /dev/null
+++ b/packages/core/src/work/cancel_work.ts
@@ -0,0 +1,41 @@
+import type { WorkId } from "../ids/types.ts";
+import { chainStep } from "../instance/chain_step.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { finishWork } from "./finish_work.ts";
+import type { FaultCode } from "./types.ts";
+
+const MESSAGES: Partial<Record<FaultCode, string>> = {
+  key_withdrawn: "the tenant key was withdrawn",
+  job_cancelled: "the job was cancelled",
+  deadline_exceeded: "the deadline passed",
+};
+
+/** Ends work on this side: cancels its attempt and tells its origin why. */
+export function cancelWork(
+  state: InstanceState,
+  workId: WorkId,
+  code: FaultCode,
+): Step {
+  const work = state.works[workId];
+  if (work === undefined) {
+    return { state, effects: [] };
+  }
+  const { attempt } = work;
+  const peer = attempt?.upstreamId ?? state.self.instanceId;
+  const step = attempt === undefined ? "queue" : "answer";
+  const refusal = {
+    fault: { code, step, peer, message: MESSAGES[code] ?? code },
+    run: attempt === undefined ? "not run" : "may have run",
+    retryAfterMs: undefined,
+  } as const;
+  const cancelled: Step = {
+    state,
+    effects:
+      attempt === undefined
+        ? []
+        : [{ kind: "cancel-attempt", attemptId: attempt.attemptId }],
+  };
+  return chainStep(cancelled, (at) =>
+    finishWork(at, work, { kind: "refused", refusal }),
+  );
+}
--- /dev/null
+++ b/packages/core/src/work/note_first_token.ts
@@ -0,0 +1,22 @@
+import type { AttemptId } from "../ids/types.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import { advancePhase } from "./advance_phase.ts";
+import { findWorkOf } from "./find_work_of.ts";
+
+/** Notes that an attempt began to answer. */
+export function noteFirstToken(
+  state: InstanceState,
+  attemptId: AttemptId,
+): Step {
+  const work = findWorkOf(state, attemptId);
+  if (work === undefined || work.phase !== "running") {
+    return { state, effects: [] };
+  }
+  const works = setEntry(
+    state.works,
+    work.order.workId,
+    advancePhase(work, "FIRST_TOKEN"),
+  );
+  return { state: { ...state, works }, effects: [] };
+}
--- /dev/null
+++ b/packages/core/src/work/start_attempt.ts
@@ -0,0 +1,36 @@
+import type { AttemptId } from "../ids/types.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import { countInFlight } from "../upstreams/count_in_flight.ts";
+import type { Upstream } from "../upstreams/types.ts";
+import { advancePhase } from "./advance_phase.ts";
+import type { Work } from "./types.ts";
+
+/** Starts one attempt of `work` at `upstream`. */
+export function startAttempt(
+  state: InstanceState,
+  work: Work,
+  { upstream, nowMs }: { readonly upstream: Upstream; readonly nowMs: number },
+): Step {
+  const { workId, origin, lane } = work.order;
+  const attemptCount = state.attemptCount + 1;
+  const attemptId = `${state.self.incarnation}-${attemptCount}` as AttemptId;
+  const { upstreamId } = upstream;
+  const running: Work = {
+    ...advancePhase(work, "DISPATCH"),
+    attemptCount: work.attemptCount + 1,
+    attempt: { attemptId, upstreamId, startedMs: nowMs },
+  };
+  return {
+    state: {
+      ...state,
+      attemptCount,
+      works: setEntry(state.works, workId, running),
+      upstreams: countInFlight(state.upstreams, upstreamId, {
+        lane,
+        change: 1,
+      }),
+    },
+    effects: [{ kind: "start-attempt", attemptId, workId, upstreamId, origin }],
+  };
+}
--- /dev/null
+++ b/packages/daemon/bin/gooseberryd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/packages/daemon/src/logs/create_log.ts
@@ -0,0 +1,33 @@
+import { createConsola } from "consola";
+
+/** Fields of a log line; never a key or a body. */
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | null | undefined>
+>;
+
+/** Writes JSON log lines, one an event. */
+export type Log = {
+  readonly info: (event: string, fields?: LogFields) => void;
+  readonly warn: (event: string, fields?: LogFields) => void;
+  readonly error: (event: string, fields?: LogFields) => void;
+};
+
+/** Creates a log that writes JSON lines and carries `base` on each. */
+export function createLog(base: LogFields, write: (line: string) => void): Log {
+  const consola = createConsola({
+    reporters: [
+      {
+        log: ({ type, args, date }) => {
+          const [event, fields] = args as [string, LogFields | undefined];
+          const line = { event, level: type, at: date, ...base, ...fields };
+          write(`${JSON.stringify(line)}\n`);
+        },
+      },
+    ],
+  });
+  return {
+    info: (event, fields) => consola.info(event, fields),
+    warn: (event, fields) => consola.warn(event, fields),
+    error: (event, fields) => consola.error(event, fields),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/mod.ts
@@ -0,0 +1,5 @@
+/** The daemon, for programs that start it in their own process. */
+export { createLog, type Log } from "./logs/create_log.ts";
+export { parseSettings } from "./settings/parse_settings.ts";
+export type * from "./settings/types.ts";
+export { type Daemon, startDaemon } from "./start_daemon.ts";
--- /dev/null
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -0,0 +1,31 @@
+import { z } from "zod";
+
+const PORT = z.number().int().min(0).max(65_535);
+
+const LISTENER = z.strictObject({
+  /** IP number to bind. */
+  host: z.union([z.ipv4(), z.ipv6()]).default("127.0.0.1"),
+  /** Port to bind; 0 takes any free one. */
+  port: PORT.default(0),
+});
+
+const OPERATOR = z.strictObject({
+  name: z.string().min(1),
+  /** SHA-256 of the operator's token, hex. */
+  tokenHash: z.string().regex(/^[0-9a-f]{64}$/),
+  role: z.enum(["viewer", "operator"]),
+});
+
+/** Checks the settings file of an instance; unknown keys are refused. */
+export const SETTINGS_SCHEMA = z.strictObject({
+  instanceId: z.string().regex(/^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/),
+  dataCentre: z.string().min(1),
+  callerListener: LISTENER.prefault({}),
+  adminListener: LISTENER.prefault({}),
+  platform: z.strictObject({ url: z.url() }).optional(),
+  /** Folder on a disk that outlasts the process; absent keeps nothing. */
+  dataFolder: z.string().optional(),
+  operators: z.array(OPERATOR).default([]),
+  /** Configuration that `--embedded` starts with. */
+  embeddedConfig: z.unknown().optional(),
+});
--- /dev/null
+++ b/packages/daemon/src/settings/types.ts
@@ -0,0 +1,15 @@
+/** Settings of one instance, read once at start. */
+import type { z } from "zod";
+import type { SETTINGS_SCHEMA } from "./settings_schema.ts";
+
+export type Settings = z.infer<typeof SETTINGS_SCHEMA>;
+export type ListenerSettings = Settings["callerListener"];
+
+/** One fault of a settings file and where it stands. */
+export type SettingsFault = {
+  readonly line: number;
+  readonly column: number;
+  /** Path of the key, e.g. `callerListener.port`. */
+  readonly path: string;
+  readonly message: string;
+};
--- /dev/null
+++ b/packages/daemon/src/tasks/types.ts
@@ -0,0 +1,35 @@
+/** Messages between the daemon's tasks. */
+import type { AttemptId, WorkId } from "@gooseberryline/core";
+
+/** What an attempt sends to an upstream. */
+export type AttemptCall = {
+  readonly method: string;
+  /** Path below the upstream's base URL. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+  readonly isStream: boolean;
+};
+
+/** The head of an upstream's answer. */
+export type AnswerHead = {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+};
+
+/** Takes an answer as it arrives; `write` is false while it is full. */
+export type AnswerSink = {
+  readonly writeHead: (head: AnswerHead) => void;
+  readonly write: (chunk: Buffer) => boolean;
+  readonly waitForRoom: () => Promise<void>;
+};
+
+/** An attempt to be made. */
+export type AttemptOrder = {
+  readonly attemptId: AttemptId;
+  readonly workId: WorkId;
+  readonly upstreamUrl: string;
+  readonly upstreamId: string;
+  readonly call: AttemptCall;
+  readonly sink: AnswerSink;
+};
--- /dev/null
+++ b/packages/measure/src/demo/run_demo.ts
@@ -0,0 +1,51 @@
+import type { RunRecord } from "@gooseberryline/core";
+import { startSystem } from "../support/start_system.ts";
+import { readAll } from "./read_all.ts";
+
+const ITEM_COUNT = 200;
+
+/**
+ * Runs the main job through the real HTTP interface: a streamed and a plain
+ * request, then a batch of 200 items, uploaded, run and read back.
+ */
+export async function runDemo(print: (line: string) => void): Promise<void> {
+  const system = await startSystem({ engines: 2 });
+  const { api } = system;
+  const messages = [{ role: "user", content: "Is hide glue in stock?" }];
+  const chat = { model: "demo-model", messages };
+
+  const streamed = await api
+    .post("v1/chat/completions", { json: { ...chat, stream: true } })
+    .text();
+  const events = streamed.split("\n\n").filter((line) => line !== "");
+  print(`streamed answer: ${events.length} events, ${events.at(-1)}`);
+
+  const plain = await api
+    .post("v1/chat/completions", { json: chat })
+    .json<{ readonly choices: readonly unknown[] }>();
+  print(`plain answer: ${plain.choices.length} choice`);
+
+  const output = await readAll(api, chat, ITEM_COUNT);
+  print(`batch: ${output.length} lines for ${ITEM_COUNT} items`);
+  const names = new Set(output.map(({ custom_id }) => custom_id));
+  if (names.size !== ITEM_COUNT || output.length !== ITEM_COUNT) {
+    throw new Error("the batch did not answer each item once");
+  }
+
+  printRuns(system.runs, print);
+  await system.stop();
+  print("stopped");
+}
+
+function printRuns(
+  runs: readonly RunRecord[],
+  print: (line: string) => void,
+): void {
+  const upstreams = [...new Set(runs.map(({ upstreamId }) => upstreamId))];
+  upstreams.toSorted().forEach((id) => {
+    const own = runs.filter(({ upstreamId }) => upstreamId === id);
+    const items = own.filter(({ origin }) => origin.kind === "item").length;
+    const online = own.length - items;
+    print(`ran at ${id}: ${online} online requests, ${items} items`);
+  });
+}
--- /dev/null
+++ b/packages/measure/src/support/start_system.ts
@@ -0,0 +1,90 @@
+import { createHash } from "node:crypto";
+import type { RunRecord } from "@gooseberryline/core";
+import { createLog, parseSettings, startDaemon } from "@gooseberryline/daemon";
+import {
+  type EngineOptions,
+  type FakeEngine,
+  type FakeStore,
+  startEngine,
+  startStore,
+} from "@gooseberryline/fakes";
+import { connectPlatform } from "@gooseberryline/protocol";
+import { type Got, got } from "got";
+import { buildConfig } from "./build_config.ts";
+import { waitUntil } from "./wait_until.ts";
+
+/** One daemon with an in-process store and fake engines. */
+export type System = {
+  readonly api: Got;
+  readonly callerUrl: string;
+  readonly adminUrl: string;
+  readonly store: FakeStore;
+  readonly engines: readonly FakeEngine[];
+  readonly runs: readonly RunRecord[];
+  readonly logLines: readonly string[];
+  readonly stop: () => Promise<void>;
+};
+
+/** Starts a small system whose only customer has the key `demo-key`. */
+export async function startSystem(options: {
+  readonly engines: number;
+  readonly engine?: EngineOptions;
+}): Promise<System> {
+  const store = await startStore();
+  const engines = await Promise.all(
+    Array.from({ length: options.engines }, () =>
+      startEngine(options.engine ?? { tokenMs: 2 }),
+    ),
+  );
+  const document = buildConfig({
+    keyHash: createHash("sha256").update("demo-key").digest("hex"),
+    engineUrls: engines.map(({ url }) => url),
+  });
+  const platform = connectPlatform(store.url);
+  await platform.cas({
+    key: "config/current",
+    value: JSON.stringify({ revision: 1, document }),
+    expect: 0,
+  });
+  const parsed = parseSettings('{"instanceId":"one","dataCentre":"a"}');
+  if (parsed.kind === "invalid") {
+    throw new Error("the demo's settings are invalid");
+  }
+  const runs: RunRecord[] = [];
+  const logLines: string[] = [];
+  const log = createLog({}, (line) => {
+    logLines.push(line);
+  });
+  const daemon = await startDaemon(parsed.settings, platform, {
+    log,
+    onRun: (run) => {
+      runs.push(run);
+    },
+  });
+  const callerUrl = `http://${daemon.caller}`;
+  const adminUrl = `http://${daemon.admin}`;
+  await waitUntil(async () => {
+    const { statusCode } = await got(`${adminUrl}/readyz`, {
+      throwHttpErrors: false,
+    });
+    return statusCode === 200;
+  });
+  return {
+    api: got.extend({
+      prefixUrl: callerUrl,
+      headers: { authorization: "Bearer demo-key" },
+      retry: { limit: 0 },
+    }),
+    callerUrl,
+    adminUrl,
+    store,
+    engines,
+    runs,
+    logLines,
+    stop: async () => {
+      await daemon.stop();
+      await store.close();
+      await Promise.all(engines.map((engine) => engine.close()));
+    },
+  };
+}
--- /dev/null
+++ b/packages/protocol/src/platform/connect_platform.ts
@@ -0,0 +1,65 @@
+import { got, HTTPError } from "got";
+import { PlatformError } from "./platform_error.ts";
+import type {
+  CasAnswer,
+  Platform,
+  StoredRecord,
+  WatchAnswer,
+} from "./types.ts";
+
+const CALL_TIMEOUT_MS = 2_000;
+const WATCH_TIMEOUT_MS = 35_000;
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+
+/** Connects to the platform's key-value service at a base URL. */
+export function connectPlatform(url: string): Platform {
+  const call = <Answer>(
+    step: string,
+    body: unknown,
+    timeoutMs = CALL_TIMEOUT_MS,
+  ): Promise<Answer> =>
+    got
+      .post(`${url}/${step}`, {
+        json: body,
+        retry: { limit: 0 },
+        timeout: { request: timeoutMs },
+      })
+      .json<Answer>()
+      .catch((error: unknown) => {
+        throw describeError(error, step, url);
+      });
+  return {
+    get: async (key) =>
+      (await call<{ record?: StoredRecord }>("kv/get", { key })).record,
+    list: async (prefix) =>
+      (await call<{ records: StoredRecord[] }>("kv/list", { prefix })).records,
+    cas: (request) => call<CasAnswer>("kv/cas", request),
+    watch: (prefix, revision) =>
+      call<WatchAnswer>("kv/watch", { prefix, revision }, WATCH_TIMEOUT_MS),
+    grantLease: async (ttlMs) =>
+      (await call<{ leaseId: string }>("lease/grant", { ttlMs })).leaseId,
+    keepLease: async (leaseId) =>
+      (await call<{ isKept: boolean }>("lease/keep", { leaseId })).isKept,
+    listInstances: async () =>
+      (await call<{ instances: [] }>("instances", {})).instances,
+  };
+}
+
+function describeError(
+  error: unknown,
+  step: string,
+  peer: string,
+): PlatformError {
+  if (error instanceof HTTPError && error.response.statusCode === 429) {
+    const header = error.response.headers["retry-after"];
+    const retryAfterMs =
+      header === undefined ? DEFAULT_RETRY_AFTER_MS : Number(header) * 1000;
+    return new PlatformError(
+      { kind: "rate-limited", retryAfterMs },
+      step,
+      peer,
+    );
+  }
+  const detail = error instanceof Error ? error.message : String(error);
+  return new PlatformError({ kind: "unavailable", detail }, step, peer);
+}
