Add the virtual-time world and the interfaces between instances

Cause: limits, jobs and membership need peer messages and platform calls, and every proof needs many instances of the real core under virtual time.

Change: events and effects for peer messages, platform calls and the instance list; a world that steps instances with fakes for network, store and engines; a style check that reads docs/VERBS.md.

--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -1,1 +1,2 @@
+/** The command-line tool has no library interface. */
 export {};
--- a/packages/core/src/instance/create_instance.ts
+++ b/packages/core/src/instance/create_instance.ts
@@ -16,5 +16,7 @@
     works: {},
     queue: [],
     jobs: {},
+    membership: { members: {}, nextHeartbeatMs: 0 },
+    platform: { callCount: 0, pending: {}, heardMs: 0 },
   };
 }
--- /dev/null
+++ b/packages/core/src/instance/handle_message.ts
@@ -0,0 +1,18 @@
+import type { InstanceId } from "../ids/types.ts";
+import { noteHeartbeat } from "../membership/note_heartbeat.ts";
+import type { InstanceState, PeerMessage, Step } from "./types.ts";
+
+/** Hands a peer's message to the feature that it belongs to. */
+export function handleMessage(
+  state: InstanceState,
+  {
+    from,
+    message,
+  }: { readonly from: InstanceId; readonly message: PeerMessage },
+  nowMs: number,
+): Step {
+  switch (message.kind) {
+    case "heartbeat":
+      return noteHeartbeat(state, from, { heartbeat: message, nowMs });
+  }
+}
--- a/packages/core/src/instance/step_instance.ts
+++ b/packages/core/src/instance/step_instance.ts
@@ -2,6 +2,9 @@
 import { cancelJob } from "../jobs/cancel_job.ts";
 import { offerJob } from "../jobs/offer_job.ts";
 import { settleResult } from "../jobs/settle_result.ts";
+import { noteList } from "../membership/note_list.ts";
+import { sendHeartbeats } from "../membership/send_heartbeats.ts";
+import { handleAnswer } from "../platform/handle_answer.ts";
 import { assertNever } from "../shared/assert_never.ts";
 import { abandonRequest } from "../work/abandon_request.ts";
 import { acceptRequest } from "../work/accept_request.ts";
@@ -10,6 +13,7 @@
 import { expireWork } from "../work/expire_work.ts";
 import { noteFirstToken } from "../work/note_first_token.ts";
 import { chainStep } from "./chain_step.ts";
+import { handleMessage } from "./handle_message.ts";
 import type { InstanceEvent, InstanceState, Step } from "./types.ts";
 
 /**
@@ -49,8 +53,16 @@
       return settleResult(state, event);
     case "stop-asked":
       return { state: { ...state, isStopping: true }, effects: [] };
+    case "peer-message":
+      return handleMessage(state, event, nowMs);
+    case "platform-answered":
+      return handleAnswer(state, event, nowMs);
+    case "instances-listed":
+      return noteList(state, event.instances);
     case "tick":
-      return expireWork(state, nowMs);
+      return chainStep(expireWork(state, nowMs), (after) =>
+        sendHeartbeats(after, nowMs),
+      );
     default:
       return assertNever(event);
   }
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -10,6 +10,16 @@
 } from "../ids/types.ts";
 import type { ItemResult, Job, JobSpec } from "../jobs/types.ts";
 import type { Bucket } from "../limits/types.ts";
+import type {
+  Heartbeat,
+  ListedInstance,
+  MembershipState,
+} from "../membership/types.ts";
+import type {
+  PlatformAnswer,
+  PlatformCall,
+  PlatformState,
+} from "../platform/types.ts";
 import type { Table } from "../shared/types.ts";
 import type { Upstream } from "../upstreams/types.ts";
 import type {
@@ -25,6 +35,8 @@
 export type InstanceSelf = {
   readonly instanceId: InstanceId;
   readonly dataCentre: DataCentreId;
+  /** Address of the peer listener, `IP:port`. */
+  readonly address: string;
   /** Unique for each start of the process. */
   readonly incarnation: string;
 };
@@ -42,8 +54,13 @@
   /** Queued online work, first come first. */
   readonly queue: readonly WorkId[];
   readonly jobs: Table<Job>;
+  readonly membership: MembershipState;
+  readonly platform: PlatformState;
 };
 
+/** What instances say to each other. */
+export type PeerMessage = Heartbeat;
+
 /** What happened, as told by the daemon's tasks. */
 export type InstanceEvent =
   | { readonly kind: "config-offered"; readonly config: Config }
@@ -63,6 +80,20 @@
       readonly index: number;
       readonly result: ItemResult;
     }
+  | {
+      readonly kind: "peer-message";
+      readonly from: InstanceId;
+      readonly message: PeerMessage;
+    }
+  | {
+      readonly kind: "platform-answered";
+      readonly callId: string;
+      readonly answer: PlatformAnswer;
+    }
+  | {
+      readonly kind: "instances-listed";
+      readonly instances: readonly ListedInstance[];
+    }
   | { readonly kind: "stop-asked" }
   | { readonly kind: "tick" };
 
@@ -95,6 +126,16 @@
       readonly jobId: JobId;
       readonly phase: "completed" | "cancelled";
     }
+  | {
+      readonly kind: "send-peer";
+      readonly to: InstanceId;
+      readonly message: PeerMessage;
+    }
+  | {
+      readonly kind: "call-platform";
+      readonly callId: string;
+      readonly call: PlatformCall;
+    }
   | { readonly kind: "record-run"; readonly run: RunRecord };
 
 /** The state after an event, and what is to be done. */
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -15,6 +15,8 @@
 export type * from "./jobs/types.ts";
 export { ITEM_STATES } from "./jobs/types.ts";
 export type * from "./limits/types.ts";
+export type * from "./membership/types.ts";
+export type * from "./platform/types.ts";
 export { assertNever } from "./shared/assert_never.ts";
 export { drawRandom } from "./shared/draw_random.ts";
 export { dropEntry } from "./shared/drop_entry.ts";
--- /dev/null
+++ b/packages/core/src/platform/handle_answer.ts
@@ -0,0 +1,35 @@
+import type { InstanceState, Step } from "../instance/types.ts";
+import { assertNever } from "../shared/assert_never.ts";
+import { dropEntry } from "../shared/drop_entry.ts";
+import type { PlatformAnswer } from "./types.ts";
+
+/** Hands the platform's answer to the feature that asked. */
+export function handleAnswer(
+  state: InstanceState,
+  {
+    callId,
+    answer,
+  }: { readonly callId: string; readonly answer: PlatformAnswer },
+  nowMs: number,
+): Step {
+  const asked = state.platform.pending[callId];
+  if (asked === undefined) {
+    return { state, effects: [] };
+  }
+  const isHeard = answer.kind !== "unavailable";
+  const platform = {
+    ...state.platform,
+    pending: dropEntry(state.platform.pending, callId),
+    heardMs: isHeard ? nowMs : state.platform.heardMs,
+  };
+  const after: InstanceState = { ...state, platform };
+  switch (asked.purpose.feature) {
+    case "shares":
+    case "jobs":
+    case "claims":
+    case "membership":
+      return { state: after, effects: [] };
+    default:
+      return assertNever(asked.purpose);
+  }
+}
--- a/packages/daemon/src/config/watch_config.ts
+++ b/packages/daemon/src/config/watch_config.ts
@@ -1,5 +1,9 @@
-import { type Config, checkConfig } from "@gooseberryline/core";
-import type { Platform, StoredRecord } from "@gooseberryline/protocol";
+import {
+  type Config,
+  checkConfig,
+  type PlatformRecord,
+} from "@gooseberryline/core";
+import type { Platform } from "@gooseberryline/protocol";
 import type { Log } from "../logs/create_log.ts";
 
 /** Key of the operators' configuration in the platform's service. */
@@ -44,7 +48,7 @@
 }
 
 function offerRecord(
-  record: StoredRecord,
+  record: PlatformRecord,
   offer: (config: Config) => void,
   log: Log,
 ): void {
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -109,6 +109,7 @@
   return {
     instanceId: settings.instanceId as InstanceId,
     dataCentre: settings.dataCentre as DataCentreId,
+    address: "",
     incarnation: randomUUID().slice(0, 8),
   };
 }
--- a/packages/daemon/src/tasks/handle_effect.ts
+++ b/packages/daemon/src/tasks/handle_effect.ts
@@ -38,6 +38,10 @@
     case "end-job":
       void parts.jobs.end(effect.jobId, effect.phase);
       return;
+    case "send-peer":
+    case "call-platform":
+      // Carried out once the peer and platform tasks exist.
+      return;
     case "record-run":
       parts.keepRun(effect.run);
       return;
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -4,3 +4,7 @@
 export { startStore } from "./platform/start_store.ts";
 export { StoreState } from "./platform/store_state.ts";
 export type * from "./platform/types.ts";
+export { EventQueue } from "./world/event_queue.ts";
+export type { CallerView, EngineModel, WorldOptions } from "./world/types.ts";
+export { VirtualEngine } from "./world/virtual_engine.ts";
+export { World } from "./world/world.ts";
--- a/packages/fakes/src/platform/store_state.ts
+++ b/packages/fakes/src/platform/store_state.ts
@@ -1,11 +1,11 @@
+import type { PlatformRecord } from "@gooseberryline/core";
 import type {
   CasAnswer,
   CasRequest,
-  StoredRecord,
   WatchAnswer,
 } from "@gooseberryline/protocol";
 
-type Held = StoredRecord & {
+type Held = PlatformRecord & {
   readonly revision: number;
   readonly leaseId: string | undefined;
 };
@@ -20,12 +20,12 @@
   #revision = 0;
   #leaseCount = 0;
 
-  get(key: string, nowMs: number): StoredRecord | undefined {
+  get(key: string, nowMs: number): PlatformRecord | undefined {
     this.#endLeases(nowMs);
     return this.#records.get(key);
   }
 
-  list(prefix: string, nowMs: number): readonly StoredRecord[] {
+  list(prefix: string, nowMs: number): readonly PlatformRecord[] {
     this.#endLeases(nowMs);
     return [...this.#records.values()].filter(({ key }) =>
       key.startsWith(prefix),
--- a/packages/fakes/src/platform/types.ts
+++ b/packages/fakes/src/platform/types.ts
@@ -1,5 +1,5 @@
 /** The stand-in for the platform's key-value service. */
-import type { ListedInstance } from "@gooseberryline/protocol";
+import type { ListedInstance } from "@gooseberryline/core";
 
 /** Faults that the stand-in can be told to show. */
 export type StoreFaults = {
--- /dev/null
+++ b/packages/fakes/src/world/types.ts
@@ -0,0 +1,88 @@
+/** Many instances of the real core in one process, under virtual time. */
+import type {
+  AttemptId,
+  ConfigDocument,
+  DataCentreId,
+  InstanceEvent,
+  InstanceId,
+  InstanceState,
+  Refusal,
+  UpstreamId,
+  WorkId,
+  WorkOrder,
+} from "@gooseberryline/core";
+
+export type WorldOptions = {
+  readonly seed: number;
+  readonly document: ConfigDocument;
+  /** Instances in each data centre. */
+  readonly instances: Readonly<Record<string, number>>;
+  /** Delay between two data centres, one way, milliseconds. */
+  readonly delayMs?: number;
+  readonly engine?: Partial<EngineModel>;
+};
+
+/** How a virtual engine behaves. */
+export type EngineModel = {
+  /** Time to the first token of an unloaded engine. */
+  readonly firstTokenMs: number;
+  /** Time between tokens of an unloaded engine. */
+  readonly tokenMs: number;
+  /** Requests that run at once before each slows the others in full. */
+  readonly slots: number;
+  /** Requests that a cold engine bears; more crash it. */
+  readonly coldSlots: number;
+  /** Completions after which a cold engine is warm. */
+  readonly warmAfter: number;
+};
+
+/** Faults of one virtual engine. */
+export type EngineFault = {
+  /** Takes requests and never answers. */
+  readonly isSilent: boolean;
+  /** Refuses connections. */
+  readonly isDown: boolean;
+  /** Share of answers that end early. */
+  readonly cutShare: number;
+};
+
+/** One run of work at an engine, as the engine saw it. */
+export type EngineRun = {
+  readonly attemptId: AttemptId;
+  readonly workId: WorkId;
+  readonly upstreamId: UpstreamId;
+  readonly instanceId: InstanceId;
+  readonly order: WorkOrder | undefined;
+  readonly startedMs: number;
+  /** Undefined while it runs. */
+  readonly endedMs: number | undefined;
+  readonly isWhole: boolean;
+};
+
+/** How one online request went, as its caller saw it. */
+export type CallerView = {
+  readonly order: WorkOrder;
+  readonly instanceId: InstanceId;
+  readonly arrivedMs: number;
+  readonly firstTokenMs: number | undefined;
+  readonly endedMs: number | undefined;
+  readonly end:
+    | { readonly kind: "answered" }
+    | { readonly kind: "refused"; readonly refusal: Refusal }
+    /** Its instance was lost. */
+    | { readonly kind: "lost" }
+    | undefined;
+};
+
+/** One process of the world. */
+export type WorldNode = {
+  state: InstanceState;
+  readonly id: InstanceId;
+  readonly dataCentre: DataCentreId;
+  isAlive: boolean;
+  /** While paused, events wait here and time passes unseen. */
+  isPaused: boolean;
+  readonly held: InstanceEvent[];
+  /** Attempts whose answers this process still listens to. */
+  readonly listening: Set<AttemptId>;
+};
--- /dev/null
+++ b/packages/fakes/src/world/world.ts
@@ -0,0 +1,265 @@
+import {
+  type Config,
+  type ConfigDocument,
+  createInstance,
+  type DataCentreId,
+  type InstanceEvent,
+  type InstanceId,
+  type InstanceState,
+  type ListedInstance,
+  stepInstance,
+  type UpstreamId,
+  type WorkOrder,
+} from "@gooseberryline/core";
+import { EffectRunner } from "./effect_runner.ts";
+import { ENGINE_DEFAULTS } from "./engine_defaults.ts";
+import { EventQueue } from "./event_queue.ts";
+import { PLATFORM_PLACE } from "./platform_place.ts";
+import type { WorldNode, WorldOptions } from "./types.ts";
+import { VirtualEngine } from "./virtual_engine.ts";
+import { VirtualStore } from "./virtual_store.ts";
+import { WorldLedger } from "./world_ledger.ts";
+import { WorldNetwork } from "./world_network.ts";
+
+const TICK_MS = 20;
+const LIST_MS = 5_000;
+
+/**
+ * Steps instances of the real core under virtual time, with fakes for the
+ * network, the platform's store, the engines and the disks.
+ */
+export class World {
+  readonly queue = new EventQueue();
+  readonly ledger = new WorldLedger();
+  readonly store = new VirtualStore();
+  readonly network: WorldNetwork;
+  readonly engines = new Map<UpstreamId, VirtualEngine>();
+  readonly #runner: EffectRunner;
+  readonly #nodes = new Map<InstanceId, WorldNode>();
+  readonly #options: WorldOptions;
+  readonly #listed = new Map<string, ListedInstance>();
+  #config: Config;
+  #incarnations = 0;
+
+  constructor(options: WorldOptions) {
+    this.#options = options;
+    this.#config = { revision: 1, document: options.document };
+    this.network = new WorldNetwork(options.seed, options.delayMs ?? 1);
+    this.#runner = new EffectRunner({
+      queue: this.queue,
+      ledger: this.ledger,
+      store: this.store,
+      network: this.network,
+      engines: this.engines,
+      findNode: (id) => this.#nodes.get(id),
+      post: (node, event) => this.#postTo(node, event),
+    });
+    Object.keys(options.document.upstreams).forEach((id) => {
+      this.#addEngine(id as UpstreamId);
+    });
+    const places = Object.entries(options.instances).flatMap(
+      ([dataCentre, count]) =>
+        Array.from({ length: count }, (_, at) => ({
+          id: `${dataCentre}-${at}` as InstanceId,
+          dataCentre: dataCentre as DataCentreId,
+        })),
+    );
+    places.forEach(({ id, dataCentre }) => {
+      this.#listed.set(id, {
+        instanceId: id,
+        address: id,
+        dataCentre,
+        state: "live",
+      });
+    });
+    places.forEach(({ id, dataCentre }) => {
+      this.start(id, dataCentre);
+    });
+  }
+
+  get nowMs(): number {
+    return this.queue.nowMs;
+  }
+
+  get instanceIds(): readonly InstanceId[] {
+    return [...this.#nodes.values()]
+      .filter(({ isAlive }) => isAlive)
+      .map(({ id }) => id);
+  }
+
+  get config(): Config {
+    return this.#config;
+  }
+
+  stateOf(id: InstanceId): InstanceState | undefined {
+    return this.#nodes.get(id)?.state;
+  }
+
+  runFor(durationMs: number): void {
+    this.queue.runUntil(this.nowMs + durationMs);
+  }
+
+  /** Starts an instance, or a new incarnation of one that is dead. */
+  start(id: InstanceId, dataCentre: DataCentreId): void {
+    this.#incarnations += 1;
+    const incarnation = `i${this.#incarnations}`;
+    const self = { instanceId: id, dataCentre, address: id, incarnation };
+    const seed = this.#options.seed * 1000 + this.#incarnations;
+    const node: WorldNode = {
+      state: createInstance(self, seed),
+      id,
+      dataCentre,
+      isAlive: true,
+      isPaused: false,
+      held: [],
+      listening: new Set(),
+    };
+    this.#nodes.set(id, node);
+    this.#offerList(node);
+    this.#offerConfig(node);
+    this.#tick(node);
+  }
+
+  /** Kills an instance hard: its state and open requests are lost. */
+  kill(id: InstanceId): void {
+    const node = this.#nodes.get(id);
+    if (node === undefined || !node.isAlive) {
+      return;
+    }
+    node.isAlive = false;
+    node.listening.forEach((attemptId) => {
+      this.engines.forEach((engine) => {
+        engine.cancel(attemptId);
+      });
+      this.ledger.noteRunEnd(attemptId, false, this.nowMs);
+    });
+    this.ledger.calls
+      .filter((call) => call.instanceId === id && call.end === undefined)
+      .forEach(({ order }) => {
+        this.ledger.noteEnd(order.workId, { kind: "lost" }, this.nowMs);
+      });
+  }
+
+  /** Stops an instance's clock and deliveries, as SIGSTOP does. */
+  pause(id: InstanceId): void {
+    const node = this.#nodes.get(id);
+    if (node !== undefined) {
+      node.isPaused = true;
+    }
+  }
+
+  resume(id: InstanceId): void {
+    const node = this.#nodes.get(id);
+    if (node === undefined) {
+      return;
+    }
+    node.isPaused = false;
+    const held = node.held.splice(0);
+    held.forEach((event) => {
+      this.#step(node, event);
+    });
+  }
+
+  /** Changes what the platform lists of an instance. */
+  setListed(id: InstanceId, state: "live" | "leaving" | "gone"): void {
+    const known = this.#listed.get(id);
+    if (state === "gone") {
+      this.#listed.delete(id);
+    } else if (known !== undefined) {
+      this.#listed.set(id, { ...known, state });
+    }
+  }
+
+  /** Accepts a new configuration and offers it to instances in reach. */
+  setConfig(document: ConfigDocument): Config {
+    this.#config = { revision: this.#config.revision + 1, document };
+    Object.keys(document.upstreams)
+      .filter((id) => !this.engines.has(id as UpstreamId))
+      .forEach((id) => {
+        this.#addEngine(id as UpstreamId);
+      });
+    this.#nodes.forEach((node) => {
+      this.#offerConfig(node);
+    });
+    return this.#config;
+  }
+
+  /** Lets a request arrive at an instance. */
+  arrive(id: InstanceId, order: WorkOrder): void {
+    const node = this.#nodes.get(id);
+    if (node === undefined || !node.isAlive) {
+      return;
+    }
+    this.ledger.noteArrival(order, id, this.nowMs);
+    this.post(id, { kind: "request-arrived", order });
+  }
+
+  /** Hands an event to an instance; held back while it is paused. */
+  post(id: InstanceId, event: InstanceEvent): void {
+    const node = this.#nodes.get(id);
+    if (node === undefined || !node.isAlive) {
+      return;
+    }
+    if (node.isPaused) {
+      node.held.push(event);
+      return;
+    }
+    this.#step(node, event);
+  }
+
+  #postTo(node: WorldNode, event: InstanceEvent): void {
+    if (this.#nodes.get(node.id) === node) {
+      this.post(node.id, event);
+    }
+  }
+
+  #addEngine(id: UpstreamId): void {
+    const config = this.#options.document.upstreams[id];
+    const model = {
+      ...ENGINE_DEFAULTS,
+      ...(config === undefined ? {} : { slots: config.maxConcurrency }),
+      ...this.#options.engine,
+    };
+    this.engines.set(id, new VirtualEngine(id, this.queue, model));
+  }
+
+  #tick(node: WorldNode): void {
+    if (!node.isAlive) {
+      return;
+    }
+    if (!node.isPaused) {
+      this.#step(node, { kind: "tick" });
+    }
+    this.queue.schedule(TICK_MS, () => this.#tick(node));
+  }
+
+  #offerList(node: WorldNode): void {
+    if (!node.isAlive) {
+      return;
+    }
+    const place = { id: node.id, dataCentre: node.dataCentre };
+    const isReached = !this.network.isCut(place, PLATFORM_PLACE);
+    if (isReached && !this.store.faults.isDown) {
+      const instances = [...this.#listed.values()];
+      this.#postTo(node, { kind: "instances-listed", instances });
+    }
+    this.queue.schedule(LIST_MS, () => this.#offerList(node));
+  }
+
+  #offerConfig(node: WorldNode): void {
+    const place = { id: node.id, dataCentre: node.dataCentre };
+    const isReached = !this.network.isCut(place, PLATFORM_PLACE);
+    if (isReached && !this.store.faults.isDown) {
+      const config = this.#config;
+      this.#postTo(node, { kind: "config-offered", config });
+    }
+  }
+
+  #step(node: WorldNode, event: InstanceEvent): void {
+    const step = stepInstance(node.state, event, this.nowMs);
+    node.state = step.state;
+    step.effects.forEach((effect) => {
+      this.#runner.carryOut(node, effect);
+    });
+  }
+}
--- a/packages/measure/src/mod.ts
+++ b/packages/measure/src/mod.ts
@@ -1,1 +1,2 @@
+/** The measurements have no library interface. */
 export {};
--- /dev/null
+++ b/packages/measure/src/style/style_test.ts
@@ -0,0 +1,65 @@
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { expect, test } from "vitest";
+
+const ROOT = new URL("../../../../", import.meta.url).pathname;
+const MAX_LINES = 300;
+const PREDICATES = ["is", "has", "can", "should", "holds"];
+
+const sources = readdirSync(join(ROOT, "packages"), {
+  recursive: true,
+  encoding: "utf8",
+})
+  .filter((path) => /^\w+\/src\/.*\.ts$/.test(path))
+  .filter((path) => !path.includes("generated"))
+  .map((path) => ({
+    path,
+    text: readFileSync(join(ROOT, "packages", path), "utf8"),
+  }));
+
+const verbs = readFileSync(join(ROOT, "docs", "VERBS.md"), "utf8")
+  .split("\n")
+  .filter((line) => line.startsWith("| ") && !line.startsWith("| ---"))
+  .flatMap((line) => (line.split("|")[1] ?? "").split(","))
+  .map((verb) => verb.trim());
+
+test("functions begin with a verb of the list", () => {
+  const allowed = new Set([...verbs, ...PREDICATES]);
+  const strays = sources.flatMap(({ path, text }) =>
+    [...text.matchAll(/^\s*(?:export )?(?:async )?function (\w+)/gm)]
+      .map(([, name = ""]) => name)
+      .filter((name) => !allowed.has(name.match(/^[a-z]+/)?.[0] ?? ""))
+      .map((name) => `${path}: ${name}`),
+  );
+  expect(strays).toEqual([]);
+});
+
+test("a module exports one value", () => {
+  const strays = sources
+    .filter(({ path }) => !path.endsWith("mod.ts"))
+    .filter(({ path }) => !path.endsWith("types.ts"))
+    .filter(
+      ({ text }) =>
+        (text.match(/^export (?:async )?(?:function|const|class|let)/gm) ?? [])
+          .length > 1,
+    )
+    .map(({ path }) => path);
+  expect(strays).toEqual([]);
+});
+
+test("modules stay small", () => {
+  const large = sources
+    .map(({ path, text }) => ({ path, lines: text.split("\n").length }))
+    .filter(({ lines }) => lines > MAX_LINES)
+    .map(({ path, lines }) => `${path}: ${lines}`);
+  expect(large).toEqual([]);
+});
+
+test("each module says what it is for", () => {
+  const silent = sources
+    .filter(({ path }) => !path.endsWith("_test.ts"))
+    .filter(({ path }) => !path.endsWith("main.ts"))
+    .filter(({ text }) => !text.includes("/**"))
+    .map(({ path }) => path);
+  expect(silent).toEqual([]);
+});
--- /dev/null
+++ b/packages/measure/src/world/world_config.ts
@@ -0,0 +1,60 @@
+import type { ConfigDocument } from "@gooseberryline/core";
+
+const HOUR_MS = 3_600_000;
+
+/** Size of a virtual fleet. */
+export type WorldSize = {
+  readonly dataCentres: readonly string[];
+  readonly upstreamsEach: number;
+  readonly customers: readonly string[];
+  readonly rate?: number;
+  readonly burst?: number;
+  readonly concurrency?: number;
+};
+
+/** Builds the configuration of a virtual fleet, today's sizes by default. */
+export function buildWorldConfig(size: WorldSize): ConfigDocument {
+  const upstreams = size.dataCentres.flatMap((dataCentre) =>
+    Array.from({ length: size.upstreamsEach }, (_, at) => [
+      `${dataCentre}-u${at}`,
+      {
+        service: "letterdesk-llm",
+        dataCentre,
+        url: "http://127.0.0.1:1",
+        maxConcurrency: size.concurrency ?? 16,
+      },
+    ]),
+  );
+  const profile = {
+    firstTokenMs: 1_100,
+    deadlineMs: 15_000,
+    idempotent: true,
+    batchDueMs: HOUR_MS,
+    objective: 0.99,
+    limits: { bodyBytes: 65_536, tokens: 4_096, items: 930_000 },
+  };
+  return {
+    dataCentres: Object.fromEntries(
+      size.dataCentres.map((id) => [id, { state: "in" as const }]),
+    ),
+    services: { "letterdesk-llm": { kind: "model", openToAll: false } },
+    upstreams: Object.fromEntries(upstreams),
+    profiles: {
+      counter: profile,
+      charge: { ...profile, idempotent: false },
+    },
+    customers: Object.fromEntries(
+      size.customers.map((id) => [
+        id,
+        {
+          rate: size.rate ?? 20,
+          burst: size.burst ?? 20,
+          weight: 1,
+          defaultProfile: "counter",
+          batchProfile: "counter",
+          keys: [{ id: `${id}-key`, hash: "0".repeat(64) }],
+        },
+      ]),
+    ),
+  };
+}
--- a/packages/protocol/src/platform/connect_platform.ts
+++ b/packages/protocol/src/platform/connect_platform.ts
@@ -1,11 +1,7 @@
+import type { PlatformRecord } from "@gooseberryline/core";
 import { got, HTTPError } from "got";
 import { PlatformError } from "./platform_error.ts";
-import type {
-  CasAnswer,
-  Platform,
-  StoredRecord,
-  WatchAnswer,
-} from "./types.ts";
+import type { CasAnswer, Platform, WatchAnswer } from "./types.ts";
 
 const CALL_TIMEOUT_MS = 2_000;
 const WATCH_TIMEOUT_MS = 35_000;
@@ -30,9 +26,10 @@
       });
   return {
     get: async (key) =>
-      (await call<{ record?: StoredRecord }>("kv/get", { key })).record,
+      (await call<{ record?: PlatformRecord }>("kv/get", { key })).record,
     list: async (prefix) =>
-      (await call<{ records: StoredRecord[] }>("kv/list", { prefix })).records,
+      (await call<{ records: PlatformRecord[] }>("kv/list", { prefix }))
+        .records,
     cas: (request) => call<CasAnswer>("kv/cas", request),
     watch: (prefix, revision) =>
       call<WatchAnswer>("kv/watch", { prefix, revision }, WATCH_TIMEOUT_MS),
--- a/packages/protocol/src/platform/types.ts
+++ b/packages/protocol/src/platform/types.ts
@@ -1,29 +1,15 @@
 /** The platform's key-value service, as the product uses it. */
-
-/** One stored value; `version` rises with each write of the key. */
-export type StoredRecord = {
-  readonly key: string;
-  readonly value: string;
-  readonly version: number;
-};
+import type { ListedInstance, PlatformRecord } from "@gooseberryline/core";
 
 /** The answer to a compare-and-swap. */
 export type CasAnswer =
   | { readonly kind: "written"; readonly version: number }
-  | { readonly kind: "conflict"; readonly current: StoredRecord | undefined };
-
-/** One server or instance in the platform's lagging list. */
-export type ListedInstance = {
-  readonly instanceId: string;
-  readonly address: string;
-  readonly dataCentre: string;
-  readonly state: "live" | "leaving";
-};
+  | { readonly kind: "conflict"; readonly current: PlatformRecord | undefined };
 
 /** Changes after a store revision. */
 export type WatchAnswer = {
   readonly revision: number;
-  readonly records: readonly StoredRecord[];
+  readonly records: readonly PlatformRecord[];
 };
 
 export type CasRequest = {
@@ -40,8 +26,8 @@
  * `PlatformError`; after `unavailable` a write may have taken effect.
  */
 export type Platform = {
-  readonly get: (key: string) => Promise<StoredRecord | undefined>;
-  readonly list: (prefix: string) => Promise<readonly StoredRecord[]>;
+  readonly get: (key: string) => Promise<PlatformRecord | undefined>;
+  readonly list: (prefix: string) => Promise<readonly PlatformRecord[]>;
   readonly cas: (request: CasRequest) => Promise<CasAnswer>;
   /** Waits for a change under `prefix` after `revision`, or a while. */
   readonly watch: (prefix: string, revision: number) => Promise<WatchAnswer>;
