--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -1,4 +1,9 @@
 /** The decisions of the serving system: pure, without I/O. */
+export { buildBurnRows } from "./burn/build_burn_rows.ts";
+export { BURN_WINDOWS } from "./burn/constants.ts";
+export { mergeBurnRows } from "./burn/merge_burn_rows.ts";
+export { noteOutcome } from "./burn/note_outcome.ts";
+export type * from "./burn/types.ts";
 export { loadChart } from "./charts/load_chart.ts";
 export type { Chart, ChartFile } from "./charts/types.ts";
 export { type CheckedConfig, checkConfig } from "./config/check_config.ts";
--- /dev/null
+++ b/packages/daemon/src/admin/add_report_routes.ts
@@ -0,0 +1,102 @@
+import { type JobId, mergeBurnRows } from "@gooseberryline/core";
+import type Router from "@koa/router";
+import type { Context } from "koa";
+import { AdminRefusal } from "./admin_refusal.ts";
+import type { AdminParts, JobView, OperatorRole } from "./types.ts";
+
+const DEFAULT_RUNS = 100;
+const MAX_RUNS = 10_000;
+
+/** Adds the reports over all reachable instances. */
+export function addReportRoutes(
+  router: Router,
+  { reports, cancelJob, log }: AdminParts,
+  requireRole: (ctx: Context, role: OperatorRole) => string,
+): void {
+  router.get("/admin/v1/status", async (ctx) => {
+    requireRole(ctx, "viewer");
+    const { answers, missing } = await reports.gatherStatus();
+    ctx.body = { instances: answers.map(({ body }) => body), missing };
+  });
+  router.get("/admin/v1/runs", async (ctx) => {
+    requireRole(ctx, "viewer");
+    const limit = readLimit(ctx);
+    const { answers, missing } = await reports.gatherRuns({
+      customer: readText(ctx, "customer"),
+      workId: readText(ctx, "work"),
+      limit,
+    });
+    const runs = answers
+      .flatMap(({ instanceId, body }) =>
+        body.map((run) => ({ ...run, instanceId })),
+      )
+      .toSorted((a, b) => b.endedMs - a.endedMs)
+      .slice(0, limit);
+    ctx.body = { runs, missing };
+  });
+  router.get("/admin/v1/jobs", async (ctx) => {
+    requireRole(ctx, "viewer");
+    const { answers, missing } = await reports.gatherJobs();
+    ctx.body = { jobs: uniteJobs(answers.map(({ body }) => body)), missing };
+  });
+  router.get("/admin/v1/jobs/:id", async (ctx) => {
+    requireRole(ctx, "viewer");
+    ctx.body = await findJob(String(ctx.params.id));
+  });
+  router.post("/admin/v1/jobs/:id/cancel", async (ctx) => {
+    const operator = requireRole(ctx, "operator");
+    const job = await findJob(String(ctx.params.id));
+    cancelJob(job.spec.jobId as JobId);
+    log.info("job-cancel-asked", { operator, jobId: job.spec.jobId });
+    ctx.status = 202;
+    ctx.body = { id: job.spec.jobId };
+  });
+  router.get("/admin/v1/reports/burn", async (ctx) => {
+    requireRole(ctx, "viewer");
+    const { answers, missing } = await reports.gatherBurn();
+    const rows = mergeBurnRows(answers.map(({ body }) => body));
+    const reached = answers.map(({ instanceId }) => instanceId);
+    ctx.body = { atMs: Date.now(), rows, reached, missing };
+  });
+
+  async function findJob(id: string): Promise<JobView> {
+    const { answers } = await reports.gatherJobs();
+    const job = uniteJobs(answers.map(({ body }) => body)).find(
+      ({ spec }) => spec.jobId === id,
+    );
+    if (job === undefined) {
+      throw new AdminRefusal(404, "job_not_found", `no job "${id}"`);
+    }
+    return job;
+  }
+}
+
+/** A job may be known to several instances; the furthest view is shown. */
+function uniteJobs(views: readonly (readonly JobView[])[]): readonly JobView[] {
+  const jobs = views.flat().reduce((known, job) => {
+    const held = known.get(job.spec.jobId);
+    const isFurther =
+      held === undefined ||
+      job.completed + job.failed > held.completed + held.failed;
+    return isFurther ? known.set(job.spec.jobId, job) : known;
+  }, new Map<string, JobView>());
+  return [...jobs.values()];
+}
+
+function readLimit(ctx: Context): number {
+  const text = readText(ctx, "limit");
+  const limit = text === undefined ? DEFAULT_RUNS : Number(text);
+  if (!Number.isInteger(limit) || limit < 1 || limit > MAX_RUNS) {
+    throw new AdminRefusal(
+      400,
+      "invalid_limit",
+      `limit must be a whole number from 1 to ${MAX_RUNS}`,
+    );
+  }
+  return limit;
+}
+
+function readText(ctx: Context, name: string): string | undefined {
+  const value = ctx.query[name];
+  return typeof value === "string" && value !== "" ? value : undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/admin/create_local_reports.ts
@@ -0,0 +1,25 @@
+import type { BurnRow, InstanceState, RunRecord } from "@gooseberryline/core";
+import { describeStatus } from "./describe_status.ts";
+import type { Gathered, JobView, Reports, RunQuery } from "./types.ts";
+
+/** Where one instance finds its own part of each report. */
+export type ReportSources = {
+  readonly readState: () => InstanceState;
+  readonly listRuns: (query: RunQuery) => readonly RunRecord[];
+  readonly listJobs: () => readonly JobView[];
+  readonly buildBurn: () => readonly BurnRow[];
+};
+
+/** Creates reports of this instance alone. */
+export function createLocalReports(sources: ReportSources): Reports {
+  const gather = <Body>(body: Body): Promise<Gathered<Body>> => {
+    const { instanceId } = sources.readState().self;
+    return Promise.resolve({ answers: [{ instanceId, body }], missing: [] });
+  };
+  return {
+    gatherStatus: () => gather(describeStatus(sources.readState(), Date.now())),
+    gatherRuns: (query) => gather(sources.listRuns(query)),
+    gatherJobs: () => gather(sources.listJobs()),
+    gatherBurn: () => gather(sources.buildBurn()),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/admin/types.ts
@@ -0,0 +1,85 @@
+/** What the administration interface needs of the rest of the daemon. */
+import type {
+  BurnRow,
+  InstanceState,
+  JobId,
+  RunRecord,
+} from "@gooseberryline/core";
+import type { Platform } from "@gooseberryline/protocol";
+import type { JobRecord } from "../jobs/types.ts";
+import type { Log } from "../logs/create_log.ts";
+import type { Settings } from "../settings/types.ts";
+
+export type Operator = Settings["operators"][number];
+export type OperatorRole = Operator["role"];
+
+/** One instance's part of a report. */
+export type InstanceAnswer<Body> = {
+  readonly instanceId: string;
+  readonly body: Body;
+};
+
+/** A report gathered over instances, naming those not reached. */
+export type Gathered<Body> = {
+  readonly answers: readonly InstanceAnswer<Body>[];
+  readonly missing: readonly string[];
+};
+
+/** Which run records to show. */
+export type RunQuery = {
+  readonly customer: string | undefined;
+  readonly workId: string | undefined;
+  readonly limit: number;
+};
+
+/** A job as operators see it, whoever its customer is. */
+export type JobView = JobRecord & {
+  readonly completed: number;
+  readonly failed: number;
+};
+
+/** An instance as operators see it. */
+export type StatusView = {
+  readonly instanceId: string;
+  readonly dataCentre: string;
+  readonly incarnation: string;
+  readonly revision: number;
+  readonly isStopping: boolean;
+  readonly inFlight: number;
+  readonly queued: number;
+  readonly jobs: number;
+  readonly members: readonly {
+    readonly instanceId: string;
+    readonly dataCentre: string;
+    readonly revision: number;
+    readonly heardAgoMs: number | null;
+  }[];
+  readonly upstreams: readonly {
+    readonly upstreamId: string;
+    readonly dataCentre: string;
+    readonly service: string;
+    readonly inFlight: number;
+    readonly allowance: number;
+    readonly isLeaving: boolean;
+  }[];
+  readonly invariantsBroken: Readonly<Record<string, number>>;
+};
+
+/** Reports over all reachable instances. */
+export type Reports = {
+  readonly gatherStatus: () => Promise<Gathered<StatusView>>;
+  readonly gatherRuns: (
+    query: RunQuery,
+  ) => Promise<Gathered<readonly RunRecord[]>>;
+  readonly gatherJobs: () => Promise<Gathered<readonly JobView[]>>;
+  readonly gatherBurn: () => Promise<Gathered<readonly BurnRow[]>>;
+};
+
+export type AdminParts = {
+  readonly readState: () => InstanceState;
+  readonly operators: readonly Operator[];
+  readonly platform: Platform;
+  readonly reports: Reports;
+  readonly cancelJob: (jobId: JobId) => void;
+  readonly log: Log;
+};
--- a/packages/daemon/src/jobs/job_task.ts
+++ b/packages/daemon/src/jobs/job_task.ts
@@ -8,6 +8,7 @@
   JobId,
   JobSpec,
 } from "@gooseberryline/core";
+import type { JobView } from "../admin/types.ts";
 import type { AnswerSink, AttemptCall } from "../tasks/types.ts";
 import { CollectedAnswer } from "./collected_answer.ts";
 import { FileStore } from "./file_store.ts";
@@ -59,6 +60,14 @@
       .filter(({ spec }) => spec.customer === customer);
   }
 
+  /** Every job that this instance knows, whoever its customer is. */
+  listAll(): readonly JobView[] {
+    return [...this.#jobs.values()].map(({ record }) => ({
+      ...record,
+      ...this.count(record.spec.jobId),
+    }));
+  }
+
   /** How many items of a job ended so far, by kind. */
   count(jobId: JobId): { readonly completed: number; readonly failed: number } {
     const results = this.#jobs.get(jobId)?.results ?? [];
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -11,11 +11,14 @@
 } from "@gooseberryline/core";
 import type { Platform } from "@gooseberryline/protocol";
 import { createAdminApp } from "./admin/create_admin_app.ts";
+import { createLocalReports } from "./admin/create_local_reports.ts";
+import { BurnTask } from "./burn/burn_task.ts";
 import { CallerTask } from "./caller/caller_task.ts";
 import { createCallerApp } from "./caller/create_caller_app.ts";
 import { watchConfig } from "./config/watch_config.ts";
 import { JobTask } from "./jobs/job_task.ts";
 import type { Log } from "./logs/create_log.ts";
+import { RunRing } from "./runs/run_ring.ts";
 import type { Settings } from "./settings/types.ts";
 import { AttemptTask } from "./tasks/attempt_task.ts";
 import { CoreTask } from "./tasks/core_task.ts";
@@ -48,15 +51,21 @@
 ): Promise<Daemon> {
   const folder =
     settings.dataFolder ?? (await mkdtemp(join(tmpdir(), "gooseberryline-")));
-  const post = (event: InstanceEvent): void => core.post(event);
+  const post = (event: InstanceEvent): void => {
+    burn.noteEvent(event);
+    core.post(event);
+  };
   const readConfig = () => core.state.config;
+  const burn = new BurnTask(readConfig);
+  const ring = new RunRing();
   const attempts = new AttemptTask(post);
   const calls = new CallerTask(post);
   const jobs = new JobTask(folder, post);
   const core = new CoreTask(
     describeSelf(settings),
     randomInt(SEED_LIMIT),
-    (effect) =>
+    (effect) => {
+      burn.noteEffect(effect);
       handleEffect(effect, {
         attempts,
         calls,
@@ -64,9 +73,11 @@
         readConfig,
         keepRun: (run) => {
           logRun(log, run);
+          ring.keep(run);
           onRun?.(run);
         },
-      }),
+      });
+    },
   );
   const watch = watchConfig(
     platform,
@@ -74,7 +85,19 @@
     log,
   );
   const callerApp = createCallerApp({ readConfig, calls, jobs, log });
-  const adminApp = createAdminApp({ readConfig });
+  const adminApp = createAdminApp({
+    readState: () => core.state,
+    operators: settings.operators,
+    platform,
+    reports: createLocalReports({
+      readState: () => core.state,
+      listRuns: (query) => ring.list(query),
+      listJobs: () => jobs.listAll(),
+      buildBurn: () => burn.buildRows(),
+    }),
+    cancelJob: (jobId) => core.post({ kind: "job-cancel-asked", jobId }),
+    log,
+  });
   const caller = await listen(callerApp.callback(), settings.callerListener);
   const admin = await listen(adminApp.callback(), settings.adminListener);
   log.info("listening", { caller: caller.address, admin: admin.address });
--- a/packages/measure/src/support/start_system.ts
+++ b/packages/measure/src/support/start_system.ts
@@ -1,6 +1,11 @@
 import { createHash } from "node:crypto";
 import type { RunRecord } from "@gooseberryline/core";
-import { createLog, parseSettings, startDaemon } from "@gooseberryline/daemon";
+import {
+  createLog,
+  parseSettings,
+  type Settings,
+  startDaemon,
+} from "@gooseberryline/daemon";
 import {
   type EngineOptions,
   type FakeEngine,
@@ -29,6 +34,7 @@
 export async function startSystem(options: {
   readonly engines: number;
   readonly engine?: EngineOptions;
+  readonly operators?: Settings["operators"];
 }): Promise<System> {
   const store = await startStore();
   const engines = await Promise.all(
@@ -50,12 +56,14 @@
   if (parsed.kind === "invalid") {
     throw new Error("the demo's settings are invalid");
   }
+  const operators = options.operators ?? [];
+  const settings = { ...parsed.settings, operators };
   const runs: RunRecord[] = [];
   const logLines: string[] = [];
   const log = createLog({}, (line) => {
     logLines.push(line);
   });
-  const daemon = await startDaemon(parsed.settings, platform, {
+  const daemon = await startDaemon(settings, platform, {
     log,
     onRun: (run) => {
       runs.push(run);
