--- a/packages/measure/src/style/style_test.ts
+++ b/packages/measure/src/style/style_test.ts
@@ -19,8 +19,8 @@
 
 const verbs = readFileSync(join(ROOT, "docs", "VERBS.md"), "utf8")
   .split("\n")
-  .filter((line) => line.startsWith("| ") && !line.startsWith("| ---"))
-  .flatMap((line) => (line.split("|")[1] ?? "").split(","))
+  .filter((line) => line.startsWith("- "))
+  .flatMap((line) => (line.slice(2).split(":")[0] ?? "").split(","))
   .map((verb) => verb.trim());
 
 test("functions begin with a verb of the list", () => {
