--- /dev/null
+++ b/packages/cli/src/client/admin_error.ts
@@ -0,0 +1,15 @@
+/** An answer of the administration API that is not a success. */
+export class AdminError extends Error {
+  readonly exitCode: number;
+  readonly details: Readonly<Record<string, unknown>>;
+
+  constructor(
+    message: string,
+    exitCode: number,
+    details: Readonly<Record<string, unknown>> = {},
+  ) {
+    super(message);
+    this.exitCode = exitCode;
+    this.details = details;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/client/parse_globals.ts
@@ -0,0 +1,39 @@
+/** Options that may stand anywhere on the command line. */
+export type Globals = {
+  readonly admin: string | undefined;
+  readonly token: string | undefined;
+  readonly isJson: boolean;
+  readonly rest: readonly string[];
+};
+
+/** Parses `--admin URL`, `--token TOKEN` and `--json`. */
+export function parseGlobals(argv: readonly string[]): Globals {
+  const start: Globals = {
+    admin: undefined,
+    token: undefined,
+    isJson: false,
+    rest: [],
+  };
+  return parseFrom(argv, start);
+}
+
+function parseFrom(argv: readonly string[], found: Globals): Globals {
+  const [first, second, ...others] = argv;
+  if (first === undefined) {
+    return found;
+  }
+  const rest = argv.slice(1);
+  if (first === "--json") {
+    return parseFrom(rest, { ...found, isJson: true });
+  }
+  const [name, inline] = first.split(/=(.*)/s);
+  const value = inline ?? second;
+  const after = inline === undefined ? others : rest;
+  if (name === "--admin" && value !== undefined) {
+    return parseFrom(after, { ...found, admin: value });
+  }
+  if (name === "--token" && value !== undefined) {
+    return parseFrom(after, { ...found, token: value });
+  }
+  return parseFrom(rest, { ...found, rest: [...found.rest, first] });
+}
--- /dev/null
+++ b/packages/cli/src/commands/base_command.ts
@@ -0,0 +1,50 @@
+import { Command } from "clipanion";
+import type { AdminClient } from "../client/admin_client.ts";
+import { AdminError } from "../client/admin_error.ts";
+import { EXIT_CODES } from "../client/exit_codes.ts";
+import type { ToolContext } from "./types.ts";
+
+/** What every command shares: the client, JSON output and error reports. */
+export abstract class BaseCommand extends Command<ToolContext> {
+  protected get client(): AdminClient {
+    return this.context.client;
+  }
+
+  /** Does the command's work; the answer is printed as text or JSON. */
+  protected abstract run(): Promise<unknown>;
+
+  /** The human form of the answer. */
+  protected abstract print(answer: unknown): string;
+
+  override async execute(): Promise<number> {
+    try {
+      const answer = await this.run();
+      const text = this.context.isJson
+        ? `${JSON.stringify(answer)}\n`
+        : this.print(answer);
+      this.context.stdout.write(text);
+      return EXIT_CODES.OK;
+    } catch (error) {
+      if (error instanceof AdminError) {
+        this.#report(error);
+        return error.exitCode;
+      }
+      throw error;
+    }
+  }
+
+  #report({ message, details }: AdminError): void {
+    if (this.context.isJson) {
+      const body = { error: { message, ...details } };
+      this.context.stderr.write(`${JSON.stringify(body)}\n`);
+      return;
+    }
+    this.context.stderr.write(`gooseberryctl: ${message}\n`);
+    const { faults = [] } = details as {
+      readonly faults?: readonly { path: string; message: string }[];
+    };
+    faults.forEach(({ path, message: fault }) => {
+      this.context.stderr.write(`  ${path}: ${fault}\n`);
+    });
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/change_document.ts
@@ -0,0 +1,16 @@
+import type { AdminClient } from "../client/admin_client.ts";
+import type { ConfigAnswer } from "../client/types.ts";
+
+/** Changes a part of the document under the revision it was read at. */
+export async function changeDocument(
+  client: AdminClient,
+  change: (document: ConfigAnswer["document"]) => unknown,
+): Promise<ConfigAnswer> {
+  const { revision, document } = await client.get<ConfigAnswer>("config");
+  return client.call<ConfigAnswer>({
+    method: "PUT",
+    path: "config",
+    json: change(document),
+    headers: { "if-match": `"${revision}"` },
+  });
+}
--- /dev/null
+++ b/packages/cli/src/commands/types.ts
@@ -0,0 +1,8 @@
+/** What the commands share. */
+import type { BaseContext } from "clipanion";
+import type { AdminClient } from "../client/admin_client.ts";
+
+export type ToolContext = BaseContext & {
+  readonly client: AdminClient;
+  readonly isJson: boolean;
+};
--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -1,2 +1,2 @@
-/** The command-line tool has no library interface. */
-export {};
+/** The command-line tool, for programs that run it in their own process. */
+export { runTool, type ToolStreams } from "./run_tool.ts";
--- /dev/null
+++ b/packages/measure/src/admin/tool_test.ts
@@ -0,0 +1,114 @@
+import { mkdtempSync, readFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { PassThrough, Readable } from "node:stream";
+import { runTool } from "@gooseberryline/cli";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { type AdminSystem, startAdmin } from "../support/start_admin.ts";
+
+let system: AdminSystem;
+const folder = mkdtempSync(join(tmpdir(), "tool-"));
+
+beforeAll(async () => {
+  system = await startAdmin();
+});
+
+afterAll(() => system.stop());
+
+const call = async (line: string, input = "", token = "op") => {
+  const stdout = new PassThrough();
+  const stderr = new PassThrough();
+  const argv = line.split(" ");
+  const code = await runTool(["--admin", system.adminUrl, ...argv], {
+    stdin: Readable.from([input]),
+    stdout,
+    stderr,
+    env: { GOOSEBERRY_TOKEN: token },
+  });
+  const read = (stream: PassThrough) => String(stream.read() ?? "");
+  return { code, out: read(stdout), err: read(stderr) };
+};
+
+test("status lists instance and upstream", async () => {
+  const { code, out } = await call("status");
+  expect(code).toBe(0);
+  expect(out).toMatch(/one +a +1/);
+  expect(out).toContain("engine-0");
+});
+
+test("a config file is shown as a diff and then put", async () => {
+  const got = JSON.parse((await call("config get --json")).out);
+  got.document.customers.demo.rate = 60;
+  const text = `// faster\n${JSON.stringify(got.document)}`;
+  const diff = await call("config diff -", text);
+  expect(diff.out).toBe("customers.demo.rate: 50 -> 60\n");
+  expect((await call("config put -", text)).code).toBe(0);
+  const old = await call(`config put - --revision ${got.revision}`, text);
+  expect(old).toMatchObject({ code: 1 });
+  expect(old.err).toContain("the revision is");
+});
+
+test("faults of a document are listed with their places", async () => {
+  const { code, err } = await call("config put -", '{"customers":1}');
+  expect(code).toBe(1);
+  expect(err).toContain("customers: ");
+  expect(err).toContain("profiles: ");
+});
+
+test("a broken file names its line", async () => {
+  const { code, err } = await call("config put -", "{\n]");
+  expect(code).toBe(2);
+  expect(err).toContain("-:2:");
+});
+
+test("profiles are listed, shown, set and removed", async () => {
+  const shown = await call("profile show standard");
+  expect((await call("profile set extra -", shown.out)).code).toBe(0);
+  expect((await call("profile list")).out).toMatch(/extra +1100/);
+  expect((await call("profile remove extra")).code).toBe(0);
+  expect((await call("profile show extra")).code).toBe(1);
+});
+
+test("a profile in use is not removed", async () => {
+  const { code, err } = await call("profile remove standard");
+  expect(code).toBe(1);
+  expect(err).toContain("customers.demo.defaultProfile");
+});
+
+test("keys are issued and withdrawn", async () => {
+  const { out } = await call("key issue demo --json");
+  const { id, key } = JSON.parse(out);
+  expect(key).toMatch(/^glk_/);
+  expect((await call(`key withdraw demo ${id}`)).code).toBe(0);
+  expect((await call(`key withdraw demo ${id}`)).code).toBe(1);
+});
+
+test("a data centre is taken out and brought back", async () => {
+  expect((await call("data-centre take-out a")).code).toBe(0);
+  expect((await call("data-centre list")).out).toMatch(/a +out/);
+  expect((await call("data-centre bring-back a")).code).toBe(0);
+});
+
+test("the burn report is a table and a page", async () => {
+  await system.api.post("v1/chat/completions", {
+    json: { model: "demo-model", messages: [] },
+  });
+  const file = join(folder, "burn.html");
+  const { code, out } = await call(`report burn --html ${file}`);
+  expect(code).toBe(0);
+  expect(out).toMatch(/standard +demo +5min +1 +0/);
+  const page = readFileSync(file, "utf8");
+  expect(page).toContain("<svg");
+  expect(page).not.toMatch(/src=|href=/);
+});
+
+test("exit codes tell usage, refusal and silence apart", async () => {
+  expect((await call("no-such-command")).code).toBe(2);
+  expect((await call("status", "", "wrong")).code).toBe(1);
+  expect((await call("--admin http://127.0.0.1:9 status")).code).toBe(3);
+});
+
+test("help and completion name the commands", async () => {
+  expect((await call("--help")).out).toContain("report burn");
+  expect((await call("completion bash")).out).toContain("take-out");
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -16,5 +16,7 @@
   test: {
     include: ["packages/*/src/**/*_test.ts"],
     testTimeout: 60_000,
+    // Its modules import folders, which only a bundler resolves.
+    server: { deps: { inline: ["clipanion"] } },
   },
 });
