Find work, queues and deadlines by table instead of scans

Change: attempt id to work id; queues per service, customer and profile in start-time fair order; timers in groups of 250 ms; works in a table split into shards. Every end of work is an event of its chart; a failed batch item goes back to its job instead of the online queue.

--- a/packages/core/src/config/adopt_config.ts
+++ b/packages/core/src/config/adopt_config.ts
@@ -4,6 +4,7 @@
 import { checkInvariant } from "../invariants/check_invariant.ts";
 import { refillBucket } from "../limits/refill_bucket.ts";
 import type { Bucket } from "../limits/types.ts";
+import { listSharded } from "../sharded/list_sharded.ts";
 import type { Table } from "../shared/types.ts";
 import { buildUpstreams } from "../upstreams/build_upstreams.ts";
 import { cancelWork } from "../work/cancel_work.ts";
@@ -33,7 +34,7 @@
     buckets: buildBuckets(state.buckets, config.document, nowMs),
     upstreams: buildUpstreams(state.upstreams, config.document),
   };
-  const withdrawn = Object.values(adopted.works)
+  const withdrawn = listSharded(adopted.works)
     .map(({ order }) => order)
     .filter(
       ({ keyId, customer }) =>
--- a/packages/core/src/instance/create_instance.ts
+++ b/packages/core/src/instance/create_instance.ts
@@ -1,3 +1,4 @@
+import { createSharded } from "../sharded/create_sharded.ts";
 import type { InstanceSelf, InstanceState } from "./types.ts";
 
 /** Creates an instance that knows nothing yet; `seed` feeds its choices. */
@@ -13,8 +14,10 @@
     config: undefined,
     buckets: {},
     upstreams: {},
-    works: {},
-    queue: [],
+    works: createSharded(),
+    attempts: createSharded(),
+    timers: {},
+    queues: { services: {}, tags: {} },
     jobs: {},
     membership: { members: {}, nextHeartbeatMs: 0 },
     platform: { callCount: 0, pending: {}, heardMs: 0 },
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -20,7 +20,10 @@
   PlatformCall,
   PlatformState,
 } from "../platform/types.ts";
+import type { QueueState } from "../queue/types.ts";
+import type { ShardedTable } from "../sharded/types.ts";
 import type { Table } from "../shared/types.ts";
+import type { Timer } from "../timers/types.ts";
 import type { Upstream } from "../upstreams/types.ts";
 import type {
   AttemptOutcome,
@@ -50,9 +53,12 @@
   readonly config: Config | undefined;
   readonly buckets: Table<Bucket>;
   readonly upstreams: Table<Upstream>;
-  readonly works: Table<Work>;
-  /** Queued online work, first come first. */
-  readonly queue: readonly WorkId[];
+  readonly works: ShardedTable<Work>;
+  /** Which work a running attempt belongs to. */
+  readonly attempts: ShardedTable<WorkId>;
+  /** Timers by group of `TIMER_GROUP_MS`. */
+  readonly timers: Table<readonly Timer[]>;
+  readonly queues: QueueState;
   readonly jobs: Table<Job>;
   readonly membership: MembershipState;
   readonly platform: PlatformState;
--- a/packages/core/src/jobs/start_items.ts
+++ b/packages/core/src/jobs/start_items.ts
@@ -1,17 +1,17 @@
 import type { WorkId } from "../ids/types.ts";
 import { chainStep } from "../instance/chain_step.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
-import { setEntry } from "../shared/set_entry.ts";
+import { setSharded } from "../sharded/set_sharded.ts";
 import { chooseUpstream } from "../upstreams/choose_upstream.ts";
+import { createWork } from "../work/create_work.ts";
 import { startAttempt } from "../work/start_attempt.ts";
-import { LANES, type Work } from "../work/types.ts";
-import { WORK_CHART } from "../work/work_chart.ts";
+import { LANES, type Work, type WorkOrder } from "../work/types.ts";
 import { setItem } from "./set_item.ts";
 import { ITEM_STATES, type Job } from "./types.ts";
 
 /** Starts batch items, earliest due job first, while places are free. */
 export function startItems(state: InstanceState, nowMs: number): Step {
-  if (state.isStopping || state.queue.length > 0) {
+  if (state.isStopping || Object.keys(state.queues.services).length > 0) {
     return { state, effects: [] };
   }
   const jobIds = Object.values(state.jobs)
@@ -42,7 +42,7 @@
         itemState: ITEM_STATES.RUNNING,
       },
     );
-    const works = setEntry(marked.works, work.order.workId, work);
+    const works = setSharded(marked.works, work.order.workId, work);
     return startAttempt({ ...marked, works }, work, { upstream, nowMs });
   });
   return fillFromJob(next, jobId, nowMs);
@@ -50,23 +50,18 @@
 
 function buildItemWork(job: Job, index: number, nowMs: number): Work {
   const { spec } = job;
-  return {
-    order: {
-      workId: `${spec.jobId}/${index}` as WorkId,
-      origin: { kind: "item", jobId: spec.jobId, index },
-      lane: LANES.BATCH,
-      customer: spec.customer,
-      keyId: spec.keyId,
-      profile: spec.profile,
-      service: spec.service,
-      isIdempotent: spec.isIdempotent,
-      costTokens: spec.itemCostTokens,
-      prefixHash: 0,
-      deadlineMs: Number.POSITIVE_INFINITY,
-    },
-    phase: WORK_CHART.initial,
-    acceptedMs: nowMs,
-    attemptCount: job.tries[index] ?? 0,
-    attempt: undefined,
+  const order: WorkOrder = {
+    workId: `${spec.jobId}/${index}` as WorkId,
+    origin: { kind: "item", jobId: spec.jobId, index },
+    lane: LANES.BATCH,
+    customer: spec.customer,
+    keyId: spec.keyId,
+    profile: spec.profile,
+    service: spec.service,
+    isIdempotent: spec.isIdempotent,
+    costTokens: spec.itemCostTokens,
+    prefixHash: 0,
+    deadlineMs: Number.POSITIVE_INFINITY,
   };
+  return createWork(order, { nowMs, attemptCount: job.tries[index] ?? 0 });
 }
--- /dev/null
+++ b/packages/core/src/queue/enqueue_work.ts
@@ -0,0 +1,29 @@
+import type { InstanceState } from "../instance/types.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import type { Work } from "../work/types.ts";
+import type { QueueEntry } from "./types.ts";
+
+/** Queues work behind its like, or before it where it was queued already. */
+export function enqueueWork(
+  state: InstanceState,
+  work: Work,
+  place: "first" | "last" = "last",
+): InstanceState {
+  const { workId, service, customer, profile, costTokens, deadlineMs } =
+    work.order;
+  const entry: QueueEntry = { workId, costTokens, deadlineMs };
+  const queue = state.queues.services[service];
+  const own = queue?.customers[customer];
+  const before = own?.profiles[profile] ?? [];
+  const entries = place === "last" ? [...before, entry] : [entry, ...before];
+  const changed = {
+    customers: setEntry(queue?.customers ?? {}, customer, {
+      profiles: setEntry(own?.profiles ?? {}, profile, entries),
+      count: (own?.count ?? 0) + 1,
+    }),
+    count: (queue?.count ?? 0) + 1,
+    tokens: (queue?.tokens ?? 0) + costTokens,
+  };
+  const services = setEntry(state.queues.services, service, changed);
+  return { ...state, queues: { ...state.queues, services } };
+}
--- /dev/null
+++ b/packages/core/src/sharded/drop_sharded.ts
@@ -0,0 +1,18 @@
+import { dropEntry } from "../shared/drop_entry.ts";
+import { locateShard } from "./locate_shard.ts";
+import type { ShardedTable } from "./types.ts";
+
+/** Returns the table without `id`. */
+export function dropSharded<Value>(
+  table: ShardedTable<Value>,
+  id: string,
+): ShardedTable<Value> {
+  const at = locateShard(id);
+  const shard = table.shards[at] ?? {};
+  return id in shard
+    ? {
+        count: table.count - 1,
+        shards: table.shards.with(at, dropEntry(shard, id)),
+      }
+    : table;
+}
--- /dev/null
+++ b/packages/core/src/sharded/list_sharded.ts
@@ -0,0 +1,10 @@
+import type { ShardedTable } from "./types.ts";
+
+/** Lists all values, in no particular order. */
+export function listSharded<Value>(
+  table: ShardedTable<Value>,
+): readonly Value[] {
+  return table.count === 0
+    ? []
+    : table.shards.flatMap((shard) => Object.values(shard));
+}
--- /dev/null
+++ b/packages/core/src/timers/constants.ts
@@ -0,0 +1,2 @@
+/** Width of one group of timers, milliseconds. */
+export const TIMER_GROUP_MS = 250;
--- a/packages/core/src/work/accept_request.ts
+++ b/packages/core/src/work/accept_request.ts
@@ -1,9 +1,12 @@
 import type { InstanceState, Step } from "../instance/types.ts";
 import { takeTokens } from "../limits/take_tokens.ts";
 import type { Bucket } from "../limits/types.ts";
+import { enqueueWork } from "../queue/enqueue_work.ts";
+import { setSharded } from "../sharded/set_sharded.ts";
 import { setEntry } from "../shared/set_entry.ts";
-import type { Fault, Work, WorkOrder } from "./types.ts";
-import { WORK_CHART } from "./work_chart.ts";
+import { setTimer } from "../timers/set_timer.ts";
+import { createWork } from "./create_work.ts";
+import type { Fault, WorkOrder } from "./types.ts";
 
 const MS_PER_SECOND = 1000;
 
@@ -42,19 +45,12 @@
   order: WorkOrder,
   nowMs: number,
 ): Step {
-  const work: Work = {
-    order,
-    phase: WORK_CHART.initial,
-    acceptedMs: nowMs,
-    attemptCount: 0,
-    attempt: undefined,
-  };
+  const { workId, deadlineMs: dueMs } = order;
+  const work = createWork(order, { nowMs });
+  const works = setSharded(state.works, workId, work);
+  const queued = enqueueWork({ ...state, works }, work);
   return {
-    state: {
-      ...state,
-      works: setEntry(state.works, order.workId, work),
-      queue: [...state.queue, order.workId],
-    },
+    state: setTimer(queued, { kind: "deadline", dueMs, workId }),
     effects: [],
   };
 }
--- a/packages/core/src/work/cancel_work.ts
+++ b/packages/core/src/work/cancel_work.ts
@@ -1,6 +1,7 @@
 import type { WorkId } from "../ids/types.ts";
 import { chainStep } from "../instance/chain_step.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
+import { getSharded } from "../sharded/get_sharded.ts";
 import { finishWork } from "./finish_work.ts";
 import type { FaultCode } from "./types.ts";
 
@@ -16,7 +17,7 @@
   workId: WorkId,
   code: FaultCode,
 ): Step {
-  const work = state.works[workId];
+  const work = getSharded(state.works, workId);
   if (work === undefined) {
     return { state, effects: [] };
   }
@@ -25,7 +26,7 @@
   const step = attempt === undefined ? "queue" : "answer";
   const refusal = {
     fault: { code, step, peer, message: MESSAGES[code] ?? code },
-    run: attempt === undefined ? "not run" : "may have run",
+    run: attempt === undefined && !work.mayHaveRun ? "not run" : "may have run",
     retryAfterMs: undefined,
   } as const;
   const cancelled: Step = {
--- /dev/null
+++ b/packages/core/src/work/create_work.ts
@@ -0,0 +1,20 @@
+import type { Work, WorkOrder } from "./types.ts";
+import { WORK_CHART } from "./work_chart.ts";
+
+/** Creates work of an accepted order; `attemptCount` tries are behind it. */
+export function createWork(
+  order: WorkOrder,
+  {
+    nowMs,
+    attemptCount = 0,
+  }: { readonly nowMs: number; readonly attemptCount?: number },
+): Work {
+  return {
+    order,
+    phase: WORK_CHART.initial,
+    acceptedMs: nowMs,
+    attemptCount,
+    attempt: undefined,
+    mayHaveRun: false,
+  };
+}
--- a/packages/core/src/work/end_attempt.ts
+++ b/packages/core/src/work/end_attempt.ts
@@ -2,18 +2,12 @@
 import { chainStep } from "../instance/chain_step.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
 import { assertNever } from "../shared/assert_never.ts";
-import { setEntry } from "../shared/set_entry.ts";
-import { advancePhase } from "./advance_phase.ts";
+import { dropWork } from "./drop_work.ts";
 import { findWorkOf } from "./find_work_of.ts";
 import { finishWork } from "./finish_work.ts";
-import { releaseAttempt } from "./release_attempt.ts";
-import type {
-  Attempt,
-  AttemptOutcome,
-  Fault,
-  RunCertainty,
-  Work,
-} from "./types.ts";
+import { recordRun } from "./record_run.ts";
+import { requeueWork } from "./requeue_work.ts";
+import type { AttemptOutcome, Fault, RunCertainty, Work } from "./types.ts";
 
 const MAX_ATTEMPTS = 3;
 
@@ -31,8 +25,10 @@
     return { state, effects: [] };
   }
   const { attempt } = work;
-  const recorded = recordRun(state, { work, attempt, outcome, nowMs });
-  return chainStep(recorded, (at) => settleOutcome(at, work, outcome));
+  const run = recordRun(state, { work, attempt, outcome: outcome.kind, nowMs });
+  return chainStep({ state, effects: [run] }, (at) =>
+    settleOutcome(at, work, outcome),
+  );
 }
 
 function settleOutcome(
@@ -45,20 +41,23 @@
       return finishWork(state, work, { kind: "answered", outcome });
     case "not-started":
       return canRetry(work)
-        ? requeueWork(state, work)
-        : refuseWork(state, work, { fault: outcome.fault, run: "not run" });
+        ? retryWork(state, work, false)
+        : refuseWork(state, work, {
+            fault: outcome.fault,
+            run: work.mayHaveRun ? "may have run" : "not run",
+          });
     case "failed": {
       const shouldRetry =
         work.order.isIdempotent && !outcome.isRelayed && canRetry(work);
       return shouldRetry
-        ? requeueWork(state, work)
+        ? retryWork(state, work, true)
         : refuseWork(state, work, {
             fault: outcome.fault,
             run: "may have run",
           });
     }
     case "cancelled":
-      return { state: releaseAttempt(state, work), effects: [] };
+      return { state: dropWork(state, work, "ABANDON"), effects: [] };
     default:
       return assertNever(outcome);
   }
@@ -68,16 +67,13 @@
   return work.attemptCount < MAX_ATTEMPTS;
 }
 
-function requeueWork(state: InstanceState, work: Work): Step {
-  const { workId } = work.order;
-  const queued = { ...advancePhase(work, "RETRY"), attempt: undefined };
-  const released = releaseAttempt(state, work);
+function retryWork(
+  state: InstanceState,
+  work: Work,
+  mayHaveRun: boolean,
+): Step {
   return {
-    state: {
-      ...released,
-      works: setEntry(released.works, workId, queued),
-      queue: [workId, ...released.queue],
-    },
+    state: requeueWork(state, work, { event: "RETRY", mayHaveRun }),
     effects: [],
   };
 }
@@ -92,34 +88,3 @@
     refusal: { fault, run, retryAfterMs: undefined },
   });
 }
-
-function recordRun(
-  state: InstanceState,
-  {
-    work,
-    attempt,
-    outcome,
-    nowMs,
-  }: {
-    readonly work: Work;
-    readonly attempt: Attempt;
-    readonly outcome: AttemptOutcome;
-    readonly nowMs: number;
-  },
-): Step {
-  const { workId, origin, customer, profile, service } = work.order;
-  const run = {
-    workId,
-    attemptId: attempt.attemptId,
-    origin,
-    customer,
-    profile,
-    service,
-    configRevision: state.config?.revision ?? 0,
-    upstreamId: attempt.upstreamId,
-    startedMs: attempt.startedMs,
-    endedMs: nowMs,
-    outcome: outcome.kind,
-  };
-  return { state, effects: [{ kind: "record-run", run }] };
-}
--- a/packages/core/src/work/find_work_of.ts
+++ b/packages/core/src/work/find_work_of.ts
@@ -1,5 +1,6 @@
 import type { AttemptId } from "../ids/types.ts";
 import type { InstanceState } from "../instance/types.ts";
+import { getSharded } from "../sharded/get_sharded.ts";
 import type { Work } from "./types.ts";
 
 /** Finds the work whose running attempt has this id, if any still has. */
@@ -7,7 +8,6 @@
   state: InstanceState,
   attemptId: AttemptId,
 ): Work | undefined {
-  return Object.values(state.works).find(
-    ({ attempt }) => attempt?.attemptId === attemptId,
-  );
+  const workId = getSharded(state.attempts, attemptId);
+  return workId === undefined ? undefined : getSharded(state.works, workId);
 }
--- a/packages/core/src/work/finish_work.ts
+++ b/packages/core/src/work/finish_work.ts
@@ -1,6 +1,6 @@
 import type { InstanceState, Step } from "../instance/types.ts";
 import { finishItem } from "../jobs/finish_item.ts";
-import { releaseAttempt } from "./release_attempt.ts";
+import { dropWork } from "./drop_work.ts";
 import type { AttemptOutcome, Refusal, Work } from "./types.ts";
 
 /** How work ends: with an upstream's whole answer, or with a refusal. */
@@ -17,7 +17,7 @@
   work: Work,
   end: WorkEnd,
 ): Step {
-  const after = releaseAttempt(state, work);
+  const after = dropWork(state, work, nameEvent(end));
   const { origin, workId } = work.order;
   if (origin.kind === "item") {
     return finishItem(after, { origin, work, end });
@@ -29,3 +29,10 @@
         effects: [{ kind: "refuse-request", workId, refusal: end.refusal }],
       };
 }
+
+function nameEvent(end: WorkEnd): "COMPLETE" | "REFUSE" | "FAIL" {
+  if (end.kind === "answered") {
+    return "COMPLETE";
+  }
+  return end.refusal.run === "not run" ? "REFUSE" : "FAIL";
+}
--- a/packages/core/src/work/note_first_token.ts
+++ b/packages/core/src/work/note_first_token.ts
@@ -1,6 +1,6 @@
 import type { AttemptId } from "../ids/types.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
-import { setEntry } from "../shared/set_entry.ts";
+import { setSharded } from "../sharded/set_sharded.ts";
 import { advancePhase } from "./advance_phase.ts";
 import { findWorkOf } from "./find_work_of.ts";
 
@@ -13,7 +13,7 @@
   if (work === undefined || work.phase !== "running") {
     return { state, effects: [] };
   }
-  const works = setEntry(
+  const works = setSharded(
     state.works,
     work.order.workId,
     advancePhase(work, "FIRST_TOKEN"),
--- a/packages/core/src/work/release_attempt.ts
+++ b/packages/core/src/work/release_attempt.ts
@@ -1,25 +1,26 @@
 import type { InstanceState } from "../instance/types.ts";
-import { dropEntry } from "../shared/drop_entry.ts";
+import { dropSharded } from "../sharded/drop_sharded.ts";
+import { setSharded } from "../sharded/set_sharded.ts";
 import { countInFlight } from "../upstreams/count_in_flight.ts";
 import type { Work } from "./types.ts";
 
-/** Forgets work and gives back the place that its attempt held. */
+/** Gives back the place that the attempt of `work` held; keeps the work. */
 export function releaseAttempt(
   state: InstanceState,
   work: Work,
 ): InstanceState {
+  const { attempt } = work;
+  if (attempt === undefined) {
+    return state;
+  }
   const { workId, lane } = work.order;
-  const upstreams =
-    work.attempt === undefined
-      ? state.upstreams
-      : countInFlight(state.upstreams, work.attempt.upstreamId, {
-          lane,
-          change: -1,
-        });
   return {
     ...state,
-    upstreams,
-    works: dropEntry(state.works, workId),
-    queue: state.queue.filter((id) => id !== workId),
+    upstreams: countInFlight(state.upstreams, attempt.upstreamId, {
+      lane,
+      change: -1,
+    }),
+    attempts: dropSharded(state.attempts, attempt.attemptId),
+    works: setSharded(state.works, workId, { ...work, attempt: undefined }),
   };
 }
--- a/packages/core/src/work/start_attempt.ts
+++ b/packages/core/src/work/start_attempt.ts
@@ -1,6 +1,6 @@
 import type { AttemptId } from "../ids/types.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
-import { setEntry } from "../shared/set_entry.ts";
+import { setSharded } from "../sharded/set_sharded.ts";
 import { countInFlight } from "../upstreams/count_in_flight.ts";
 import type { Upstream } from "../upstreams/types.ts";
 import { advancePhase } from "./advance_phase.ts";
@@ -25,7 +25,8 @@
     state: {
       ...state,
       attemptCount,
-      works: setEntry(state.works, workId, running),
+      attempts: setSharded(state.attempts, attemptId, workId),
+      works: setSharded(state.works, workId, running),
       upstreams: countInFlight(state.upstreams, upstreamId, {
         lane,
         change: 1,
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -120,6 +120,8 @@
   readonly acceptedMs: number;
   readonly attemptCount: number;
   readonly attempt: Attempt | undefined;
+  /** Set once an attempt was lost that may have run. */
+  readonly mayHaveRun: boolean;
 };
 
 /** The record of one attempt, kept for operators. */
--- a/packages/daemon/src/admin/describe_status.ts
+++ b/packages/daemon/src/admin/describe_status.ts
@@ -1,4 +1,8 @@
-import { INVARIANTS, type InstanceState } from "@gooseberryline/core";
+import {
+  INVARIANTS,
+  type InstanceState,
+  listSharded,
+} from "@gooseberryline/core";
 import type { StatusView } from "./types.ts";
 
 /** Describes an instance's state for operators. */
@@ -6,7 +10,7 @@
   state: InstanceState,
   nowMs: number,
 ): StatusView {
-  const works = Object.values(state.works);
+  const works = listSharded(state.works);
   return {
     instanceId: state.self.instanceId,
     dataCentre: state.self.dataCentre,
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -103,7 +103,7 @@
   log.info("listening", { caller: caller.address, admin: admin.address });
   const stop = async (): Promise<void> => {
     core.post({ kind: "stop-asked" });
-    while (Object.keys(core.state.works).length > 0) {
+    while (core.state.works.count > 0) {
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
     }
     watch.stop();
--- a/packages/fakes/src/world/effect_runner.ts
+++ b/packages/fakes/src/world/effect_runner.ts
@@ -2,6 +2,7 @@
   type AttemptId,
   assertNever,
   type Effect,
+  getSharded,
   type InstanceEvent,
   type InstanceId,
   type UpstreamId,
@@ -146,7 +147,7 @@
       tell({ kind: "refused" });
       return;
     }
-    const order = node.state.works[workId]?.order;
+    const order = getSharded(node.state.works, workId)?.order;
     this.#parts.queue.schedule(delayMs, () => {
       if (!node.listening.has(attemptId)) {
         return;
