--- a/packages/daemon/src/caller/exchange.ts
+++ b/packages/daemon/src/caller/exchange.ts
@@ -1,37 +1,71 @@
 import type { ServerResponse } from "node:http";
-import type { Refusal } from "@gooseberryline/core";
+import {
+  type AttemptId,
+  checkInvariant,
+  type Refusal,
+} from "@gooseberryline/core";
 import type { AnswerHead, AnswerSink, AttemptCall } from "../tasks/types.ts";
 import { HttpRefusal } from "./http_refusal.ts";
 
-/** One caller's request: what to send upstream, and where answers go. */
+/**
+ * One caller's request: what to send upstream, and where the answer goes. The
+ * first attempt that writes is the one whose answer the caller gets.
+ */
 export class Exchange {
   readonly call: AttemptCall;
-  readonly sink: AnswerSink;
   readonly ended: Promise<void>;
   readonly #res: ServerResponse;
+  readonly #onFirstWrite: () => void;
+  #writer: AttemptId | undefined;
+  #isEventStream = false;
+  #attempts = 0;
+  #announcedBytes: number | undefined;
+  #writtenBytes = 0;
   #end: () => void = () => undefined;
 
-  constructor(call: AttemptCall, res: ServerResponse) {
+  constructor(
+    call: AttemptCall,
+    res: ServerResponse,
+    onFirstWrite: () => void,
+  ) {
     this.call = call;
     this.#res = res;
+    this.#onFirstWrite = onFirstWrite;
     this.ended = new Promise((resolve) => {
       this.#end = resolve;
     });
-    this.sink = {
-      writeHead: (head) => this.#writeHead(head),
-      write: (chunk) => res.write(chunk),
-      waitForRoom: () => waitForRoom(res),
+  }
+
+  /** A sink for one attempt; dead once another attempt has written. */
+  openSink(attemptId: AttemptId): AnswerSink {
+    this.#attempts += 1;
+    return {
+      writeHead: (head) => {
+        if (this.#writer === undefined) {
+          this.#writeHead(attemptId, head);
+        }
+      },
+      write: (chunk) => this.#writer !== attemptId || this.#write(chunk),
+      waitForRoom: () => waitForRoom(this.#res),
     };
   }
 
   complete(): void {
+    const announced = this.#announcedBytes;
+    checkInvariant(
+      "whole-answer-to-own-request",
+      this.#writer !== undefined &&
+        (announced === undefined || announced === this.#writtenBytes),
+      () => `${this.#writtenBytes} bytes of ${announced}`,
+    );
     this.#res.end();
     this.#end();
   }
 
   /**
    * Refuses the request. Once a stream has started the refusal is an event
-   * in it, and the end mark stays away.
+   * in it, and the end mark stays away; any other answer that has started is
+   * broken off, so that it can't pass for a whole one.
    */
   refuse(refusal: Refusal): void {
     const { status, headers, body } = HttpRefusal.from(refusal);
@@ -39,7 +73,7 @@
       const type = { "content-type": "application/json" };
       this.#res.writeHead(status, { ...headers, ...type });
       this.#res.end(JSON.stringify(body));
-    } else if (this.call.isStream) {
+    } else if (this.#isEventStream) {
       this.#res.end(`event: error\ndata: ${JSON.stringify(body)}\n\n`);
     } else {
       this.#res.destroy();
@@ -47,13 +81,36 @@
     this.#end();
   }
 
-  #writeHead({ status, headers }: AnswerHead): void {
-    const requestId = this.#res.getHeader("x-request-id");
-    this.#res.writeHead(status, {
-      ...headers,
-      "x-request-id": String(requestId),
-    });
+  /** Ends the exchange of a caller that is gone. */
+  drop(): void {
+    this.#end();
+  }
+
+  /** Attempts made so far. */
+  get attempts(): number {
+    return this.#attempts;
+  }
+
+  get status(): number {
+    return this.#res.statusCode;
+  }
+
+  #writeHead(attemptId: AttemptId, { status, headers }: AnswerHead): void {
+    const type = headers["content-type"] ?? "";
+    const length = headers["content-length"];
+    const requestId = String(this.#res.getHeader("x-request-id"));
+    this.#writer = attemptId;
+    this.#isEventStream = type.startsWith("text/event-stream");
+    const hasBody = this.call.method !== "HEAD" && length !== undefined;
+    this.#announcedBytes = hasBody ? Number(length) : undefined;
+    this.#res.writeHead(status, { ...headers, "x-request-id": requestId });
     this.#res.flushHeaders();
+    this.#onFirstWrite();
+  }
+
+  #write(chunk: Buffer): boolean {
+    this.#writtenBytes += chunk.length;
+    return this.#res.write(chunk);
   }
 }
 
--- a/packages/daemon/src/caller/types.ts
+++ b/packages/daemon/src/caller/types.ts
@@ -5,7 +5,9 @@
   KeyId,
   ProfileConfig,
   ProfileName,
+  Refusal,
   RunCertainty,
+  WorkOrder,
 } from "@gooseberryline/core";
 
 /** Who calls, by the tenant key that came with the request. */
@@ -15,6 +17,32 @@
   readonly customer: CustomerConfig;
 };
 
+/** For whom a request runs: a customer, or anyone on a route open to all. */
+export type Requester = {
+  readonly customerId: CustomerId;
+  /** Absent on routes open to all. */
+  readonly keyId: KeyId | undefined;
+};
+
+/** How a request ended for its caller. */
+export type RequestEnd =
+  | { readonly kind: "answered" }
+  | { readonly kind: "refused"; readonly refusal: Refusal }
+  /** The caller went away first. */
+  | { readonly kind: "abandoned" };
+
+/** What is logged and counted of a request once it has ended. */
+export type RequestReport = {
+  readonly requestId: string;
+  readonly order: WorkOrder;
+  readonly status: number;
+  readonly end: RequestEnd;
+  /** Time to the first byte of the answer, absent where none was sent. */
+  readonly firstWriteMs: number | undefined;
+  readonly totalMs: number;
+  readonly attempts: number;
+};
+
 /** The profile that a request chose, or its customer's default. */
 export type ChosenProfile = {
   readonly name: ProfileName;
--- a/packages/daemon/src/tasks/answer_marks.ts
+++ b/packages/daemon/src/tasks/answer_marks.ts
@@ -1,48 +1,109 @@
-import type { IncomingHttpHeaders } from "node:http";
+import type { IncomingMessage } from "node:http";
 
-const END_MARK = Buffer.from("data: [DONE]");
-const TAIL_BYTES = 64;
 const LINE_FEED = 10;
+const EVENT_END = "\n\n";
+const EVENT_END_CRLF = "\r\n\r\n";
+const END_MARK = /(?:^|\n)data: ?\[DONE\]\s*$/;
+const TAIL_BYTES = 64;
+const MAX_HELD_BYTES = 262_144;
+const NO_BYTES: Buffer = Buffer.alloc(0);
 
-/** Follows an answer's bytes to tell whether it arrived whole. */
+/**
+ * Follows an answer's bytes to tell whether it arrived whole. Of an event
+ * stream it lets whole events through, so that an error event can follow at
+ * any moment; a chunk that ends an event passes without a copy.
+ */
 export class AnswerMarks {
-  readonly #isStream: boolean;
-  readonly #expectedBytes: number | undefined;
-  #bytes = 0;
+  readonly isEventStream: boolean;
+  readonly #needsEndMark: boolean;
+  readonly #answer: IncomingMessage;
   #lines = 0;
-  #tail: Buffer = Buffer.alloc(0);
+  #tail = "";
+  #held: Buffer = NO_BYTES;
 
-  constructor(response: { readonly headers: IncomingHttpHeaders }) {
-    const type = response.headers["content-type"] ?? "";
-    const length = response.headers["content-length"];
-    this.#isStream = type.startsWith("text/event-stream");
-    this.#expectedBytes = length === undefined ? undefined : Number(length);
+  constructor(answer: IncomingMessage, isPlain: boolean) {
+    const type = answer.headers["content-type"] ?? "";
+    this.#answer = answer;
+    this.isEventStream = type.startsWith("text/event-stream");
+    this.#needsEndMark = this.isEventStream && !isPlain;
   }
 
-  note(chunk: Buffer): void {
-    this.#bytes += chunk.length;
-    if (!this.#isStream) {
-      return;
+  /** Takes a chunk; returns the bytes that may be passed on. */
+  note(chunk: Buffer): Buffer {
+    if (!this.isEventStream) {
+      return chunk;
     }
-    this.#lines += chunk.filter((byte) => byte === LINE_FEED).length;
-    const isLong = chunk.length >= TAIL_BYTES;
-    this.#tail = isLong
-      ? chunk.subarray(-TAIL_BYTES)
-      : Buffer.concat([this.#tail, chunk]).subarray(-TAIL_BYTES);
+    const all =
+      this.#held.length === 0 ? chunk : Buffer.concat([this.#held, chunk]);
+    const whole = all.subarray(0, findEventsEnd(all));
+    this.#held = all.subarray(whole.length);
+    this.#noteEvents(whole);
+    return whole;
+  }
+
+  /** Bytes held back because their event has not ended. */
+  get held(): Buffer {
+    return this.#held;
+  }
+
+  /** Whether the end mark was seen: nothing is missing from here on. */
+  hasEndMark(): boolean {
+    return this.#needsEndMark && END_MARK.test(this.#tail);
   }
 
-  /** Whether the end mark, or every announced byte, has arrived. */
+  /**
+   * Whether all of the answer arrived. Its length or last chunk has to show
+   * it; a closed connection alone does not tell an end from a loss.
+   */
   isWhole(): boolean {
-    if (this.#isStream) {
-      return this.#tail.includes(END_MARK);
+    if (this.#needsEndMark) {
+      return this.hasEndMark() && this.#held.length === 0;
     }
-    return (
-      this.#expectedBytes === undefined || this.#bytes === this.#expectedBytes
-    );
+    return this.#answer.complete && hasKnownEnd(this.#answer);
   }
 
   /** Events of a streamed answer; two line feeds end each. */
   countTokens(): number {
     return Math.floor(this.#lines / 2);
   }
+
+  #noteEvents(whole: Buffer): void {
+    if (whole.length === 0) {
+      return;
+    }
+    const text = whole.toString("latin1");
+    this.#lines += text.split("\n").length - 1;
+    this.#tail = `${this.#tail}${text.slice(-TAIL_BYTES)}`.slice(-TAIL_BYTES);
+  }
+}
+
+/** Where the last whole event ends; everything once too much is held. */
+function findEventsEnd(bytes: Buffer): number {
+  const size = bytes.length;
+  const endsEvent =
+    bytes[size - 1] === LINE_FEED &&
+    (bytes[size - 2] === LINE_FEED || bytes[size - 3] === LINE_FEED);
+  if (endsEvent || size > MAX_HELD_BYTES) {
+    return size;
+  }
+  const plain = bytes.lastIndexOf(EVENT_END);
+  const crlf = bytes.lastIndexOf(EVENT_END_CRLF);
+  return Math.max(
+    plain === -1 ? 0 : plain + EVENT_END.length,
+    crlf === -1 ? 0 : crlf + EVENT_END_CRLF.length,
+  );
+}
+
+function hasKnownEnd({
+  headers,
+  statusCode,
+  method,
+}: IncomingMessage): boolean {
+  const isBodiless =
+    statusCode === 204 || statusCode === 304 || method === "HEAD";
+  return (
+    isBodiless ||
+    headers["content-length"] !== undefined ||
+    (headers["transfer-encoding"] ?? "").endsWith("chunked")
+  );
 }
--- a/packages/daemon/src/tasks/handle_effect.ts
+++ b/packages/daemon/src/tasks/handle_effect.ts
@@ -1,12 +1,15 @@
 import {
+  type AttemptId,
   assertNever,
   type Config,
   type Effect,
   type RunRecord,
+  type WorkId,
 } from "@gooseberryline/core";
 import type { CallerTask } from "../caller/caller_task.ts";
 import type { JobTask } from "../jobs/job_task.ts";
 import type { AttemptTask } from "./attempt_task.ts";
+import type { AttemptOrder } from "./types.ts";
 
 /** The tasks that effects are handed to. */
 export type EffectParts = {
@@ -57,7 +60,7 @@
   const { attemptId, workId, upstreamId, origin } = effect;
   const target =
     origin.kind === "request"
-      ? calls.find(workId)
+      ? openExchange(calls, workId, attemptId)
       : jobs.open(origin, attemptId);
   const upstreamUrl = readConfig()?.document.upstreams[upstreamId]?.url;
   if (target === undefined || upstreamUrl === undefined) {
@@ -66,3 +69,14 @@
   const { call, sink } = target;
   attempts.start({ attemptId, workId, upstreamUrl, upstreamId, call, sink });
 }
+
+function openExchange(
+  calls: CallerTask,
+  workId: WorkId,
+  attemptId: AttemptId,
+): Pick<AttemptOrder, "call" | "sink"> | undefined {
+  const exchange = calls.find(workId);
+  return exchange === undefined
+    ? undefined
+    : { call: exchange.call, sink: exchange.openSink(attemptId) };
+}
--- a/packages/daemon/src/tasks/types.ts
+++ b/packages/daemon/src/tasks/types.ts
@@ -4,11 +4,18 @@
 /** What an attempt sends to an upstream. */
 export type AttemptCall = {
   readonly method: string;
-  /** Path below the upstream's base URL. */
+  /** Path below the upstream's base URL, with the query if there is one. */
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer;
   readonly isStream: boolean;
+  /**
+   * Set for plain services: their streams carry no end mark, and an answer of
+   * theirs to a non-idempotent call is passed on whatever its status.
+   */
+  readonly isPlain?: boolean;
+  /** False for a call that must not run twice; absent means true. */
+  readonly isIdempotent?: boolean;
 };
 
 /** The head of an upstream's answer. */
