Check callers at the door: keys, profiles, open routes, plain services

Adds /services/{service}/{path}, routes open to all with a rate of their own at each instance, limits of profiles with the field named, a refusal for requests that are not valid HTTP, timeouts for slow senders, request logs and metrics by hot-shots.

--- a/packages/core/src/config/check_config.ts
+++ b/packages/core/src/config/check_config.ts
@@ -37,6 +37,15 @@
       ),
     ],
   );
+  const openServices = Object.entries(document.services)
+    .filter(([, { openToAll }]) => openToAll)
+    .flatMap(([id, { openProfile }]) =>
+      requireName(
+        document.profiles,
+        openProfile ?? "",
+        `services.${id}.openProfile`,
+      ),
+    );
   const customers = Object.entries(document.customers).flatMap(
     ([id, customer]) => [
       ...requireName(
@@ -51,7 +60,7 @@
       ),
     ],
   );
-  return [...upstreams, ...customers];
+  return [...upstreams, ...openServices, ...customers];
 }
 
 function requireName(
--- a/packages/core/src/config/config_schema.ts
+++ b/packages/core/src/config/config_schema.ts
@@ -27,6 +27,10 @@
   kind: z.enum(["model", "plain"]),
   /** Whether the route is open to callers without a tenant key. */
   openToAll: z.boolean().default(false),
+  /** Profile of calls to a service that is open to all; needed there. */
+  openProfile: NAME.optional(),
+  /** Calls a second that each instance takes for it without a key. */
+  openRate: z.number().min(1).optional(),
 });
 
 const UPSTREAM = z.strictObject({
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -19,6 +19,7 @@
 export type * from "./invariants/types.ts";
 export type * from "./jobs/types.ts";
 export { ITEM_STATES } from "./jobs/types.ts";
+export { takeTokens } from "./limits/take_tokens.ts";
 export type * from "./limits/types.ts";
 export type * from "./membership/types.ts";
 export type * from "./platform/types.ts";
--- /dev/null
+++ b/packages/daemon/src/caller/add_completion_routes.ts
@@ -0,0 +1,106 @@
+import type { ConfigDocument } from "@gooseberryline/core";
+import type Router from "@koa/router";
+import type { Context } from "koa";
+import { buildOrder } from "./build_order.ts";
+import { checkLimits } from "./check_limits.ts";
+import { countCostTokens } from "./count_cost_tokens.ts";
+import type { Door } from "./door.ts";
+import { HttpRefusal } from "./http_refusal.ts";
+import { parseCompletion } from "./parse_completion.ts";
+import { readBody } from "./read_body.ts";
+import { readDeadline } from "./read_deadline.ts";
+import { readTenantKey } from "./read_tenant_key.ts";
+
+/** Adds the routes of model services. */
+export function addCompletionRoutes(router: Router, door: Door): void {
+  router.post(["/v1/chat/completions", "/v1/completions"], (ctx) =>
+    answerCompletion(ctx, door),
+  );
+  router.get("/v1/models", (ctx) => {
+    const { document } = door.requireConfig();
+    const isOpen = hasOpenModel(document) && readTenantKey(ctx) === undefined;
+    if (!isOpen) {
+      door.authenticate(ctx);
+    }
+    const data = listModels(document, isOpen);
+    ctx.body = { object: "list", data };
+  });
+}
+
+async function answerCompletion(ctx: Context, door: Door): Promise<void> {
+  const { document } = door.requireConfig();
+  const mayBeOpen = hasOpenModel(document) && readTenantKey(ctx) === undefined;
+  const known = mayBeOpen ? undefined : door.admitCustomer(ctx);
+  const body = await readBody(
+    ctx.req,
+    known?.chosen.profile.limits.bodyBytes ?? findOpenBodyBytes(document),
+  );
+  const request = parseCompletion(body, ctx.path);
+  const service = requireModel(document, request.model);
+  const { requester, chosen } = known ?? door.admitAnyone(ctx, service);
+  const costTokens = countCostTokens(request.text, request.maxTokens);
+  checkLimits(chosen, { model: service, costTokens });
+  const order = buildOrder(requester, chosen, {
+    service,
+    text: request.text,
+    costTokens,
+    allowedMs: readDeadline(ctx, chosen.profile.deadlineMs),
+    nowMs: Date.now(),
+  });
+  const key = ctx.get("idempotency-key");
+  const isIdempotent = chosen.profile.idempotent;
+  const passesKey = !isIdempotent && key !== "";
+  ctx.respond = false;
+  await door.calls.answer(order, ctx.res, {
+    method: "POST",
+    path: ctx.path,
+    headers: {
+      "content-type": "application/json",
+      ...(passesKey ? { "idempotency-key": key } : {}),
+    },
+    body,
+    isStream: request.isStream,
+    isIdempotent,
+  });
+}
+
+function requireModel(document: ConfigDocument, model: string): string {
+  const isKnown =
+    Object.hasOwn(document.services, model) &&
+    document.services[model]?.kind === "model";
+  if (!isKnown) {
+    const message = `model: unknown model ${JSON.stringify(model)}`;
+    throw new HttpRefusal(404, message, { code: "model_not_found" });
+  }
+  return model;
+}
+
+function listOpenModels({ services }: ConfigDocument) {
+  return Object.values(services).filter(
+    ({ kind, openToAll }) => kind === "model" && openToAll,
+  );
+}
+
+function hasOpenModel(document: ConfigDocument): boolean {
+  return listOpenModels(document).length > 0;
+}
+
+function findOpenBodyBytes(document: ConfigDocument): number {
+  const sizes = listOpenModels(document).map(
+    ({ openProfile }) =>
+      document.profiles[openProfile ?? ""]?.limits.bodyBytes ?? 0,
+  );
+  return Math.max(...sizes);
+}
+
+function listModels({ services }: ConfigDocument, isOpen: boolean) {
+  return Object.entries(services)
+    .filter(([, { kind }]) => kind === "model")
+    .filter(([, { openToAll }]) => openToAll || !isOpen)
+    .map(([id]) => ({
+      id,
+      object: "model",
+      created: 0,
+      owned_by: "gooseberryline",
+    }));
+}
--- /dev/null
+++ b/packages/daemon/src/caller/add_service_routes.ts
@@ -0,0 +1,61 @@
+import type { ConfigDocument } from "@gooseberryline/core";
+import type Router from "@koa/router";
+import type { Context } from "koa";
+import { buildOrder } from "./build_order.ts";
+import { countCostTokens } from "./count_cost_tokens.ts";
+import type { Door } from "./door.ts";
+import { HttpRefusal } from "./http_refusal.ts";
+import { locateCall } from "./locate_call.ts";
+import { pickHeaders } from "./pick_headers.ts";
+import { readBody } from "./read_body.ts";
+import { readDeadline } from "./read_deadline.ts";
+import { readTenantKey } from "./read_tenant_key.ts";
+
+/** Adds the route of plain services. */
+export function addServiceRoutes(router: Router, door: Door): void {
+  router.all(/^\/services\//, (ctx) => answerCall(ctx, door));
+}
+
+async function answerCall(ctx: Context, door: Door): Promise<void> {
+  const { document } = door.requireConfig();
+  const { service, path } = locateCall(ctx.req.url ?? "");
+  const { requester, chosen } = door.admitAnyone(ctx, service);
+  const key = readTenantKey(ctx);
+  requirePlain(document, service);
+  checkKeyStays(path, key);
+  const body = await readBody(ctx.req, chosen.profile.limits.bodyBytes);
+  const order = buildOrder(requester, chosen, {
+    service,
+    text: "",
+    costTokens: countCostTokens("", undefined),
+    allowedMs: readDeadline(ctx, chosen.profile.deadlineMs),
+    nowMs: Date.now(),
+  });
+  ctx.respond = false;
+  await door.calls.answer(order, ctx.res, {
+    method: ctx.method,
+    path,
+    headers: pickHeaders(ctx.headers, key),
+    body,
+    isStream: false,
+    isPlain: true,
+    isIdempotent: chosen.profile.idempotent,
+  });
+}
+
+function requirePlain({ services }: ConfigDocument, service: string): void {
+  const isKnown =
+    Object.hasOwn(services, service) && services[service]?.kind === "plain";
+  if (!isKnown) {
+    const message = `unknown service ${JSON.stringify(service)}`;
+    throw new HttpRefusal(404, message, { code: "unknown_service" });
+  }
+}
+
+/** A key in the path or the query would reach the service: refuse it. */
+function checkKeyStays(path: string, key: string | undefined): void {
+  if (key !== undefined && decodeURIComponent(path).includes(key)) {
+    const message = "path: the tenant key belongs in the header only";
+    throw new HttpRefusal(400, message, { code: "key_in_path" });
+  }
+}
--- a/packages/daemon/src/caller/build_order.ts
+++ b/packages/daemon/src/caller/build_order.ts
@@ -6,40 +6,36 @@
   type WorkId,
   type WorkOrder,
 } from "@gooseberryline/core";
-import type { Caller, ChosenProfile } from "./types.ts";
+import type { ChosenProfile, Requester } from "./types.ts";
 
 const PREFIX_CHARS = 256;
-const CHARS_PER_TOKEN = 4;
-const DEFAULT_ANSWER_TOKENS = 256;
 
 /** Builds the core's order for an online request. */
 export function buildOrder(
-  caller: Caller,
+  requester: Requester,
   { name, profile }: ChosenProfile,
   request: {
     readonly service: string;
+    /** The prompt's text; empty for a plain service. */
     readonly text: string;
-    readonly maxTokens: number | undefined;
-    readonly deadlineHeader: string;
+    readonly costTokens: number;
+    /** Time for the whole answer, milliseconds. */
+    readonly allowedMs: number;
     readonly nowMs: number;
   },
 ): WorkOrder {
-  const promptTokens = Math.ceil(request.text.length / CHARS_PER_TOKEN);
-  const askedMs = Number.parseInt(request.deadlineHeader, 10);
-  const allowedMs = Number.isFinite(askedMs)
-    ? Math.min(Math.max(askedMs, 0), profile.deadlineMs)
-    : profile.deadlineMs;
+  const prefix = request.text.slice(0, PREFIX_CHARS);
   return {
     workId: randomUUID() as string as WorkId,
     origin: { kind: "request" },
     lane: LANES.ONLINE,
-    customer: caller.customerId,
-    keyId: caller.keyId,
+    customer: requester.customerId,
+    keyId: requester.keyId,
     profile: name,
     service: request.service as ServiceName,
     isIdempotent: profile.idempotent,
-    costTokens: promptTokens + (request.maxTokens ?? DEFAULT_ANSWER_TOKENS),
-    prefixHash: hashText(request.text.slice(0, PREFIX_CHARS)),
-    deadlineMs: request.nowMs + allowedMs,
+    costTokens: request.costTokens,
+    prefixHash: prefix === "" ? 0 : hashText(prefix),
+    deadlineMs: request.nowMs + request.allowedMs,
   };
 }
--- a/packages/daemon/src/caller/choose_profile.ts
+++ b/packages/daemon/src/caller/choose_profile.ts
@@ -6,12 +6,14 @@
 export function chooseProfile(
   document: ConfigDocument,
   name: string,
+  field = "profile",
 ): ChosenProfile {
   const profile = Object.hasOwn(document.profiles, name)
     ? document.profiles[name]
     : undefined;
   if (profile === undefined) {
-    throw new HttpRefusal(400, `unknown profile "${name}"`, {
+    const shown = JSON.stringify(name);
+    throw new HttpRefusal(400, `${field}: unknown profile ${shown}`, {
       code: "unknown_profile",
     });
   }
--- a/packages/daemon/src/caller/key_index.ts
+++ b/packages/daemon/src/caller/key_index.ts
@@ -2,19 +2,29 @@
 import type { Config, CustomerId, KeyId } from "@gooseberryline/core";
 import type { Caller } from "./types.ts";
 
-/** Finds the customer of a tenant key; rebuilt for each revision. */
+const BUCKET_CHARS = 4;
+
+type Entry = { readonly hash: Buffer; readonly caller: Caller };
+
+/**
+ * Finds the customer of a tenant key; rebuilt for each revision. The index
+ * groups keys by the start of their hash; the whole hash is compared in
+ * constant time.
+ */
 export class KeyIndex {
   #revision = -1;
-  #callers = new Map<string, Caller>();
+  #entries: ReadonlyMap<string, readonly Entry[]> = new Map();
 
   /** The caller of a key, or undefined for an unknown or withdrawn one. */
   find(config: Config, key: string): Caller | undefined {
     this.#rebuild(config);
     const digest = createHash("sha256").update(key).digest();
-    const hash = digest.toString("hex");
-    const caller = this.#callers.get(hash);
-    const isSame = timingSafeEqual(digest, Buffer.from(hash, "hex"));
-    return isSame ? caller : undefined;
+    const bucket = digest.toString("hex").slice(0, BUCKET_CHARS);
+    const entries = this.#entries.get(bucket) ?? [];
+    return entries
+      .filter(({ hash }) => timingSafeEqual(hash, digest))
+      .map(({ caller }) => caller)
+      .at(0);
   }
 
   #rebuild({ revision, document }: Config): void {
@@ -22,17 +32,23 @@
       return;
     }
     this.#revision = revision;
-    this.#callers = new Map(
-      Object.entries(document.customers).flatMap(([customerId, customer]) =>
-        customer.keys.map(({ id, hash }) => [
+    const found = Object.entries(document.customers).flatMap(
+      ([customerId, customer]) =>
+        customer.keys.map(({ id, hash }) => ({
           hash,
-          {
+          caller: {
             customerId: customerId as CustomerId,
             keyId: id as KeyId,
             customer,
           },
-        ]),
-      ),
+        })),
     );
+    const entries = new Map<string, Entry[]>();
+    found.forEach(({ hash, caller }) => {
+      const bucket = hash.slice(0, BUCKET_CHARS);
+      const entry = { hash: Buffer.from(hash, "hex"), caller };
+      entries.set(bucket, [...(entries.get(bucket) ?? []), entry]);
+    });
+    this.#entries = entries;
   }
 }
--- /dev/null
+++ b/packages/daemon/src/caller/read_deadline.ts
@@ -0,0 +1,17 @@
+import type { Context } from "koa";
+import { HttpRefusal } from "./http_refusal.ts";
+
+const DEADLINE_HEADER = "x-deadline-ms";
+
+/** The time that a request may take: its header's, or less by profile. */
+export function readDeadline(ctx: Context, profileMs: number): number {
+  const text = ctx.get(DEADLINE_HEADER);
+  if (text === "") {
+    return profileMs;
+  }
+  if (!/^\d{1,10}$/.test(text)) {
+    const message = `${DEADLINE_HEADER}: a whole number of ms is needed`;
+    throw new HttpRefusal(400, message, { code: "invalid_header" });
+  }
+  return Math.min(Number(text), profileMs);
+}
--- a/packages/daemon/src/logs/create_log.ts
+++ b/packages/daemon/src/logs/create_log.ts
@@ -1,4 +1,4 @@
-import { createConsola } from "consola";
+import { createConsola, LogLevels } from "consola";
 
 /** Fields of a log line; never a key or a body. */
 export type LogFields = Readonly<
@@ -15,6 +15,7 @@
 /** Creates a log that writes JSON lines and carries `base` on each. */
 export function createLog(base: LogFields, write: (line: string) => void): Log {
   const consola = createConsola({
+    level: LogLevels.info,
     reporters: [
       {
         log: ({ type, args, date }) => {
--- /dev/null
+++ b/packages/daemon/src/metrics/watch_instance.ts
@@ -0,0 +1,37 @@
+import { monitorEventLoopDelay } from "node:perf_hooks";
+import { INVARIANTS, type InstanceState } from "@gooseberryline/core";
+import type { Metrics } from "./types.ts";
+
+const INTERVAL_MS = 10_000;
+const NS_PER_MS = 1e6;
+
+/** A running watch; reports gauges until it is stopped. */
+export type InstanceWatch = { readonly stop: () => void };
+
+/** Reports an instance's queues, broken invariants and event-loop lag. */
+export function watchInstance(
+  readState: () => InstanceState,
+  metrics: Metrics,
+  intervalMs = INTERVAL_MS,
+): InstanceWatch {
+  const delay = monitorEventLoopDelay();
+  delay.enable();
+  const timer = setInterval(() => {
+    const { queue, works, jobs } = readState();
+    metrics.gauge("queue_length", queue.length);
+    metrics.gauge("works", Object.keys(works).length);
+    metrics.gauge("jobs", Object.keys(jobs).length);
+    metrics.gauge("event_loop_lag_ms", delay.max / NS_PER_MS);
+    Object.entries(INVARIANTS.broken).forEach(([invariant, count]) => {
+      metrics.gauge("invariants_broken", count, { invariant });
+    });
+    delay.reset();
+  }, intervalMs);
+  timer.unref();
+  return {
+    stop: () => {
+      clearInterval(timer);
+      delay.disable();
+    },
+  };
+}
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -2,11 +2,23 @@
 
 const PORT = z.number().int().min(0).max(65_535);
 
+const TIMEOUT_MS = z.number().int().positive();
+
 const LISTENER = z.strictObject({
   /** IP number to bind. */
   host: z.union([z.ipv4(), z.ipv6()]).default("127.0.0.1"),
   /** Port to bind; 0 takes any free one. */
   port: PORT.default(0),
+  /** Time for a request's headers to arrive, milliseconds. */
+  headersTimeoutMs: TIMEOUT_MS.default(10_000),
+  /** Time for a whole request to arrive, milliseconds. */
+  requestTimeoutMs: TIMEOUT_MS.default(60_000),
+});
+
+const METRICS = z.strictObject({
+  /** Host and port of a StatsD receiver, reached by UDP. */
+  host: z.union([z.ipv4(), z.ipv6()]).default("127.0.0.1"),
+  port: PORT.default(8125),
 });
 
 const OPERATOR = z.strictObject({
@@ -25,6 +37,8 @@
   platform: z.strictObject({ url: z.url() }).optional(),
   /** Folder on a disk that outlasts the process; absent keeps nothing. */
   dataFolder: z.string().optional(),
+  /** Absent sends no metrics. */
+  metrics: METRICS.optional(),
   operators: z.array(OPERATOR).default([]),
   /** Configuration that `--embedded` starts with. */
   embeddedConfig: z.unknown().optional(),
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -18,6 +18,10 @@
 import { watchConfig } from "./config/watch_config.ts";
 import { JobTask } from "./jobs/job_task.ts";
 import type { Log } from "./logs/create_log.ts";
+import { createMetrics } from "./metrics/create_metrics.ts";
+import { reportRequest } from "./metrics/report_request.ts";
+import type { Metrics } from "./metrics/types.ts";
+import { watchInstance } from "./metrics/watch_instance.ts";
 import { RunRing } from "./runs/run_ring.ts";
 import type { Settings } from "./settings/types.ts";
 import { AttemptTask } from "./tasks/attempt_task.ts";
@@ -58,8 +62,14 @@
   const readConfig = () => core.state.config;
   const burn = new BurnTask(readConfig);
   const ring = new RunRing();
+  const metrics = createMetrics(settings.metrics, {
+    instance: settings.instanceId,
+    data_centre: settings.dataCentre,
+  });
   const attempts = new AttemptTask(post);
-  const calls = new CallerTask(post);
+  const calls = new CallerTask(post, (report) =>
+    reportRequest(report, { log, metrics }),
+  );
   const jobs = new JobTask(folder, post);
   const core = new CoreTask(
     describeSelf(settings),
@@ -73,6 +83,7 @@
         readConfig,
         keepRun: (run) => {
           logRun(log, run);
+          countRun(metrics, run);
           ring.keep(run);
           onRun?.(run);
         },
@@ -84,7 +95,14 @@
     (config) => core.post({ kind: "config-offered", config }),
     log,
   );
-  const callerApp = createCallerApp({ readConfig, calls, jobs, log });
+  const gauges = watchInstance(() => core.state, metrics);
+  const callerApp = createCallerApp({
+    readConfig,
+    calls,
+    jobs,
+    log,
+    metrics,
+  });
   const adminApp = createAdminApp({
     readState: () => core.state,
     operators: settings.operators,
@@ -108,6 +126,9 @@
     }
     watch.stop();
     core.stop();
+    gauges.stop();
+    metrics.close();
+    attempts.stop();
     [caller, admin].forEach(({ server }) => {
       server.close();
       server.closeIdleConnections();
@@ -117,6 +138,11 @@
   return { caller: caller.address, admin: admin.address, stop };
 }
 
+function countRun(metrics: Metrics, run: RunRecord): void {
+  const { upstreamId: upstream, outcome } = run;
+  metrics.count("attempts", { upstream, outcome });
+}
+
 function logRun(log: Log, run: RunRecord): void {
   log.info("run", {
     workId: run.workId,
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -4,6 +4,8 @@
 export { startStore } from "./platform/start_store.ts";
 export { StoreState } from "./platform/store_state.ts";
 export type * from "./platform/types.ts";
+export { startService } from "./service/start_service.ts";
+export type * from "./service/types.ts";
 export { EventQueue } from "./world/event_queue.ts";
 export type { CallerView, EngineModel, WorldOptions } from "./world/types.ts";
 export { VirtualEngine } from "./world/virtual_engine.ts";
--- /dev/null
+++ b/packages/measure/src/caller/door_test.ts
@@ -0,0 +1,144 @@
+import { connectPlatform } from "@gooseberryline/protocol";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { waitUntil } from "../support/wait_until.ts";
+import { startDoor } from "./start_door.ts";
+
+const CHAT = "v1/chat/completions";
+const SECRET = "a prompt that no log may show";
+const body = {
+  model: "demo-model",
+  messages: [{ role: "user", content: SECRET }],
+};
+
+type Refused = { readonly error: { readonly code: string; message: string } };
+
+let door: Awaited<ReturnType<typeof startDoor>>;
+beforeAll(async () => {
+  door = await startDoor();
+});
+afterAll(() => door.stop());
+
+const post = (json: unknown, headers: Record<string, string> = {}) =>
+  door.api.post(CHAT, { json, headers, responseType: "json" });
+
+const refuse = async (json: unknown, headers?: Record<string, string>) => {
+  const { statusCode, body } = await post(json, headers);
+  const { code, message } = (body as Refused).error;
+  return { status: statusCode, code, message };
+};
+
+test("every bad key gets the same refusal", async () => {
+  const keys = ["Bearer nobody", "Bearer", "demo-key", "Basic demo-key", ""];
+  const answers = await Promise.all(
+    keys.map((authorization) => post(body, { authorization })),
+  );
+  expect(answers.map(({ statusCode }) => statusCode)).toEqual(
+    keys.map(() => 401),
+  );
+  const bodies = answers.map((answer) => JSON.stringify(answer.body));
+  expect(new Set(bodies).size).toBe(1);
+});
+
+test("no upstream and no log sees the key", async () => {
+  const headers = { cookie: "demo-key", "x-api-key": "demo-key" };
+  await post(body, headers);
+  await door.api.get("services/stock/a", { headers });
+  const seen = JSON.stringify([door.engines[0]?.runs, door.service.calls]);
+  expect(door.service.calls.length).toBeGreaterThan(0);
+  expect(seen).toContain(SECRET);
+  expect(seen).not.toContain("demo-key");
+  expect(door.logLines.join("")).toContain('"customer":"demo"');
+  expect(door.logLines.join("")).not.toContain("demo-key");
+  expect(door.logLines.join("")).not.toContain(SECRET);
+});
+
+test.each([
+  ["an unknown model", { ...body, model: "x" }, 404, "model"],
+  ["a model of a wrong type", { ...body, model: 1 }, 400, "model"],
+  ["an inherited name", { ...body, model: "constructor" }, 404, "model"],
+  ["messages of a wrong type", { ...body, messages: "x" }, 400, "messages"],
+  ["no messages", { model: "demo-model" }, 400, "messages"],
+  ["a wrong stream", { ...body, stream: "yes" }, 400, "stream"],
+  ["a negative limit", { ...body, max_tokens: -1 }, 400, "max_tokens"],
+  ["too many tokens", { ...body, max_tokens: 5_000 }, 400, "max_tokens"],
+  ["a list", [1], 400, "JSON object"],
+])("%s is refused by name", async (_name, json, status, field) => {
+  const refused = await refuse(json);
+  expect(refused.status).toBe(status);
+  expect(refused.message).toContain(field);
+});
+
+test("broken JSON is refused", async () => {
+  const answer = await door.api.post(CHAT, { body: '{"model":' });
+  expect(answer.statusCode).toBe(400);
+  expect(answer.body).toContain("invalid_json");
+});
+
+test("a profile's limits hold", async () => {
+  const small = { "x-gooseberryline-profile": "small" };
+  const large = { ...body, filler: "x".repeat(500) };
+  expect(await refuse(large, small)).toMatchObject({ status: 413 });
+  expect(await refuse(body, small)).toMatchObject({
+    status: 403,
+    code: "model_not_allowed",
+  });
+});
+
+test("an unknown profile names its header", async () => {
+  const refused = await refuse(body, { "x-gooseberryline-profile": "gold" });
+  expect(refused).toMatchObject({ status: 400, code: "unknown_profile" });
+  expect(refused.message).toContain("x-gooseberryline-profile");
+});
+
+test("a deadline only shortens", async () => {
+  const late = await refuse(body, { "x-deadline-ms": "0" });
+  const wrong = await refuse(body, { "x-deadline-ms": "1e3" });
+  expect(late).toMatchObject({ status: 504, code: "deadline_exceeded" });
+  expect(wrong).toMatchObject({ status: 400, code: "invalid_header" });
+});
+
+test("a request id is echoed or made", async () => {
+  const given = await post(body, { "x-request-id": "mine-1" });
+  const made = await post(body, { "x-request-id": "no spaces" });
+  expect(given.headers["x-request-id"]).toBe("mine-1");
+  expect(made.headers["x-request-id"]).toMatch(/^[0-9a-f-]{36}$/);
+});
+
+test("another customer's file is not found", async () => {
+  const form = new FormData();
+  form.set("purpose", "batch");
+  form.set("file", new Blob(["{}"]), "input.jsonl");
+  const uploaded = await door.api.post("v1/files", { body: form });
+  const { id } = JSON.parse(uploaded.body) as { id: string };
+  const other = { authorization: "Bearer other-key" };
+  const paths = [`v1/files/${id}`, `v1/files/${id}/content`];
+  const answers = await Promise.all(
+    paths.flatMap((path) => [
+      door.api.get(path),
+      door.api.get(path, { headers: other }),
+    ]),
+  );
+  const statuses = answers.map(({ statusCode }) => statusCode);
+  expect(statuses).toEqual([200, 404, 200, 404]);
+});
+
+test("a withdrawn key is refused as an unknown one", async () => {
+  const headers = { authorization: "Bearer other-key" };
+  expect((await post(body, headers)).statusCode).toBe(200);
+  const platform = connectPlatform(door.store.url);
+  const record = await platform.get("config/current");
+  const config = JSON.parse(record?.value ?? "") as {
+    revision: number;
+    document: { customers: { other: { keys: unknown[] } } };
+  };
+  config.document.customers.other.keys = [];
+  const value = JSON.stringify({ ...config, revision: config.revision + 1 });
+  await platform.cas({
+    key: "config/current",
+    value,
+    expect: record?.version ?? 0,
+  });
+  await waitUntil(async () => (await post(body, headers)).statusCode === 401);
+  const unknown = await post(body, { authorization: "Bearer nobody" });
+  expect((await post(body, headers)).body).toEqual(unknown.body);
+});
--- /dev/null
+++ b/packages/measure/src/caller/raw_test.ts
@@ -0,0 +1,101 @@
+import { connect, type Socket } from "node:net";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { waitUntil } from "../support/wait_until.ts";
+import { startDoor } from "./start_door.ts";
+
+const JSON_BODY = '{"model":"demo-model","stream":true,"messages":[]}';
+const HEAD = [
+  "POST /v1/chat/completions HTTP/1.1",
+  "host: x",
+  "authorization: Bearer demo-key",
+  "content-type: application/json",
+].join("\r\n");
+
+let door: Awaited<ReturnType<typeof startDoor>>;
+beforeAll(async () => {
+  const callerListener = {
+    host: "127.0.0.1",
+    port: 0,
+    headersTimeoutMs: 200,
+    requestTimeoutMs: 400,
+  };
+  door = await startDoor({
+    engine: { tokenMs: 5 },
+    settings: { callerListener },
+  });
+});
+afterAll(() => door.stop());
+
+const send = (text: string) => {
+  const { hostname, port } = new URL(door.callerUrl);
+  const socket = connect(Number(port), hostname);
+  const got = { text: "" };
+  socket.on("data", (data) => {
+    got.text += data.toString();
+  });
+  socket.on("error", () => undefined);
+  socket.write(text);
+  return { socket, got };
+};
+const waitForClose = (socket: Socket) =>
+  waitUntil(() => socket.readyState === "closed");
+
+test.each([
+  ["two lengths", "content-length: 50\r\ncontent-length: 51"],
+  ["a length and chunks", "content-length: 50\r\ntransfer-encoding: chunked"],
+  ["chunks twice over", "transfer-encoding: chunked, identity"],
+  ["a bare line feed in a value", "x-a: b\nx-c\r\ncontent-length: 50"],
+  ["a carriage return in a value", "x-a: b\rx-c: d\r\ncontent-length: 50"],
+  ["a folded value", "x-a: b\r\n c\r\ncontent-length: 50"],
+  ["a space before the colon", "content-length : 50"],
+  ["a length that is no number", "content-length: +50"],
+])("%s is refused", async (_name, headers) => {
+  const before = door.engines[0]?.runs.length;
+  const { socket, got } = send(`${HEAD}\r\n${headers}\r\n\r\n${JSON_BODY}`);
+  await waitForClose(socket);
+  expect(got.text).toMatch(/^HTTP\/1.1 400 /);
+  expect(got.text).toContain('"run":"not run"');
+  expect(door.engines[0]?.runs.length).toBe(before);
+});
+
+test("headers that are too large are refused", async () => {
+  const { socket, got } = send(`${HEAD}\r\nx-a: ${"a".repeat(20_000)}\r\n\r\n`);
+  await waitForClose(socket);
+  expect(got.text).toMatch(/^HTTP\/1.1 431 /);
+});
+
+test("slow headers are cut off", async () => {
+  const { socket, got } = send("POST /v1/chat");
+  await waitForClose(socket);
+  expect(got.text).toMatch(/^HTTP\/1.1 408 /);
+});
+
+test("a slow body is cut off", async () => {
+  const before = door.engines[0]?.runs.length;
+  const { socket } = send(`${HEAD}\r\ncontent-length: 50\r\n\r\n{"mod`);
+  await waitForClose(socket);
+  expect(door.engines[0]?.runs.length).toBe(before);
+});
+
+test("a caller that goes away mid-body leaves nothing", async () => {
+  const before = door.engines[0]?.runs.length;
+  const { socket } = send(`${HEAD}\r\ncontent-length: 50\r\n\r\n{"mod`);
+  socket.end();
+  await waitForClose(socket);
+  const again = send(
+    `${HEAD}\r\nconnection: close\r\ncontent-length: ${JSON_BODY.length}\r\n\r\n${JSON_BODY}`,
+  );
+  await waitForClose(again.socket);
+  expect(again.got.text).toContain("data: [DONE]");
+  expect(door.engines[0]?.runs.length).toBe((before ?? 0) + 1);
+});
+
+test("a caller that goes away mid-stream ends the attempt", async () => {
+  const body = JSON_BODY.replace("[]", '[],"max_tokens":2000');
+  const head = `${HEAD}\r\ncontent-length: ${body.length}\r\n\r\n`;
+  const { socket, got } = send(head + body);
+  await waitUntil(() => got.text.includes("data: "));
+  expect(door.engines[0]?.countInFlight()).toBe(1);
+  socket.destroy();
+  await waitUntil(() => door.engines[0]?.countInFlight() === 0);
+});
--- a/packages/measure/src/support/start_system.ts
+++ b/packages/measure/src/support/start_system.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import type { RunRecord } from "@gooseberryline/core";
+import type { ConfigDocument, RunRecord } from "@gooseberryline/core";
 import {
   createLog,
   parseSettings,
@@ -35,6 +35,9 @@
   readonly engines: number;
   readonly engine?: EngineOptions;
   readonly operators?: Settings["operators"];
+  readonly settings?: Partial<Settings>;
+  /** Changes the configuration that the system starts with. */
+  readonly changeConfig?: (document: ConfigDocument) => ConfigDocument;
 }): Promise<System> {
   const store = await startStore();
   const engines = await Promise.all(
@@ -42,10 +45,11 @@
       startEngine(options.engine ?? { tokenMs: 2 }),
     ),
   );
-  const document = buildConfig({
+  const built = buildConfig({
     keyHash: createHash("sha256").update("demo-key").digest("hex"),
     engineUrls: engines.map(({ url }) => url),
   });
+  const document = options.changeConfig?.(built) ?? built;
   const platform = connectPlatform(store.url);
   await platform.cas({
     key: "config/current",
@@ -57,7 +61,7 @@
     throw new Error("the demo's settings are invalid");
   }
   const operators = options.operators ?? [];
-  const settings = { ...parsed.settings, operators };
+  const settings = { ...parsed.settings, operators, ...options.settings };
   const runs: RunRecord[] = [];
   const logLines: string[] = [];
   const log = createLog({}, (line) => {
