--- a/packages/daemon/src/metrics/watch_instance.ts
+++ b/packages/daemon/src/metrics/watch_instance.ts
@@ -17,9 +17,11 @@
   const delay = monitorEventLoopDelay();
   delay.enable();
   const timer = setInterval(() => {
-    const { queue, works, jobs } = readState();
-    metrics.gauge("queue_length", queue.length);
-    metrics.gauge("works", Object.keys(works).length);
+    const { queues, works, jobs } = readState();
+    Object.entries(queues.services).forEach(([service, { count }]) => {
+      metrics.gauge("queue_length", count, { service });
+    });
+    metrics.gauge("works", works.count);
     metrics.gauge("jobs", Object.keys(jobs).length);
     metrics.gauge("event_loop_lag_ms", delay.max / NS_PER_MS);
     Object.entries(INVARIANTS.broken).forEach(([invariant, count]) => {
