Add randomised runs with replay and shrinking

Cause: the promises need long seeded runs over faults, two together and the same one twice.

Change: actions as plain data drawn from a seed, a fleet of today's size in the virtual world, checks from callers' and engines' view, and shrinking to a short replay. Two faults of the stand-ins found on the way: an engine that refuses a connection counted as a run, and a killed instance that had been paused went on when resumed.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -30,6 +30,7 @@
 export { assertNever } from "./shared/assert_never.ts";
 export { drawRandom } from "./shared/draw_random.ts";
 export { dropEntry } from "./shared/drop_entry.ts";
+export { groupBy } from "./shared/group_by.ts";
 export { hashText } from "./shared/hash_text.ts";
 export { rankByRendezvous } from "./shared/rank_by_rendezvous.ts";
 export { setEntry } from "./shared/set_entry.ts";
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -1,12 +1,22 @@
 /** Small stand-ins for the systems that the product meets. */
 export { startEngine } from "./engine/start_engine.ts";
-export type * from "./engine/types.ts";
+export type {
+  EngineFaults,
+  EngineOptions,
+  FakeEngine,
+} from "./engine/types.ts";
 export { startStore } from "./platform/start_store.ts";
 export { StoreState } from "./platform/store_state.ts";
 export type * from "./platform/types.ts";
 export { startService } from "./service/start_service.ts";
 export type * from "./service/types.ts";
 export { EventQueue } from "./world/event_queue.ts";
-export type { CallerView, EngineModel, WorldOptions } from "./world/types.ts";
+export type {
+  CallerView,
+  EngineModel,
+  EngineRun,
+  WorldOptions,
+} from "./world/types.ts";
 export { VirtualEngine } from "./world/virtual_engine.ts";
 export { World } from "./world/world.ts";
+export type { WorldLedger } from "./world/world_ledger.ts";
--- a/packages/fakes/src/world/effect_runner.ts
+++ b/packages/fakes/src/world/effect_runner.ts
@@ -152,6 +152,10 @@
       if (!node.listening.has(attemptId)) {
         return;
       }
+      if (engine.isDown) {
+        tell({ kind: "refused" });
+        return;
+      }
       this.#parts.ledger.noteRun({
         attemptId,
         workId,
--- a/packages/fakes/src/world/types.ts
+++ b/packages/fakes/src/world/types.ts
@@ -7,6 +7,7 @@
   InstanceId,
   InstanceState,
   Refusal,
+  stepInstance,
   UpstreamId,
   WorkId,
   WorkOrder,
@@ -20,6 +21,8 @@
   /** Delay between two data centres, one way, milliseconds. */
   readonly delayMs?: number;
   readonly engine?: Partial<EngineModel>;
+  /** Stands in for the core's own step, to break it on purpose. */
+  readonly step?: typeof stepInstance;
 };
 
 /** How a virtual engine behaves. */
--- a/packages/fakes/src/world/virtual_engine.ts
+++ b/packages/fakes/src/world/virtual_engine.ts
@@ -38,6 +38,11 @@
     return this.#running.size;
   }
 
+  /** Whether it refuses connections. */
+  get isDown(): boolean {
+    return this.#fault.isDown;
+  }
+
   get crashes(): number {
     return this.#crashes;
   }
--- a/packages/fakes/src/world/world.ts
+++ b/packages/fakes/src/world/world.ts
@@ -156,7 +156,7 @@
     node.isPaused = false;
     const held = node.held.splice(0);
     held.forEach((event) => {
-      this.#step(node, event);
+      this.#postTo(node, event);
     });
   }
 
@@ -256,7 +256,8 @@
   }
 
   #step(node: WorldNode, event: InstanceEvent): void {
-    const step = stepInstance(node.state, event, this.nowMs);
+    const stepWith = this.#options.step ?? stepInstance;
+    const step = stepWith(node.state, event, this.nowMs);
     node.state = step.state;
     step.effects.forEach((effect) => {
       this.#runner.carryOut(node, effect);
--- /dev/null
+++ b/packages/measure/src/soak/shrink_actions.ts
@@ -0,0 +1,37 @@
+import type { SoakAction } from "./types.ts";
+
+/**
+ * Shortens a failing list of actions: drops ever smaller parts as long as
+ * the run still fails.
+ */
+export function shrinkActions(
+  actions: readonly SoakAction[],
+  isFailing: (actions: readonly SoakAction[]) => boolean,
+  partSize = Math.ceil(actions.length / 2),
+): readonly SoakAction[] {
+  const shorter = dropParts(actions, isFailing, partSize);
+  if (shorter.length < actions.length) {
+    return shrinkActions(shorter, isFailing, partSize);
+  }
+  return partSize <= 1
+    ? actions
+    : shrinkActions(actions, isFailing, Math.ceil(partSize / 2));
+}
+
+function dropParts(
+  actions: readonly SoakAction[],
+  isFailing: (actions: readonly SoakAction[]) => boolean,
+  partSize: number,
+): readonly SoakAction[] {
+  const starts = Array.from(
+    { length: Math.ceil(actions.length / partSize) },
+    (_, at) => at * partSize,
+  );
+  const found = starts
+    .map((start) => [
+      ...actions.slice(0, start),
+      ...actions.slice(start + partSize),
+    ])
+    .find((candidate) => isFailing(candidate));
+  return found ?? actions;
+}
--- /dev/null
+++ b/packages/measure/src/soak/soak_fleet.ts
@@ -0,0 +1,232 @@
+import {
+  assertNever,
+  type DataCentreId,
+  type InstanceId,
+  type UpstreamId,
+} from "@gooseberryline/core";
+import { World, type WorldOptions } from "@gooseberryline/fakes";
+import { driveArrivals } from "../world/drive_arrivals.ts";
+import { buildWorldConfig } from "../world/world_config.ts";
+import type { SoakAction } from "./types.ts";
+
+const DATA_CENTRES = ["a", "b", "c"] as const;
+const CUSTOMERS = ["c1", "c2", "c3", "c4"] as const;
+const BURST_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+
+/** A fleet of today's size to which actions happen. */
+export class SoakFleet {
+  readonly world: World;
+  readonly #dead: { id: InstanceId; dataCentre: DataCentreId }[] = [];
+  #requestSeed = 1;
+
+  constructor(seed: number, step?: WorldOptions["step"]) {
+    this.world = new World({
+      seed,
+      document: buildWorldConfig({
+        dataCentres: DATA_CENTRES,
+        upstreamsEach: 2,
+        customers: CUSTOMERS,
+        rate: 20,
+        burst: 10,
+        concurrency: 8,
+      }),
+      instances: { a: 2, b: 2, c: 2 },
+      ...(step === undefined ? {} : { step }),
+    });
+  }
+
+  apply(action: SoakAction): void {
+    const { world } = this;
+    switch (action.kind) {
+      case "wait":
+        world.runFor(action.ms);
+        return;
+      case "requests":
+        this.#sendRequests(action);
+        return;
+      case "kill":
+        this.#kill(action.instance);
+        return;
+      case "restart":
+        this.#restart();
+        return;
+      case "pause":
+        this.#pause(action.instance, action.ms);
+        return;
+      case "stop":
+        this.#stop(action.instance);
+        return;
+      case "cut-instance":
+        this.#cutInstance(action.instance);
+        return;
+      case "cut-data-centre":
+        this.#cutDataCentre(action.dataCentre);
+        return;
+      case "cut-platform":
+        world.network.cut(pick(DATA_CENTRES, action.dataCentre), "platform");
+        return;
+      case "heal":
+        world.network.healAll();
+        world.network.setLoss(0);
+        world.store.setFaults({ isDown: false, delayMs: 2 });
+        world.engines.forEach((engine) => {
+          engine.setFault({ cutShare: 0 });
+        });
+        return;
+      case "loss":
+        world.network.setLoss(action.share);
+        return;
+      case "store-down":
+        world.store.setFaults({ isDown: true });
+        world.queue.schedule(action.ms, () => {
+          world.store.setFaults({ isDown: false });
+        });
+        return;
+      case "store-slow":
+        world.store.setFaults({ delayMs: action.delayMs });
+        return;
+      case "store-loses-answers":
+        world.store.setFaults({ loseAnswers: action.count });
+        return;
+      case "engine-cold":
+        this.#engine(action.engine)?.turnCold();
+        return;
+      case "engine-silent":
+        this.#faultEngine(action, { isSilent: true }, { isSilent: false });
+        return;
+      case "engine-down":
+        this.#faultEngine(action, { isDown: true }, { isDown: false });
+        return;
+      case "engine-cuts":
+        this.#engine(action.engine)?.setFault({ cutShare: 0.2 });
+        return;
+      case "data-centre":
+        this.#setDataCentre(action.dataCentre, action.state);
+        return;
+      case "rate":
+        this.#changeCustomer(action.customer, { rate: action.rate });
+        return;
+      case "withdraw-key":
+        this.#changeCustomer(action.customer, { keys: [] });
+        return;
+      default:
+        assertNever(action);
+    }
+  }
+
+  /** Ends every fault and lets the fleet come to rest. */
+  settle(restMs: number): void {
+    this.apply({ kind: "heal" });
+    this.world.engines.forEach((engine) => {
+      engine.setFault({ isSilent: false, isDown: false });
+    });
+    this.world.store.setFaults({ loseAnswers: 0 });
+    this.world.runFor(restMs);
+  }
+
+  #sendRequests(action: Extract<SoakAction, { kind: "requests" }>): void {
+    this.#requestSeed += 1;
+    driveArrivals(this.world, {
+      seed: this.#requestSeed,
+      customer: pick(CUSTOMERS, action.customer),
+      profile: action.profile,
+      rate: (action.count * MS_PER_SECOND) / BURST_MS,
+      untilMs: this.world.nowMs + BURST_MS,
+      deadlineMs: 8_000,
+    });
+  }
+
+  #instance(index: number): InstanceId | undefined {
+    const ids = this.world.instanceIds;
+    return ids[index % Math.max(1, ids.length)];
+  }
+
+  #engine(index: number) {
+    const ids = [...this.world.engines.keys()];
+    return this.world.engines.get(pick(ids, index) as UpstreamId);
+  }
+
+  #kill(index: number): void {
+    const id = this.#instance(index);
+    if (id !== undefined && this.world.instanceIds.length > 1) {
+      const dataCentre = id.split("-")[0] as DataCentreId;
+      this.world.kill(id);
+      this.#dead.push({ id, dataCentre });
+    }
+  }
+
+  #restart(): void {
+    const next = this.#dead.shift();
+    if (next !== undefined) {
+      this.world.start(next.id, next.dataCentre);
+    }
+  }
+
+  #pause(index: number, ms: number): void {
+    const id = this.#instance(index);
+    if (id !== undefined) {
+      this.world.pause(id);
+      this.world.queue.schedule(ms, () => this.world.resume(id));
+    }
+  }
+
+  #stop(index: number): void {
+    const id = this.#instance(index);
+    if (id !== undefined) {
+      this.world.post(id, { kind: "stop-asked" });
+    }
+  }
+
+  #cutInstance(index: number): void {
+    const id = this.#instance(index);
+    const others = this.world.instanceIds.filter((other) => other !== id);
+    if (id !== undefined) {
+      others.forEach((other) => {
+        this.world.network.cut(id, other);
+      });
+    }
+  }
+
+  #cutDataCentre(index: number): void {
+    const id = pick(DATA_CENTRES, index);
+    const others = DATA_CENTRES.filter((other) => other !== id);
+    others.forEach((other) => {
+      this.world.network.cut(id, other);
+    });
+  }
+
+  #faultEngine(
+    { engine: index, ms }: { readonly engine: number; readonly ms: number },
+    fault: { readonly isSilent?: boolean; readonly isDown?: boolean },
+    repair: { readonly isSilent?: boolean; readonly isDown?: boolean },
+  ): void {
+    const engine = this.#engine(index);
+    engine?.setFault(fault);
+    this.world.queue.schedule(ms, () => engine?.setFault(repair));
+  }
+
+  #setDataCentre(index: number, state: "in" | "out"): void {
+    const { document } = this.world.config;
+    const id = pick(DATA_CENTRES, index);
+    const dataCentres = { ...document.dataCentres, [id]: { state } };
+    this.world.setConfig({ ...document, dataCentres });
+  }
+
+  #changeCustomer(
+    index: number,
+    change: { readonly rate?: number; readonly keys?: [] },
+  ): void {
+    const { document } = this.world.config;
+    const id = pick(CUSTOMERS, index);
+    const held = document.customers[id];
+    if (held !== undefined) {
+      const customers = { ...document.customers, [id]: { ...held, ...change } };
+      this.world.setConfig({ ...document, customers });
+    }
+  }
+}
+
+function pick<Value>(values: readonly Value[], index: number): Value {
+  return values[index % values.length] as Value;
+}
--- /dev/null
+++ b/packages/measure/src/soak/types.ts
@@ -0,0 +1,61 @@
+/** Randomised runs: what happens to a fleet, as plain data to replay. */
+
+/** One thing that happens; indices wrap around what there is. */
+export type SoakAction =
+  | { readonly kind: "wait"; readonly ms: number }
+  | {
+      readonly kind: "requests";
+      readonly customer: number;
+      readonly profile: "counter" | "charge";
+      readonly count: number;
+    }
+  | { readonly kind: "kill"; readonly instance: number }
+  | { readonly kind: "restart" }
+  | { readonly kind: "pause"; readonly instance: number; readonly ms: number }
+  | { readonly kind: "stop"; readonly instance: number }
+  | { readonly kind: "cut-instance"; readonly instance: number }
+  | { readonly kind: "cut-data-centre"; readonly dataCentre: number }
+  | { readonly kind: "cut-platform"; readonly dataCentre: number }
+  | { readonly kind: "heal" }
+  | { readonly kind: "loss"; readonly share: number }
+  | { readonly kind: "store-down"; readonly ms: number }
+  | { readonly kind: "store-slow"; readonly delayMs: number }
+  | { readonly kind: "store-loses-answers"; readonly count: number }
+  | { readonly kind: "engine-cold"; readonly engine: number }
+  | {
+      readonly kind: "engine-silent";
+      readonly engine: number;
+      readonly ms: number;
+    }
+  | {
+      readonly kind: "engine-down";
+      readonly engine: number;
+      readonly ms: number;
+    }
+  | { readonly kind: "engine-cuts"; readonly engine: number }
+  | {
+      readonly kind: "data-centre";
+      readonly dataCentre: number;
+      readonly state: "in" | "out";
+    }
+  | {
+      readonly kind: "rate";
+      readonly customer: number;
+      readonly rate: number;
+    }
+  | { readonly kind: "withdraw-key"; readonly customer: number };
+
+/** What a run came to. */
+export type SoakVerdict =
+  | { readonly kind: "held"; readonly counts: SoakCounts }
+  | { readonly kind: "broken"; readonly message: string };
+
+export type SoakCounts = {
+  readonly requests: number;
+  readonly answered: number;
+  readonly refused: number;
+  readonly lost: number;
+  readonly runs: number;
+  /** Checks of invariants inside the program. */
+  readonly checks: number;
+};
