--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -12,6 +12,7 @@
 export type * from "./ids/types.ts";
 export { chainStep } from "./instance/chain_step.ts";
 export { createInstance } from "./instance/create_instance.ts";
+export { PEER_MESSAGE_KINDS } from "./instance/peer_message_kinds.ts";
 export { stepInstance } from "./instance/step_instance.ts";
 export type * from "./instance/types.ts";
 export { checkInvariant } from "./invariants/check_invariant.ts";
--- a/packages/daemon/src/tasks/handle_effect.ts
+++ b/packages/daemon/src/tasks/handle_effect.ts
@@ -8,6 +8,8 @@
 } from "@gooseberryline/core";
 import type { CallerTask } from "../caller/caller_task.ts";
 import type { JobTask } from "../jobs/job_task.ts";
+import type { PeerTask } from "../peers/peer_task.ts";
+import type { PlatformTask } from "../platform/platform_task.ts";
 import type { AttemptTask } from "./attempt_task.ts";
 import type { AttemptOrder } from "./types.ts";
 
@@ -16,6 +18,8 @@
   readonly attempts: AttemptTask;
   readonly calls: CallerTask;
   readonly jobs: JobTask;
+  readonly peers: PeerTask;
+  readonly platform: PlatformTask;
   readonly readConfig: () => Config | undefined;
   readonly keepRun: (run: RunRecord) => void;
 };
@@ -42,8 +46,10 @@
       void parts.jobs.end(effect.jobId, effect.phase);
       return;
     case "send-peer":
+      parts.peers.send(effect.to, effect.message);
+      return;
     case "call-platform":
-      // Carried out once the peer and platform tasks exist.
+      parts.platform.start(effect.callId, effect.call);
       return;
     case "record-run":
       parts.keepRun(effect.run);
