--- a/packages/fakes/src/world/types.ts
+++ b/packages/fakes/src/world/types.ts
@@ -74,6 +74,8 @@
     | { readonly kind: "refused"; readonly refusal: Refusal }
     /** Its instance was lost. */
     | { readonly kind: "lost" }
+    /** The caller went away. */
+    | { readonly kind: "abandoned" }
     | undefined;
 };
 
