--- a/packages/measure/src/matrix/main.ts
+++ b/packages/measure/src/matrix/main.ts
@@ -1,11 +1,12 @@
-import { listCells, listWith } from "./list_cells.ts";
+import { listCells } from "./list_cells.ts";
 import { MATRIX_FAULTS } from "./matrix_faults.ts";
 import { runCell } from "./run_cell.ts";
 
 const isPairs = process.argv.includes("--pairs");
-const cells = isPairs
-  ? listWith(MATRIX_FAULTS.flatMap((a) => MATRIX_FAULTS.map((b) => [a, b])))
-  : listCells();
+const faultLists = isPairs
+  ? MATRIX_FAULTS.flatMap((a) => MATRIX_FAULTS.map((b) => [a, b]))
+  : MATRIX_FAULTS.map((fault) => [fault]);
+const cells = listCells(faultLists);
 const verdicts = cells.map((cell) => {
   const verdict = runCell(cell);
   const { subject, step, faults } = cell;
