Write each relayed chunk and its frame as one buffer

Cause: of a chunk Node makes four parts and a gathered write; writev took 21 % of the profile at full load. Change: the frame is built around the chunk with one copy, and Node writes the last chunk as before.

--- a/packages/daemon/src/caller/exchange.ts
+++ b/packages/daemon/src/caller/exchange.ts
@@ -5,6 +5,7 @@
   type Refusal,
 } from "@gooseberryline/core";
 import type { AnswerHead, AnswerSink, AttemptCall } from "../tasks/types.ts";
+import { ChunkWriter } from "./chunk_writer.ts";
 import { HttpRefusal } from "./http_refusal.ts";
 
 /**
@@ -19,6 +20,7 @@
   #writer: AttemptId | undefined;
   #isEventStream = false;
   #attempts = 0;
+  #chunks: ChunkWriter | undefined;
   #announcedBytes: number | undefined;
   #writtenBytes = 0;
   #end: () => void = () => undefined;
@@ -58,7 +60,7 @@
         (announced === undefined || announced === this.#writtenBytes),
       () => `${this.#writtenBytes} bytes of ${announced}`,
     );
-    this.#res.end();
+    this.#chunks?.end();
     this.#end();
   }
 
@@ -74,7 +76,7 @@
       this.#res.writeHead(status, { ...headers, ...type });
       this.#res.end(JSON.stringify(body));
     } else if (this.#isEventStream) {
-      this.#res.end(`event: error\ndata: ${JSON.stringify(body)}\n\n`);
+      this.#chunks?.end(`event: error\ndata: ${JSON.stringify(body)}\n\n`);
     } else {
       this.#res.destroy();
     }
@@ -105,12 +107,13 @@
     this.#announcedBytes = hasBody ? Number(length) : undefined;
     this.#res.writeHead(status, { ...headers, "x-request-id": requestId });
     this.#res.flushHeaders();
+    this.#chunks = new ChunkWriter(this.#res);
     this.#onFirstWrite();
   }
 
   #write(chunk: Buffer): boolean {
     this.#writtenBytes += chunk.length;
-    return this.#res.write(chunk);
+    return this.#chunks?.write(chunk) ?? true;
   }
 }
 
