--- a/packages/daemon/src/caller/chunk_writer.ts
+++ b/packages/daemon/src/caller/chunk_writer.ts
@@ -19,7 +19,7 @@
   }
 
   write(chunk: Buffer): boolean {
-    return this.#res.write(this.#isFramed ? frameChunk(chunk) : chunk);
+    return this.#res.write(this.#isFramed ? buildFrame(chunk) : chunk);
   }
 
   /** Ends the answer; Node writes the last chunk. */
@@ -32,7 +32,7 @@
   }
 }
 
-function frameChunk(chunk: Buffer): Buffer {
+function buildFrame(chunk: Buffer): Buffer {
   const size = chunk.length.toString(HEX);
   const start = size.length + LINE_END.length;
   const end = start + chunk.length;
