Tell the core an upstream's boot, and drop connections that went silent

Cause: every cancelled attempt without an answer dropped the idle connections, also when its caller had gone; an attempt whose call or upstream was gone never ended.

--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -74,11 +74,17 @@
   | { readonly kind: "request-abandoned"; readonly workId: WorkId }
   | { readonly kind: "job-offered"; readonly spec: JobSpec }
   | { readonly kind: "job-cancel-asked"; readonly jobId: JobId }
-  | { readonly kind: "attempt-first-token"; readonly attemptId: AttemptId }
+  | {
+      readonly kind: "attempt-first-token";
+      readonly attemptId: AttemptId;
+      /** Boot of the upstream, where its answer names it. */
+      readonly bootId?: string;
+    }
   | {
       readonly kind: "attempt-ended";
       readonly attemptId: AttemptId;
       readonly outcome: AttemptOutcome;
+      readonly bootId?: string;
     }
   | {
       readonly kind: "result-stored";
@@ -112,7 +118,12 @@
       readonly upstreamId: UpstreamId;
       readonly origin: WorkOrigin;
     }
-  | { readonly kind: "cancel-attempt"; readonly attemptId: AttemptId }
+  | {
+      readonly kind: "cancel-attempt";
+      readonly attemptId: AttemptId;
+      /** Set where its connection went silent and must not be used again. */
+      readonly isSilent?: boolean;
+    }
   | { readonly kind: "complete-request"; readonly workId: WorkId }
   | {
       readonly kind: "refuse-request";
--- a/packages/daemon/src/caller/exchange.ts
+++ b/packages/daemon/src/caller/exchange.ts
@@ -3,6 +3,7 @@
   type AttemptId,
   checkInvariant,
   type Refusal,
+  type UpstreamId,
 } from "@gooseberryline/core";
 import type { AnswerHead, AnswerSink, AttemptCall } from "../tasks/types.ts";
 import { ChunkWriter } from "./chunk_writer.ts";
@@ -19,7 +20,7 @@
   readonly #onFirstWrite: () => void;
   #writer: AttemptId | undefined;
   #isEventStream = false;
-  #attempts = 0;
+  readonly #upstreams: UpstreamId[] = [];
   #chunks: ChunkWriter | undefined;
   #announcedBytes: number | undefined;
   #writtenBytes = 0;
@@ -39,8 +40,8 @@
   }
 
   /** A sink for one attempt; dead once another attempt has written. */
-  openSink(attemptId: AttemptId): AnswerSink {
-    this.#attempts += 1;
+  openSink(attemptId: AttemptId, upstreamId: UpstreamId): AnswerSink {
+    this.#upstreams.push(upstreamId);
     return {
       writeHead: (head) => {
         if (this.#writer === undefined) {
@@ -88,9 +89,9 @@
     this.#end();
   }
 
-  /** Attempts made so far. */
-  get attempts(): number {
-    return this.#attempts;
+  /** Upstreams of the attempts made so far. */
+  get upstreams(): readonly UpstreamId[] {
+    return this.#upstreams;
   }
 
   get status(): number {
--- a/packages/daemon/src/tasks/handle_effect.ts
+++ b/packages/daemon/src/tasks/handle_effect.ts
@@ -1,10 +1,8 @@
 import {
-  type AttemptId,
   assertNever,
   type Config,
   type Effect,
   type RunRecord,
-  type WorkId,
 } from "@gooseberryline/core";
 import type { CallerTask } from "../caller/caller_task.ts";
 import type { JobTask } from "../jobs/job_task.ts";
@@ -24,6 +22,8 @@
   readonly keepRun: (run: RunRecord) => void;
 };
 
+type StartAttempt = Extract<Effect, { kind: "start-attempt" }>;
+
 /** Hands an effect of the core to the task that carries it out. */
 export function handleEffect(effect: Effect, parts: EffectParts): void {
   switch (effect.kind) {
@@ -31,7 +31,7 @@
       startAttempt(effect, parts);
       return;
     case "cancel-attempt":
-      parts.attempts.cancel(effect.attemptId);
+      parts.attempts.cancel(effect.attemptId, effect.isSilent);
       return;
     case "complete-request":
       parts.calls.complete(effect.workId);
@@ -60,16 +60,22 @@
 }
 
 function startAttempt(
-  effect: Extract<Effect, { kind: "start-attempt" }>,
+  effect: StartAttempt,
   { attempts, calls, jobs, readConfig }: EffectParts,
 ): void {
   const { attemptId, workId, upstreamId, origin } = effect;
   const target =
     origin.kind === "request"
-      ? openExchange(calls, workId, attemptId)
+      ? openExchange(calls, effect)
       : jobs.open(origin, attemptId);
   const upstreamUrl = readConfig()?.document.upstreams[upstreamId]?.url;
   if (target === undefined || upstreamUrl === undefined) {
+    attempts.refuse(attemptId, {
+      code: "upstream_unreachable",
+      step: "connect",
+      peer: upstreamId,
+      message: "the call or its upstream is gone",
+    });
     return;
   }
   const { call, sink } = target;
@@ -78,11 +84,10 @@
 
 function openExchange(
   calls: CallerTask,
-  workId: WorkId,
-  attemptId: AttemptId,
+  { workId, attemptId, upstreamId }: StartAttempt,
 ): Pick<AttemptOrder, "call" | "sink"> | undefined {
   const exchange = calls.find(workId);
   return exchange === undefined
     ? undefined
-    : { call: exchange.call, sink: exchange.openSink(attemptId) };
+    : { call: exchange.call, sink: exchange.openSink(attemptId, upstreamId) };
 }
