Spread the configuration over the instances themselves

Cause: every instance watched the store, and the world handed the document to each directly. Change: three instances of a data centre, chosen by rendezvous hashing, hold the watch; heartbeats carry the revision; peers ask for what they lack and get patches, or the whole document where patches don't reach. Two delegates a data centre speak to the others. A watch that fails leaves the duty to others. A starting instance collects for a second and takes the highest of peers and disk; the store's is adopted at once.

--- a/packages/core/src/config/adopt_config.ts
+++ b/packages/core/src/config/adopt_config.ts
@@ -1,18 +1,19 @@
-import type { CustomerId } from "../ids/types.ts";
 import { chainAll } from "../instance/chain_all.ts";
+import { chainStep } from "../instance/chain_step.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
-import { checkInvariant } from "../invariants/check_invariant.ts";
+import { cancelJob } from "../jobs/cancel_job.ts";
 import { refillBucket } from "../limits/refill_bucket.ts";
 import type { Bucket } from "../limits/types.ts";
 import { listSharded } from "../sharded/list_sharded.ts";
 import type { Table } from "../shared/types.ts";
 import { buildUpstreams } from "../upstreams/build_upstreams.ts";
 import { cancelWork } from "../work/cancel_work.ts";
+import { holdsKey } from "./holds_key.ts";
 import type { Config, ConfigDocument } from "./types.ts";
 
 /**
- * Adopts a configuration of a higher revision; ignores any other. Work of a
- * key that the new document no longer holds is cancelled.
+ * Adopts a configuration of a higher revision; ignores any other. Work
+ * and jobs of a key that the new document no longer holds are cancelled.
  */
 export function adoptConfig(
   state: InstanceState,
@@ -23,11 +24,6 @@
   if (config.revision <= before) {
     return { state, effects: [] };
   }
-  checkInvariant(
-    "revision-never-reverts",
-    config.revision > before,
-    () => `${before} to ${config.revision}`,
-  );
   const adopted: InstanceState = {
     ...state,
     config,
@@ -36,23 +32,15 @@
   };
   const withdrawn = listSharded(adopted.works)
     .map(({ order }) => order)
-    .filter(
-      ({ keyId, customer }) =>
-        keyId !== undefined && !holdsKey(config.document, customer, keyId),
-    )
+    .filter((order) => !holdsKey(config.document, order))
     .map(({ workId }) => workId);
-  return chainAll(adopted, withdrawn, (at, workId) =>
+  const jobIds = Object.values(adopted.jobs)
+    .filter(({ spec }) => !holdsKey(config.document, spec))
+    .map(({ spec }) => spec.jobId);
+  const cancelled = chainAll(adopted, withdrawn, (at, workId) =>
     cancelWork(at, workId, "key_withdrawn"),
   );
-}
-
-function holdsKey(
-  document: ConfigDocument,
-  customer: CustomerId,
-  keyId: string,
-): boolean {
-  const keys = document.customers[customer]?.keys ?? [];
-  return keys.some(({ id }) => id === keyId);
+  return chainStep(cancelled, (after) => chainAll(after, jobIds, cancelJob));
 }
 
 function buildBuckets(
--- a/packages/core/src/instance/create_instance.ts
+++ b/packages/core/src/instance/create_instance.ts
@@ -19,7 +19,16 @@
     timers: {},
     queues: { services: {}, tags: {} },
     jobs: {},
-    membership: { members: {}, nextHeartbeatMs: 0 },
+    membership: { members: {}, nextHeartbeatMs: 0, nextDelegateMs: 0 },
+    spread: {
+      startedMs: undefined,
+      offered: undefined,
+      asked: undefined,
+      patches: [],
+      isWatching: false,
+      brokenUntilMs: 0,
+      nextCheckMs: 0,
+    },
     platform: { callCount: 0, pending: {}, heardMs: 0 },
   };
 }
--- a/packages/core/src/instance/handle_message.ts
+++ b/packages/core/src/instance/handle_message.ts
@@ -1,5 +1,8 @@
+import { answerConfig } from "../config/answer_config.ts";
+import { takeConfig } from "../config/take_config.ts";
 import type { InstanceId } from "../ids/types.ts";
 import { noteHeartbeat } from "../membership/note_heartbeat.ts";
+import { assertNever } from "../shared/assert_never.ts";
 import type { InstanceState, PeerMessage, Step } from "./types.ts";
 
 /** Hands a peer's message to the feature that it belongs to. */
@@ -14,5 +17,11 @@
   switch (message.kind) {
     case "heartbeat":
       return noteHeartbeat(state, from, { heartbeat: message, nowMs });
+    case "config-asked":
+      return answerConfig(state, from, message.have);
+    case "config-sent":
+      return takeConfig(state, message.content, nowMs);
+    default:
+      return assertNever(message);
   }
 }
--- a/packages/core/src/instance/peer_message_kinds.ts
+++ b/packages/core/src/instance/peer_message_kinds.ts
@@ -6,4 +6,6 @@
  */
 export const PEER_MESSAGE_KINDS: Readonly<Record<PeerMessage["kind"], true>> = {
   heartbeat: true,
+  "config-asked": true,
+  "config-sent": true,
 };
--- a/packages/core/src/instance/step_instance.ts
+++ b/packages/core/src/instance/step_instance.ts
@@ -1,8 +1,12 @@
-import { adoptConfig } from "../config/adopt_config.ts";
+import { noteWatch } from "../config/note_watch.ts";
+import { offerConfig } from "../config/offer_config.ts";
+import { stepSpread } from "../config/step_spread.ts";
+import { checkInvariant } from "../invariants/check_invariant.ts";
 import { cancelJob } from "../jobs/cancel_job.ts";
 import { offerJob } from "../jobs/offer_job.ts";
 import { settleResult } from "../jobs/settle_result.ts";
 import { noteList } from "../membership/note_list.ts";
+import { sendDelegateHeartbeats } from "../membership/send_delegate_heartbeats.ts";
 import { sendHeartbeats } from "../membership/send_heartbeats.ts";
 import { handleAnswer } from "../platform/handle_answer.ts";
 import { assertNever } from "../shared/assert_never.ts";
@@ -12,6 +16,7 @@
 import { endAttempt } from "../work/end_attempt.ts";
 import { expireWork } from "../work/expire_work.ts";
 import { noteFirstToken } from "../work/note_first_token.ts";
+import { chainAll } from "./chain_all.ts";
 import { chainStep } from "./chain_step.ts";
 import { handleMessage } from "./handle_message.ts";
 import type { InstanceEvent, InstanceState, Step } from "./types.ts";
@@ -26,7 +31,14 @@
   nowMs: number,
 ): Step {
   const handled = handleEvent(state, event, nowMs);
-  return chainStep(handled, (after) => dispatchWork(after, nowMs));
+  const before = state.config?.revision ?? 0;
+  const after = handled.state.config?.revision ?? 0;
+  checkInvariant(
+    "revision-never-reverts",
+    after >= before,
+    () => `${before} to ${after} at ${event.kind}`,
+  );
+  return chainStep(handled, (at) => dispatchWork(at, nowMs));
 }
 
 function handleEvent(
@@ -36,7 +48,9 @@
 ): Step {
   switch (event.kind) {
     case "config-offered":
-      return adoptConfig(state, event.config, nowMs);
+      return offerConfig(state, event, nowMs);
+    case "config-watch-ended":
+      return { state: noteWatch(state, event.isReached, nowMs), effects: [] };
     case "request-arrived":
       return acceptRequest(state, event.order, nowMs);
     case "request-abandoned":
@@ -60,8 +74,10 @@
     case "instances-listed":
       return noteList(state, event.instances);
     case "tick":
-      return chainStep(expireWork(state, nowMs), (after) =>
-        sendHeartbeats(after, nowMs),
+      return chainAll(
+        state,
+        [expireWork, sendHeartbeats, sendDelegateHeartbeats, stepSpread],
+        (at, stepBy) => stepBy(at, nowMs),
       );
     default:
       return assertNever(event);
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -1,5 +1,11 @@
 /** The instance as a value, and the messages it takes and gives. */
-import type { Config } from "../config/types.ts";
+import type {
+  Config,
+  ConfigAsked,
+  ConfigSent,
+  ConfigSource,
+  SpreadState,
+} from "../config/types.ts";
 import type {
   AttemptId,
   DataCentreId,
@@ -61,15 +67,22 @@
   readonly queues: QueueState;
   readonly jobs: Table<Job>;
   readonly membership: MembershipState;
+  readonly spread: SpreadState;
   readonly platform: PlatformState;
 };
 
 /** What instances say to each other. */
-export type PeerMessage = Heartbeat;
+export type PeerMessage = Heartbeat | ConfigAsked | ConfigSent;
 
 /** What happened, as told by the daemon's tasks. */
 export type InstanceEvent =
-  | { readonly kind: "config-offered"; readonly config: Config }
+  | {
+      readonly kind: "config-offered";
+      readonly config: Config;
+      readonly source: ConfigSource;
+    }
+  /** How the watch that this instance holds last went. */
+  | { readonly kind: "config-watch-ended"; readonly isReached: boolean }
   | { readonly kind: "request-arrived"; readonly order: WorkOrder }
   | { readonly kind: "request-abandoned"; readonly workId: WorkId }
   | { readonly kind: "job-offered"; readonly spec: JobSpec }
@@ -153,6 +166,10 @@
       readonly callId: string;
       readonly call: PlatformCall;
     }
+  /** Starts or ends the watch of the configuration in the store. */
+  | { readonly kind: "watch-config"; readonly isHeld: boolean }
+  /** A higher revision is in force; kept where there is a disk. */
+  | { readonly kind: "keep-config"; readonly config: Config }
   | { readonly kind: "record-run"; readonly run: RunRecord };
 
 /** The state after an event, and what is to be done. */
--- a/packages/core/src/membership/note_heartbeat.ts
+++ b/packages/core/src/membership/note_heartbeat.ts
@@ -1,3 +1,4 @@
+import { noteRevision } from "../config/note_revision.ts";
 import type { InstanceId } from "../ids/types.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
 import { setEntry } from "../shared/set_entry.ts";
@@ -19,5 +20,6 @@
   const member: Member = { instanceId: from, heardMs: nowMs, ...about };
   const members = setEntry(state.membership.members, from, member);
   const membership = { ...state.membership, members };
-  return { state: { ...state, membership }, effects: [] };
+  const after = { ...state, membership };
+  return noteRevision(after, { from, revision: heartbeat.revision, nowMs });
 }
--- a/packages/core/src/membership/note_list.ts
+++ b/packages/core/src/membership/note_list.ts
@@ -22,6 +22,7 @@
         heardMs: 0,
         revision: 0,
         isStopping: one.state === "leaving",
+        isWatchBroken: false,
       },
     ]);
   const members = {
--- a/packages/core/src/membership/send_heartbeats.ts
+++ b/packages/core/src/membership/send_heartbeats.ts
@@ -1,5 +1,5 @@
 import type { Effect, InstanceState, Step } from "../instance/types.ts";
-import type { Heartbeat } from "./types.ts";
+import { buildHeartbeat } from "./build_heartbeat.ts";
 
 const HEARTBEAT_MS = 250;
 
@@ -9,14 +9,7 @@
   if (nowMs < membership.nextHeartbeatMs) {
     return { state, effects: [] };
   }
-  const message: Heartbeat = {
-    kind: "heartbeat",
-    dataCentre: self.dataCentre,
-    address: self.address,
-    incarnation: self.incarnation,
-    revision: state.config?.revision ?? 0,
-    isStopping: state.isStopping,
-  };
+  const message = buildHeartbeat(state, nowMs);
   const effects: readonly Effect[] = Object.values(membership.members)
     .filter(({ dataCentre }) => dataCentre === self.dataCentre)
     .map(({ instanceId: to }) => ({ kind: "send-peer", to, message }));
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -13,12 +13,16 @@
   readonly heardMs: number;
   readonly revision: number;
   readonly isStopping: boolean;
+  /** Whether its watch of the configuration failed lately. */
+  readonly isWatchBroken: boolean;
 };
 
 export type MembershipState = {
   /** Other instances by id. */
   readonly members: Table<Member>;
   readonly nextHeartbeatMs: number;
+  /** When a delegate next speaks to the other data centres. */
+  readonly nextDelegateMs: number;
 };
 
 /** What an instance says of itself, several times a second. */
@@ -29,6 +33,7 @@
   readonly incarnation: string;
   readonly revision: number;
   readonly isStopping: boolean;
+  readonly isWatchBroken: boolean;
 };
 
 /** One instance in the platform's lagging list. */
--- a/packages/core/src/work/accept_request.ts
+++ b/packages/core/src/work/accept_request.ts
@@ -1,3 +1,4 @@
+import { holdsKey } from "../config/holds_key.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
 import { takeTokens } from "../limits/take_tokens.ts";
 import type { Bucket } from "../limits/types.ts";
@@ -22,6 +23,12 @@
       message: "this instance is stopping",
     });
   }
+  if (state.config !== undefined && !holdsKey(state.config.document, order)) {
+    return refuseOrder(state, order, {
+      code: "key_withdrawn",
+      message: "the tenant key was withdrawn",
+    });
+  }
   const bucket = state.buckets[order.customer];
   if (bucket === undefined) {
     return enqueueOrder(state, order, nowMs);
--- a/packages/daemon/src/platform/count_calls.ts
+++ b/packages/daemon/src/platform/count_calls.ts
@@ -24,9 +24,9 @@
       note("cas");
       return platform.cas(request);
     },
-    watch: (prefix, revision) => {
+    watch: (prefix, revision, waitMs) => {
       note("watch");
-      return platform.watch(prefix, revision);
+      return platform.watch(prefix, revision, waitMs);
     },
     grantLease: (ttlMs) => {
       note("grant-lease");
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -15,7 +15,8 @@
 import { BurnTask } from "./burn/burn_task.ts";
 import { CallerTask } from "./caller/caller_task.ts";
 import { createCallerApp } from "./caller/create_caller_app.ts";
-import { watchConfig } from "./config/watch_config.ts";
+import { ConfigFile } from "./config/config_file.ts";
+import { ConfigWatch } from "./config/config_watch.ts";
 import { JobTask } from "./jobs/job_task.ts";
 import { createMetrics } from "./metrics/create_metrics.ts";
 import { reportRequest } from "./metrics/report_request.ts";
@@ -55,6 +56,11 @@
   const readState = (): InstanceState => core.state;
   const readConfig = () => core.state.config;
   const self = describeSelf(settings);
+  const configFile =
+    settings.dataFolder === undefined
+      ? undefined
+      : new ConfigFile(settings.dataFolder, log);
+  const kept = await configFile?.read();
   const burn = new BurnTask(readConfig);
   const ring = new RunRing();
   const metrics = createMetrics(settings.metrics, {
@@ -86,6 +92,13 @@
   );
   const jobs = new JobTask(folder, post);
   const platformTask = new PlatformTask(platform, post);
+  const watch = new ConfigWatch({
+    platform,
+    log,
+    offer: (config) =>
+      post({ kind: "config-offered", config, source: "store" }),
+    report: (isReached) => post({ kind: "config-watch-ended", isReached }),
+  });
   const core = new CoreTask(
     { ...self, address },
     randomInt(SEED_LIMIT),
@@ -97,6 +110,8 @@
         jobs,
         peers,
         platform: platformTask,
+        watch,
+        keepConfig: (config) => configFile?.keep(config),
         readConfig,
         keepRun: (run) => {
           logRun(run, { log, metrics });
@@ -106,6 +121,9 @@
       });
     },
   );
+  if (kept !== undefined) {
+    core.post({ kind: "config-offered", config: kept, source: "disk" });
+  }
   const poll = pollInstances({
     platform,
     seeds: settings.peers,
@@ -113,11 +131,6 @@
       peers.askAddress<readonly ListedInstance[]>(seed, "members"),
     offer: (instances) => core.post({ kind: "instances-listed", instances }),
   });
-  const watch = watchConfig(
-    platform,
-    (config) => core.post({ kind: "config-offered", config }),
-    log,
-  );
   const gauges = watchInstance(readState, metrics);
   const callerApp = createCallerApp({
     readConfig,
@@ -157,6 +170,7 @@
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
     }
     closeTasks();
+    await configFile?.settle();
     [caller, admin].forEach(({ server }) => {
       server.close();
       server.closeIdleConnections();
--- a/packages/daemon/src/tasks/handle_effect.ts
+++ b/packages/daemon/src/tasks/handle_effect.ts
@@ -5,6 +5,7 @@
   type RunRecord,
 } from "@gooseberryline/core";
 import type { CallerTask } from "../caller/caller_task.ts";
+import type { ConfigWatch } from "../config/config_watch.ts";
 import type { JobTask } from "../jobs/job_task.ts";
 import type { PeerTask } from "../peers/peer_task.ts";
 import type { PlatformTask } from "../platform/platform_task.ts";
@@ -18,6 +19,8 @@
   readonly jobs: JobTask;
   readonly peers: PeerTask;
   readonly platform: PlatformTask;
+  readonly watch: ConfigWatch;
+  readonly keepConfig: (config: Config) => void;
   readonly readConfig: () => Config | undefined;
   readonly keepRun: (run: RunRecord) => void;
 };
@@ -51,6 +54,12 @@
     case "call-platform":
       parts.platform.start(effect.callId, effect.call);
       return;
+    case "watch-config":
+      parts.watch.setHeld(effect.isHeld);
+      return;
+    case "keep-config":
+      parts.keepConfig(effect.config);
+      return;
     case "record-run":
       parts.keepRun(effect.run);
       return;
--- a/packages/fakes/src/world/effect_runner.ts
+++ b/packages/fakes/src/world/effect_runner.ts
@@ -1,6 +1,7 @@
 import {
   type AttemptId,
   assertNever,
+  type Config,
   type Effect,
   getSharded,
   type InstanceEvent,
@@ -27,6 +28,8 @@
   readonly engines: ReadonlyMap<UpstreamId, VirtualEngine>;
   readonly findNode: (id: InstanceId) => WorldNode | undefined;
   readonly post: (node: WorldNode, event: InstanceEvent) => void;
+  readonly setWatch: (node: WorldNode, isHeld: boolean) => void;
+  readonly keepConfig: (node: WorldNode, config: Config) => void;
 };
 
 /** Carries out effects of the core with the fakes of the world. */
@@ -84,6 +87,12 @@
       case "record-run":
         this.#parts.ledger.runRecords.push(effect.run);
         return;
+      case "watch-config":
+        this.#parts.setWatch(node, effect.isHeld);
+        return;
+      case "keep-config":
+        this.#parts.keepConfig(node, effect.config);
+        return;
       case "end-job":
         return;
       default:
@@ -96,6 +105,7 @@
     { to, message }: Extract<Effect, { kind: "send-peer" }>,
   ): void {
     const target = this.#parts.findNode(to);
+    this.#parts.ledger.noteMessage(message);
     if (target === undefined) {
       return;
     }
--- a/packages/fakes/src/world/types.ts
+++ b/packages/fakes/src/world/types.ts
@@ -16,6 +16,8 @@
 export type WorldOptions = {
   readonly seed: number;
   readonly document: ConfigDocument;
+  /** Instances that have a disk. */
+  readonly disks?: readonly string[];
   /** Instances in each data centre. */
   readonly instances: Readonly<Record<string, number>>;
   /** Delay between two data centres, one way, milliseconds. */
--- a/packages/fakes/src/world/world_ledger.ts
+++ b/packages/fakes/src/world/world_ledger.ts
@@ -1,6 +1,7 @@
 import type {
   AttemptId,
   InstanceId,
+  PeerMessage,
   RunRecord,
   WorkId,
   WorkOrder,
@@ -11,6 +12,7 @@
 export class WorldLedger {
   readonly #calls = new Map<WorkId, CallerView>();
   readonly #runs = new Map<AttemptId, EngineRun>();
+  readonly #messages = new Map<string, { count: number; bytes: number }>();
   readonly runRecords: RunRecord[] = [];
 
   get calls(): readonly CallerView[] {
@@ -21,6 +23,24 @@
     return [...this.#runs.values()];
   }
 
+  /** Messages of a kind that instances sent to each other. */
+  countMessages(kind: PeerMessage["kind"]): number {
+    return this.#messages.get(kind)?.count ?? 0;
+  }
+
+  /** Bytes of a kind of message as JSON; heartbeats are only counted. */
+  countBytes(kind: PeerMessage["kind"]): number {
+    return this.#messages.get(kind)?.bytes ?? 0;
+  }
+
+  noteMessage(message: PeerMessage): void {
+    const { kind } = message;
+    const before = this.#messages.get(kind) ?? { count: 0, bytes: 0 };
+    before.count += 1;
+    before.bytes += kind === "heartbeat" ? 0 : JSON.stringify(message).length;
+    this.#messages.set(kind, before);
+  }
+
   findCall(workId: WorkId): CallerView | undefined {
     return this.#calls.get(workId);
   }
--- a/packages/measure/src/system/fleet_test.ts
+++ b/packages/measure/src/system/fleet_test.ts
@@ -1,4 +1,7 @@
 import { createHash } from "node:crypto";
+import { mkdtemp } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { INVARIANTS } from "@gooseberryline/core";
 import { got } from "got";
 import { afterEach, beforeAll, expect, test } from "vitest";
@@ -112,3 +115,32 @@
   const partial = await readStatus(fleet, "one");
   expect(partial.missing).toEqual(["two"]);
 });
+
+const revisionOf = (fleet: Fleet, id: string) =>
+  fleet.daemons.get(id)?.readState().config?.revision;
+
+test("with the store down a joiner serves by its peers' revision", async () => {
+  const fleet = await startPlaces(["one", "two"]);
+  await waitUntil(() => revisionOf(fleet, "two") === 1);
+  const document = fleet.daemons.get("one")?.readState().config?.document;
+  expect(document && (await fleet.putConfig(document))).toBe(2);
+  await waitUntil(() => revisionOf(fleet, "one") === 2);
+  fleet.store.setFaults({ isDown: true });
+  const peers = [fleet.daemons.get("one")?.peer];
+  await fleet.start({ ...place("three", { peers }), isListed: false });
+  await waitUntil(() => revisionOf(fleet, "three") === 2);
+  const json = { model: "demo-model", messages: [] };
+  const answer = fleet.api("three").post("v1/chat/completions", { json });
+  expect((await answer.json()) as object).toHaveProperty("choices");
+});
+
+test("a disk keeps the revision over a restart with the store down", async () => {
+  const dataFolder = await mkdtemp(join(tmpdir(), "fleet-"));
+  const fleet = await startFleet({ places: [place("one", { dataFolder })] });
+  started.push(fleet);
+  await waitUntil(() => revisionOf(fleet, "one") === 1);
+  await fleet.end("one");
+  fleet.store.setFaults({ isDown: true });
+  await fleet.start(place("one", { dataFolder }));
+  await waitUntil(() => revisionOf(fleet, "one") === 1);
+});
--- a/packages/protocol/src/peers/peers_test.ts
+++ b/packages/protocol/src/peers/peers_test.ts
@@ -16,6 +16,7 @@
     incarnation: "1a",
     revision: 3,
     isStopping: false,
+    isWatchBroken: false,
   },
 };
 
