Share customers' limits between instances, with loans, waits and fences

Cause: each instance gave every customer the full rate and burst, so eight instances admitted eight times the rate.

Change: base shares stand in platform records by group, written by CAS with the sum asserted; an instance admits only from its share, borrows whole tokens from peers, and lets a request wait a short while where a token is in reach, here or in a lender's queue. Holders stop spending without contact for FENCE_MS. Delegates speak between data centres. The world counts admissions and can start two processes under one name.

--- a/packages/core/src/instance/create_instance.ts
+++ b/packages/core/src/instance/create_instance.ts
@@ -1,4 +1,6 @@
+import { createMembership } from "../membership/create_membership.ts";
 import { createSharded } from "../sharded/create_sharded.ts";
+import { createShares } from "../shares/create_shares.ts";
 import type { InstanceSelf, InstanceState } from "./types.ts";
 
 /** Creates an instance that knows nothing yet; `seed` feeds its choices. */
@@ -12,23 +14,17 @@
     attemptCount: 0,
     isStopping: false,
     config: undefined,
-    buckets: {},
+    limits: {},
+    waiting: {},
+    asks: {},
+    shares: createShares(),
     upstreams: {},
     works: createSharded(),
     attempts: createSharded(),
     timers: {},
     queues: { services: {}, tags: {} },
     jobs: {},
-    membership: { members: {}, nextHeartbeatMs: 0, nextDelegateMs: 0 },
-    spread: {
-      startedMs: undefined,
-      offered: undefined,
-      asked: undefined,
-      patches: [],
-      isWatching: false,
-      brokenUntilMs: 0,
-      nextCheckMs: 0,
-    },
+    membership: createMembership(),
     platform: { callCount: 0, pending: {}, heardMs: 0 },
   };
 }
--- a/packages/daemon/src/caller/caller_task.ts
+++ b/packages/daemon/src/caller/caller_task.ts
@@ -97,7 +97,7 @@
       end,
       firstWriteMs:
         firstWriteMs === undefined ? undefined : firstWriteMs - startedMs,
-      upstreams: exchange.upstreams,
+      attempts: exchange.attempts,
       totalMs: performance.now() - startedMs,
     });
   }
--- a/packages/daemon/src/caller/exchange.ts
+++ b/packages/daemon/src/caller/exchange.ts
@@ -3,10 +3,8 @@
   type AttemptId,
   checkInvariant,
   type Refusal,
-  type UpstreamId,
 } from "@gooseberryline/core";
 import type { AnswerHead, AnswerSink, AttemptCall } from "../tasks/types.ts";
-import { ChunkWriter } from "./chunk_writer.ts";
 import { HttpRefusal } from "./http_refusal.ts";
 
 /**
@@ -20,8 +18,7 @@
   readonly #onFirstWrite: () => void;
   #writer: AttemptId | undefined;
   #isEventStream = false;
-  readonly #upstreams: UpstreamId[] = [];
-  #chunks: ChunkWriter | undefined;
+  #attempts = 0;
   #announcedBytes: number | undefined;
   #writtenBytes = 0;
   #end: () => void = () => undefined;
@@ -40,8 +37,8 @@
   }
 
   /** A sink for one attempt; dead once another attempt has written. */
-  openSink(attemptId: AttemptId, upstreamId: UpstreamId): AnswerSink {
-    this.#upstreams.push(upstreamId);
+  openSink(attemptId: AttemptId): AnswerSink {
+    this.#attempts += 1;
     return {
       writeHead: (head) => {
         if (this.#writer === undefined) {
@@ -61,7 +58,7 @@
         (announced === undefined || announced === this.#writtenBytes),
       () => `${this.#writtenBytes} bytes of ${announced}`,
     );
-    this.#chunks?.end();
+    this.#res.end();
     this.#end();
   }
 
@@ -77,7 +74,7 @@
       this.#res.writeHead(status, { ...headers, ...type });
       this.#res.end(JSON.stringify(body));
     } else if (this.#isEventStream) {
-      this.#chunks?.end(`event: error\ndata: ${JSON.stringify(body)}\n\n`);
+      this.#res.end(`event: error\ndata: ${JSON.stringify(body)}\n\n`);
     } else {
       this.#res.destroy();
     }
@@ -89,9 +86,9 @@
     this.#end();
   }
 
-  /** Upstreams of the attempts made so far. */
-  get upstreams(): readonly UpstreamId[] {
-    return this.#upstreams;
+  /** Attempts made so far. */
+  get attempts(): number {
+    return this.#attempts;
   }
 
   get status(): number {
@@ -108,13 +105,12 @@
     this.#announcedBytes = hasBody ? Number(length) : undefined;
     this.#res.writeHead(status, { ...headers, "x-request-id": requestId });
     this.#res.flushHeaders();
-    this.#chunks = new ChunkWriter(this.#res);
     this.#onFirstWrite();
   }
 
   #write(chunk: Buffer): boolean {
     this.#writtenBytes += chunk.length;
-    return this.#chunks?.write(chunk) ?? true;
+    return this.#res.write(chunk);
   }
 }
 
--- a/packages/daemon/src/caller/types.ts
+++ b/packages/daemon/src/caller/types.ts
@@ -7,7 +7,6 @@
   ProfileName,
   Refusal,
   RunCertainty,
-  UpstreamId,
   WorkOrder,
 } from "@gooseberryline/core";
 
@@ -41,8 +40,7 @@
   /** Time to the first byte of the answer, absent where none was sent. */
   readonly firstWriteMs: number | undefined;
   readonly totalMs: number;
-  /** Upstreams of its attempts, in their order. */
-  readonly upstreams: readonly UpstreamId[];
+  readonly attempts: number;
 };
 
 /** The profile that a request chose, or its customer's default. */
--- a/packages/daemon/src/tasks/attempt_task.ts
+++ b/packages/daemon/src/tasks/attempt_task.ts
@@ -1,4 +1,4 @@
-import type { AttemptId, Fault, InstanceEvent } from "@gooseberryline/core";
+import type { AttemptId, InstanceEvent } from "@gooseberryline/core";
 import type { AttemptOrder } from "./types.ts";
 import { UpstreamAttempt } from "./upstream_attempt.ts";
 import { UpstreamPool } from "./upstream_pool.ts";
@@ -17,28 +17,22 @@
     const { attemptId } = order;
     const attempt = new UpstreamAttempt(order, {
       pool: this.#pool,
-      onFirstToken: (seen) => {
-        this.#post({ kind: "attempt-first-token", attemptId, ...seen });
+      onFirstToken: () => {
+        this.#post({ kind: "attempt-first-token", attemptId });
       },
-      onEnd: (outcome, seen) => {
+      onEnd: (outcome) => {
         this.#running.delete(attemptId);
-        this.#post({ kind: "attempt-ended", attemptId, outcome, ...seen });
+        this.#post({ kind: "attempt-ended", attemptId, outcome });
       },
     });
     this.#running.set(attemptId, attempt);
   }
 
   /** Ends an attempt; its connection is closed, nothing more is told. */
-  cancel(attemptId: AttemptId, isSilent = false): void {
+  cancel(attemptId: AttemptId): void {
     const attempt = this.#running.get(attemptId);
     this.#running.delete(attemptId);
-    attempt?.cancel(isSilent);
-  }
-
-  /** Ends an attempt that could not be made: nothing was sent. */
-  refuse(attemptId: AttemptId, fault: Fault): void {
-    const outcome = { kind: "not-started", fault } as const;
-    this.#post({ kind: "attempt-ended", attemptId, outcome });
+    attempt?.cancel();
   }
 
   /** Closes the pooled connections. */
--- a/packages/daemon/src/tasks/upstream_attempt.ts
+++ b/packages/daemon/src/tasks/upstream_attempt.ts
@@ -13,16 +13,11 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_KEPT_BYTES = 262_144;
 const SERVER_ERROR = 500;
-/** Header by which an upstream names its present start. */
-const BOOT_HEADER = "x-boot-id";
-
-/** What an answer tells of the upstream. */
-type SeenUpstream = { readonly bootId?: string };
 
 type AttemptParts = {
   readonly pool: UpstreamPool;
-  readonly onFirstToken: (seen: SeenUpstream) => void;
-  readonly onEnd: (outcome: AttemptOutcome, seen: SeenUpstream) => void;
+  readonly onFirstToken: () => void;
+  readonly onEnd: (outcome: AttemptOutcome) => void;
 };
 
 /**
@@ -39,7 +34,6 @@
   #head: AnswerHead | undefined;
   #kept: Buffer[] = [];
   #keptBytes = 0;
-  #seen: SeenUpstream = {};
   #mayBeSent = false;
   #hasBegun = false;
   #isRelayed = false;
@@ -57,14 +51,11 @@
     request.end(order.call.body);
   }
 
-  /**
-   * Ends the attempt and closes its connection; nothing more is told. Where
-   * a pooled connection went silent the idle ones go too: what lost track of
-   * one may have lost track of all.
-   */
-  cancel(isSilent: boolean): void {
+  /** Ends the attempt and closes its connection; nothing more is told. */
+  cancel(): void {
     this.#isOver = true;
     this.#request.destroy();
+    const isSilent = this.#request.reusedSocket && !this.#hasBegun;
     if (isSilent) {
       this.#parts.pool.dropIdle(this.#order.upstreamUrl);
     }
@@ -99,8 +90,6 @@
     const order = this.#order;
     const echoed = answer.headers["x-request-id"];
     const status = answer.statusCode ?? 0;
-    const bootId = answer.headers[BOOT_HEADER];
-    this.#seen = bootId === undefined ? {} : { bootId: String(bootId) };
     if (echoed !== undefined && echoed !== order.attemptId) {
       this.#fail("answer_mismatch", "the answer names another request");
       return;
@@ -141,7 +130,7 @@
   #begin(): void {
     if (!this.#hasBegun) {
       this.#hasBegun = true;
-      this.#parts.onFirstToken(this.#seen);
+      this.#parts.onFirstToken();
     }
   }
 
@@ -226,7 +215,7 @@
 
   #end(outcome: AttemptOutcome): void {
     this.#isOver = true;
-    this.#parts.onEnd(outcome, this.#seen);
+    this.#parts.onEnd(outcome);
   }
 }
 
--- a/packages/fakes/src/world/world.ts
+++ b/packages/fakes/src/world/world.ts
@@ -11,7 +11,6 @@
   type UpstreamId,
   type WorkOrder,
 } from "@gooseberryline/core";
-import { ConfigFeed } from "./config_feed.ts";
 import { EffectRunner } from "./effect_runner.ts";
 import { ENGINE_DEFAULTS } from "./engine_defaults.ts";
 import { EventQueue } from "./event_queue.ts";
@@ -39,28 +38,22 @@
   readonly #nodes = new Map<InstanceId, WorldNode>();
   readonly #options: WorldOptions;
   readonly #listed = new Map<string, ListedInstance>();
-  readonly #feed: ConfigFeed;
+  #config: Config;
   #incarnations = 0;
 
   constructor(options: WorldOptions) {
     this.#options = options;
+    this.#config = { revision: 1, document: options.document };
     this.network = new WorldNetwork(options.seed, options.delayMs ?? 1);
-    this.#feed = new ConfigFeed(options.document, options.disks ?? [], {
-      queue: this.queue,
-      store: this.store,
-      network: this.network,
-      post: (node, event) => this.#postTo(node, event),
-    });
     this.#runner = new EffectRunner({
       queue: this.queue,
       ledger: this.ledger,
       store: this.store,
       network: this.network,
       engines: this.engines,
-      findNode: (id) => this.#nodes.get(id),
+      findNodes: (id) =>
+        [...this.#nodes.values()].filter((node) => node.id === id),
       post: (node, event) => this.#postTo(node, event),
-      setWatch: (node, isHeld) => this.#feed.setWatch(node, isHeld),
-      keepConfig: (node, config) => this.#feed.keep(node, config),
     });
     Object.keys(options.document.upstreams).forEach((id) => {
       this.#addEngine(id as UpstreamId);
@@ -80,10 +73,8 @@
         state: "live",
       });
     });
-    const { config } = this.#feed;
     places.forEach(({ id, dataCentre }) => {
       this.start(id, dataCentre);
-      this.post(id, { kind: "config-offered", config, source: "store" });
     });
   }
 
@@ -92,13 +83,13 @@
   }
 
   get instanceIds(): readonly InstanceId[] {
-    return [...this.#nodes.values()]
-      .filter(({ isAlive }) => isAlive)
-      .map(({ id }) => id);
+    return [...this.#nodes]
+      .filter(([, { isAlive }]) => isAlive)
+      .map(([id]) => id);
   }
 
   get config(): Config {
-    return this.#feed.config;
+    return this.#config;
   }
 
   stateOf(id: InstanceId): InstanceState | undefined {
@@ -126,10 +117,22 @@
     };
     this.#nodes.set(id, node);
     this.#offerList(node);
-    this.#feed.offerDisk(node);
+    this.#offerConfig(node);
     this.#tick(node);
   }
 
+  /** Starts a second process under a name; the first one runs on as `~id`. */
+  startTwin(id: InstanceId): InstanceId | undefined {
+    const first = this.#nodes.get(id);
+    const alias = `~${id}` as InstanceId;
+    if (first === undefined || this.#nodes.get(alias)?.isAlive === true) {
+      return undefined;
+    }
+    this.#nodes.set(alias, first);
+    this.start(id, first.dataCentre);
+    return alias;
+  }
+
   /** Kills an instance hard: its state and open requests are lost. */
   kill(id: InstanceId): void {
     const node = this.#nodes.get(id);
@@ -180,14 +183,18 @@
     }
   }
 
-  /** Accepts a new configuration, as the store does for operators. */
+  /** Accepts a new configuration and offers it to instances in reach. */
   setConfig(document: ConfigDocument): Config {
+    this.#config = { revision: this.#config.revision + 1, document };
     Object.keys(document.upstreams)
       .filter((id) => !this.engines.has(id as UpstreamId))
       .forEach((id) => {
         this.#addEngine(id as UpstreamId);
       });
-    return this.#feed.accept(document);
+    this.#nodes.forEach((node) => {
+      this.#offerConfig(node);
+    });
+    return this.#config;
   }
 
   /** Lets a request arrive at an instance. */
@@ -203,7 +210,13 @@
   /** Hands an event to an instance; held back while it is paused. */
   post(id: InstanceId, event: InstanceEvent): void {
     const node = this.#nodes.get(id);
-    if (node === undefined || !node.isAlive) {
+    if (node !== undefined) {
+      this.#postTo(node, event);
+    }
+  }
+
+  #postTo(node: WorldNode, event: InstanceEvent): void {
+    if (!node.isAlive) {
       return;
     }
     if (node.isPaused) {
@@ -213,12 +226,6 @@
     this.#step(node, event);
   }
 
-  #postTo(node: WorldNode, event: InstanceEvent): void {
-    if (this.#nodes.get(node.id) === node) {
-      this.post(node.id, event);
-    }
-  }
-
   #addEngine(id: UpstreamId): void {
     const config = this.#options.document.upstreams[id];
     const model = {
@@ -252,10 +259,21 @@
     this.queue.schedule(LIST_MS, () => this.#offerList(node));
   }
 
+  #offerConfig(node: WorldNode): void {
+    const place = { id: node.id, dataCentre: node.dataCentre };
+    const isReached = !this.network.isCut(place, PLATFORM_PLACE);
+    if (isReached && !this.store.faults.isDown) {
+      const config = this.#config;
+      this.#postTo(node, { kind: "config-offered", config });
+    }
+  }
+
   #step(node: WorldNode, event: InstanceEvent): void {
     const stepWith = this.#options.step ?? stepInstance;
+    const { limits } = node.state;
     const step = stepWith(node.state, event, this.nowMs);
     node.state = step.state;
+    this.ledger.noteAdmissions(limits, step.state, this.nowMs);
     step.effects.forEach((effect) => {
       this.#runner.carryOut(node, effect);
     });
