--- /dev/null
+++ b/packages/core/src/config/adopt_revision.ts
@@ -0,0 +1,50 @@
+import { chainStep } from "../instance/chain_step.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { adoptConfig } from "./adopt_config.ts";
+import { SPREAD } from "./constants.ts";
+import { listChanges } from "./list_changes.ts";
+import type { Config, ConfigPatch } from "./types.ts";
+
+/**
+ * Puts a higher revision in force and keeps the patches that led to it;
+ * ignores any other. Without `patches` the change is worked out here.
+ */
+export function adoptRevision(
+  state: InstanceState,
+  {
+    config,
+    patches,
+  }: {
+    readonly config: Config;
+    readonly patches?: readonly ConfigPatch[];
+  },
+  nowMs: number,
+): Step {
+  const before = state.config;
+  if (before !== undefined && config.revision <= before.revision) {
+    return { state, effects: [] };
+  }
+  const led =
+    patches ?? (before === undefined ? [] : [buildPatch(before, config)]);
+  const adopted = adoptConfig(state, config, nowMs);
+  return chainStep(adopted, (after) => ({
+    state: {
+      ...after,
+      spread: {
+        ...after.spread,
+        offered: undefined,
+        asked: undefined,
+        patches: [...after.spread.patches, ...led].slice(-SPREAD.KEPT_PATCHES),
+      },
+    },
+    effects: [{ kind: "keep-config", config }],
+  }));
+}
+
+function buildPatch(before: Config, after: Config): ConfigPatch {
+  return {
+    from: before.revision,
+    to: after.revision,
+    sections: listChanges(before.document, after.document),
+  };
+}
--- a/packages/core/src/config/types.ts
+++ b/packages/core/src/config/types.ts
@@ -21,3 +21,51 @@
   readonly path: string;
   readonly message: string;
 };
+
+/** Entries of one section of the document that changed. */
+export type SectionPatch = {
+  readonly set: Readonly<Record<string, unknown>>;
+  readonly drop: readonly string[];
+};
+
+/** What changed between two revisions, section by section. */
+export type ConfigPatch = {
+  readonly from: number;
+  readonly to: number;
+  readonly sections: Readonly<Record<string, SectionPatch>>;
+};
+
+/** Where an offered configuration comes from; the store decides. */
+export type ConfigSource = "store" | "peer" | "disk";
+
+/** How far this instance's part in spreading the configuration stands. */
+export type SpreadState = {
+  /** First tick of this incarnation. */
+  readonly startedMs: number | undefined;
+  /** Highest offer of peers or disk while the instance is starting. */
+  readonly offered: Config | undefined;
+  /** The last question to a peer, until it is answered. */
+  readonly asked:
+    | { readonly revision: number; readonly atMs: number }
+    | undefined;
+  /** Patches that led to the present revision, oldest first. */
+  readonly patches: readonly ConfigPatch[];
+  readonly isWatching: boolean;
+  /** Moment until which the own watch counts as broken. */
+  readonly brokenUntilMs: number;
+  readonly nextCheckMs: number;
+};
+
+/** Asks a peer for its configuration; `have` is the own revision, or 0. */
+export type ConfigAsked = {
+  readonly kind: "config-asked";
+  readonly have: number;
+};
+
+/** The patches after the revision that was asked with, or all of it. */
+export type ConfigSent = {
+  readonly kind: "config-sent";
+  readonly content:
+    | { readonly kind: "patches"; readonly patches: readonly ConfigPatch[] }
+    | { readonly kind: "whole"; readonly config: Config };
+};
--- a/packages/core/src/instance/create_instance.ts
+++ b/packages/core/src/instance/create_instance.ts
@@ -1,6 +1,4 @@
-import { createMembership } from "../membership/create_membership.ts";
 import { createSharded } from "../sharded/create_sharded.ts";
-import { createShares } from "../shares/create_shares.ts";
 import type { InstanceSelf, InstanceState } from "./types.ts";
 
 /** Creates an instance that knows nothing yet; `seed` feeds its choices. */
@@ -14,17 +12,23 @@
     attemptCount: 0,
     isStopping: false,
     config: undefined,
-    limits: {},
-    waiting: {},
-    asks: {},
-    shares: createShares(),
+    buckets: {},
     upstreams: {},
     works: createSharded(),
     attempts: createSharded(),
     timers: {},
     queues: { services: {}, tags: {} },
     jobs: {},
-    membership: createMembership(),
+    membership: { members: {}, nextHeartbeatMs: 0, nextDelegateMs: 0 },
+    spread: {
+      startedMs: undefined,
+      offered: undefined,
+      asked: undefined,
+      patches: [],
+      isWatching: false,
+      brokenUntilMs: 0,
+      nextCheckMs: 0,
+    },
     platform: { callCount: 0, pending: {}, heardMs: 0 },
   };
 }
--- /dev/null
+++ b/packages/core/src/instance/peer_message_kinds.ts
@@ -0,0 +1,11 @@
+import type { PeerMessage } from "./types.ts";
+
+/**
+ * Every kind of peer message. The type fails to check while a kind of the
+ * union is missing, and receivers drop and count any other kind.
+ */
+export const PEER_MESSAGE_KINDS: Readonly<Record<PeerMessage["kind"], true>> = {
+  heartbeat: true,
+  "config-asked": true,
+  "config-sent": true,
+};
--- a/packages/core/src/instance/step_instance.ts
+++ b/packages/core/src/instance/step_instance.ts
@@ -1,18 +1,15 @@
-import { adoptConfig } from "../config/adopt_config.ts";
+import { noteWatch } from "../config/note_watch.ts";
+import { offerConfig } from "../config/offer_config.ts";
+import { stepSpread } from "../config/step_spread.ts";
+import { checkInvariant } from "../invariants/check_invariant.ts";
 import { cancelJob } from "../jobs/cancel_job.ts";
 import { offerJob } from "../jobs/offer_job.ts";
 import { settleResult } from "../jobs/settle_result.ts";
-import { settleLimits } from "../limits/settle_limits.ts";
-import { askProof } from "../membership/ask_proof.ts";
 import { noteList } from "../membership/note_list.ts";
-import { noteStep } from "../membership/note_step.ts";
+import { sendDelegateHeartbeats } from "../membership/send_delegate_heartbeats.ts";
 import { sendHeartbeats } from "../membership/send_heartbeats.ts";
 import { handleAnswer } from "../platform/handle_answer.ts";
 import { assertNever } from "../shared/assert_never.ts";
-import { answerLowered } from "../shares/answer_lowered.ts";
-import { pollGroups } from "../shares/poll_groups.ts";
-import { reportDemand } from "../shares/report_demand.ts";
-import { startRebalances } from "../shares/start_rebalances.ts";
 import { abandonRequest } from "../work/abandon_request.ts";
 import { acceptRequest } from "../work/accept_request.ts";
 import { dispatchWork } from "../work/dispatch_work.ts";
@@ -33,21 +30,17 @@
   event: InstanceEvent,
   nowMs: number,
 ): Step {
-  const handled = handleEvent(noteStep(state, nowMs), event, nowMs);
-  return chainStep(handled, (after) => dispatchWork(after, nowMs));
+  const handled = handleEvent(state, event, nowMs);
+  const before = state.config?.revision ?? 0;
+  const after = handled.state.config?.revision ?? 0;
+  checkInvariant(
+    "revision-never-reverts",
+    after >= before,
+    () => `${before} to ${after} at ${event.kind}`,
+  );
+  return chainStep(handled, (at) => dispatchWork(at, nowMs));
 }
 
-const TICK_STEPS = [
-  expireWork,
-  settleLimits,
-  sendHeartbeats,
-  askProof,
-  pollGroups,
-  reportDemand,
-  answerLowered,
-  startRebalances,
-] as const;
-
 function handleEvent(
   state: InstanceState,
   event: InstanceEvent,
@@ -55,7 +48,9 @@
 ): Step {
   switch (event.kind) {
     case "config-offered":
-      return adoptConfig(state, event.config, nowMs);
+      return offerConfig(state, event, nowMs);
+    case "config-watch-ended":
+      return { state: noteWatch(state, event.isReached, nowMs), effects: [] };
     case "request-arrived":
       return acceptRequest(state, event.order, nowMs);
     case "request-abandoned":
@@ -79,7 +74,11 @@
     case "instances-listed":
       return noteList(state, event.instances);
     case "tick":
-      return chainAll(state, TICK_STEPS, (at, step) => step(at, nowMs));
+      return chainAll(
+        state,
+        [expireWork, sendHeartbeats, sendDelegateHeartbeats, stepSpread],
+        (at, stepBy) => stepBy(at, nowMs),
+      );
     default:
       return assertNever(event);
   }
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -1,5 +1,11 @@
 /** The instance as a value, and the messages it takes and gives. */
-import type { Config } from "../config/types.ts";
+import type {
+  Config,
+  ConfigAsked,
+  ConfigSent,
+  ConfigSource,
+  SpreadState,
+} from "../config/types.ts";
 import type {
   AttemptId,
   DataCentreId,
@@ -9,13 +15,7 @@
   WorkId,
 } from "../ids/types.ts";
 import type { ItemResult, Job, JobSpec } from "../jobs/types.ts";
-import type {
-  Limit,
-  LoanAnswered,
-  LoanAsked,
-  PendingAsk,
-  Waiting,
-} from "../limits/types.ts";
+import type { Bucket } from "../limits/types.ts";
 import type {
   Heartbeat,
   ListedInstance,
@@ -29,13 +29,6 @@
 import type { QueueState } from "../queue/types.ts";
 import type { ShardedTable } from "../sharded/types.ts";
 import type { Table } from "../shared/types.ts";
-import type {
-  DemandReported,
-  ShareLowerAsked,
-  ShareLowered,
-  SharesState,
-  SharesWritten,
-} from "../shares/types.ts";
 import type { Timer } from "../timers/types.ts";
 import type { Upstream } from "../upstreams/types.ts";
 import type {
@@ -64,13 +57,7 @@
   readonly attemptCount: number;
   readonly isStopping: boolean;
   readonly config: Config | undefined;
-  /** By customer: what this instance may admit. */
-  readonly limits: Table<Limit>;
-  /** By customer: what waits for a token here. */
-  readonly waiting: Table<readonly Waiting[]>;
-  /** By customer: requests that wait for a peer's token. */
-  readonly asks: Table<readonly PendingAsk[]>;
-  readonly shares: SharesState;
+  readonly buckets: Table<Bucket>;
   readonly upstreams: Table<Upstream>;
   readonly works: ShardedTable<Work>;
   /** Which work a running attempt belongs to. */
@@ -80,31 +67,37 @@
   readonly queues: QueueState;
   readonly jobs: Table<Job>;
   readonly membership: MembershipState;
+  readonly spread: SpreadState;
   readonly platform: PlatformState;
 };
 
 /** What instances say to each other. */
-export type PeerMessage =
-  | Heartbeat
-  | LoanAsked
-  | LoanAnswered
-  | DemandReported
-  | ShareLowerAsked
-  | ShareLowered
-  | SharesWritten;
+export type PeerMessage = Heartbeat | ConfigAsked | ConfigSent;
 
 /** What happened, as told by the daemon's tasks. */
 export type InstanceEvent =
-  | { readonly kind: "config-offered"; readonly config: Config }
+  | {
+      readonly kind: "config-offered";
+      readonly config: Config;
+      readonly source: ConfigSource;
+    }
+  /** How the watch that this instance holds last went. */
+  | { readonly kind: "config-watch-ended"; readonly isReached: boolean }
   | { readonly kind: "request-arrived"; readonly order: WorkOrder }
   | { readonly kind: "request-abandoned"; readonly workId: WorkId }
   | { readonly kind: "job-offered"; readonly spec: JobSpec }
   | { readonly kind: "job-cancel-asked"; readonly jobId: JobId }
-  | { readonly kind: "attempt-first-token"; readonly attemptId: AttemptId }
+  | {
+      readonly kind: "attempt-first-token";
+      readonly attemptId: AttemptId;
+      /** Boot of the upstream, where its answer names it. */
+      readonly bootId?: string;
+    }
   | {
       readonly kind: "attempt-ended";
       readonly attemptId: AttemptId;
       readonly outcome: AttemptOutcome;
+      readonly bootId?: string;
     }
   | {
       readonly kind: "result-stored";
@@ -138,7 +131,12 @@
       readonly upstreamId: UpstreamId;
       readonly origin: WorkOrigin;
     }
-  | { readonly kind: "cancel-attempt"; readonly attemptId: AttemptId }
+  | {
+      readonly kind: "cancel-attempt";
+      readonly attemptId: AttemptId;
+      /** Set where its connection went silent and must not be used again. */
+      readonly isSilent?: boolean;
+    }
   | { readonly kind: "complete-request"; readonly workId: WorkId }
   | {
       readonly kind: "refuse-request";
@@ -168,6 +166,10 @@
       readonly callId: string;
       readonly call: PlatformCall;
     }
+  /** Starts or ends the watch of the configuration in the store. */
+  | { readonly kind: "watch-config"; readonly isHeld: boolean }
+  /** A higher revision is in force; kept where there is a disk. */
+  | { readonly kind: "keep-config"; readonly config: Config }
   | { readonly kind: "record-run"; readonly run: RunRecord };
 
 /** The state after an event, and what is to be done. */
--- /dev/null
+++ b/packages/core/src/membership/build_heartbeat.ts
@@ -0,0 +1,16 @@
+import type { InstanceState } from "../instance/types.ts";
+import type { Heartbeat } from "./types.ts";
+
+/** Builds what this instance says of itself. */
+export function buildHeartbeat(state: InstanceState, nowMs: number): Heartbeat {
+  const { self, spread } = state;
+  return {
+    kind: "heartbeat",
+    dataCentre: self.dataCentre,
+    address: self.address,
+    incarnation: self.incarnation,
+    revision: state.config?.revision ?? 0,
+    isStopping: state.isStopping,
+    isWatchBroken: nowMs < spread.brokenUntilMs,
+  };
+}
--- /dev/null
+++ b/packages/core/src/membership/list_live.ts
@@ -0,0 +1,16 @@
+import type { InstanceState } from "../instance/types.ts";
+import { MEMBERSHIP } from "./constants.ts";
+import type { Member } from "./types.ts";
+
+/** Lists the other instances of the data centre that were heard of lately. */
+export function listLive(
+  { self, membership }: InstanceState,
+  nowMs: number,
+): readonly Member[] {
+  return Object.values(membership.members).filter(
+    ({ dataCentre, heardMs }) =>
+      dataCentre === self.dataCentre &&
+      heardMs > 0 &&
+      nowMs - heardMs <= MEMBERSHIP.LIVE_MS,
+  );
+}
--- a/packages/core/src/membership/note_heartbeat.ts
+++ b/packages/core/src/membership/note_heartbeat.ts
@@ -1,12 +1,10 @@
+import { noteRevision } from "../config/note_revision.ts";
 import type { InstanceId } from "../ids/types.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
 import { setEntry } from "../shared/set_entry.ts";
 import type { Heartbeat, Member } from "./types.ts";
 
-/**
- * Notes what a peer says of itself. Of two incarnations under one name the
- * one with the higher number counts; the lower is heard no more.
- */
+/** Notes what a peer says of itself. */
 export function noteHeartbeat(
   state: InstanceState,
   from: InstanceId,
@@ -18,27 +16,10 @@
     readonly nowMs: number;
   },
 ): Step {
-  const { membership, self } = state;
-  const known = membership.members[from];
-  const isOlder = heartbeat.number < (known?.number ?? 0);
-  if (from === self.instanceId || isOlder) {
-    return { state, effects: [] };
-  }
-  const { kind: _kind, echo, sentMs, ...about } = heartbeat;
-  const isOwnEcho = echo !== undefined && echo.number === membership.number;
-  const confirmedMs = isOwnEcho ? echo.sentMs : 0;
-  const member: Member = {
-    ...about,
-    instanceId: from,
-    heardMs: nowMs,
-    heardSentMs: sentMs,
-    confirmedMs: Math.max(confirmedMs, known?.confirmedMs ?? 0),
-    retired: known?.retired ?? 0,
-    isListed: known?.isListed ?? false,
-  };
-  const members = setEntry(membership.members, from, member);
-  return {
-    state: { ...state, membership: { ...membership, members } },
-    effects: [],
-  };
+  const { kind: _kind, ...about } = heartbeat;
+  const member: Member = { instanceId: from, heardMs: nowMs, ...about };
+  const members = setEntry(state.membership.members, from, member);
+  const membership = { ...state.membership, members };
+  const after = { ...state, membership };
+  return noteRevision(after, { from, revision: heartbeat.revision, nowMs });
 }
--- /dev/null
+++ b/packages/core/src/membership/send_delegate_heartbeats.ts
@@ -0,0 +1,62 @@
+import type { Effect, InstanceState, Step } from "../instance/types.ts";
+import { groupBy } from "../shared/group_by.ts";
+import { rankByRendezvous } from "../shared/rank_by_rendezvous.ts";
+import { buildHeartbeat } from "./build_heartbeat.ts";
+import { MEMBERSHIP } from "./constants.ts";
+import { listLive } from "./list_live.ts";
+import type { Member } from "./types.ts";
+
+/**
+ * Sends a heartbeat to one instance of each other data centre when due, from
+ * the data centre's two delegates only.
+ */
+export function sendDelegateHeartbeats(
+  state: InstanceState,
+  nowMs: number,
+): Step {
+  const { membership, self } = state;
+  if (nowMs < membership.nextDelegateMs) {
+    return { state, effects: [] };
+  }
+  const nextDelegateMs = nowMs + MEMBERSHIP.DELEGATE_MS;
+  const after = { ...state, membership: { ...membership, nextDelegateMs } };
+  if (!isDelegate(state, nowMs)) {
+    return { state: after, effects: [] };
+  }
+  const message = buildHeartbeat(state, nowMs);
+  const elsewhere = Object.values(membership.members).filter(
+    ({ dataCentre }) => dataCentre !== self.dataCentre,
+  );
+  const effects = [
+    ...groupBy(elsewhere, ({ dataCentre }) => dataCentre).values(),
+  ]
+    .flatMap((members) => chooseTarget(members, nowMs))
+    .map(({ instanceId: to }): Effect => ({ kind: "send-peer", to, message }));
+  return { state: after, effects };
+}
+
+function isDelegate(state: InstanceState, nowMs: number): boolean {
+  const { self } = state;
+  const live = listLive(state, nowMs).filter(({ isStopping }) => !isStopping);
+  const ids = [self.instanceId, ...live.map(({ instanceId }) => instanceId)];
+  return rankByRendezvous(`delegate|${self.dataCentre}`, ids)
+    .slice(0, MEMBERSHIP.DELEGATES)
+    .includes(self.instanceId);
+}
+
+/**
+ * A delegate heard of lately, taking turns; where none was heard of, the
+ * turn goes round all listed instances, so that a dead one costs one turn.
+ */
+function chooseTarget(
+  members: readonly Member[],
+  nowMs: number,
+): readonly Member[] {
+  const heard = members.filter(
+    ({ heardMs }) =>
+      heardMs > 0 && nowMs - heardMs <= MEMBERSHIP.DELEGATE_LIVE_MS,
+  );
+  const candidates = heard.length > 0 ? heard : members;
+  const turn = Math.floor(nowMs / MEMBERSHIP.DELEGATE_MS) % candidates.length;
+  return candidates.slice(turn, turn + 1);
+}
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -13,39 +13,16 @@
   readonly heardMs: number;
   readonly revision: number;
   readonly isStopping: boolean;
-  /** Version of its record in the platform; a higher one replaces a lower. */
-  readonly number: number;
-  /** The sender's clock in its last heartbeat, sent back as an echo. */
-  readonly heardSentMs: number;
-  /** This instance's own clock in the last heartbeat that it echoed. */
-  readonly confirmedMs: number;
-  /** Highest number under which it is no longer confirmed. */
-  readonly retired: number;
-  readonly isListed: boolean;
+  /** Whether its watch of the configuration failed lately. */
+  readonly isWatchBroken: boolean;
 };
 
-/** Whether this incarnation may hold shares. */
-export type Standing =
-  /** Not yet named in the platform. */
-  | "joining"
-  | "current"
-  /** Another incarnation has taken the name: it never spends again. */
-  | "superseded";
-
 export type MembershipState = {
   /** Other instances by id. */
   readonly members: Table<Member>;
   readonly nextHeartbeatMs: number;
-  readonly standing: Standing;
-  /** Version of this incarnation's record in the platform; 0 for none. */
-  readonly number: number;
-  /** When the last question was asked that the platform confirmed. */
-  readonly provenMs: number;
-  readonly nextProofMs: number;
-  readonly isAsking: boolean;
-  readonly steppedMs: number;
-  /** End of the last gap between steps; what came before is void. */
-  readonly resumedMs: number;
+  /** When a delegate next speaks to the other data centres. */
+  readonly nextDelegateMs: number;
 };
 
 /** What an instance says of itself, several times a second. */
@@ -56,18 +33,7 @@
   readonly incarnation: string;
   readonly revision: number;
   readonly isStopping: boolean;
-  readonly number: number;
-  /** The sender's clock. */
-  readonly sentMs: number;
-  /** What was last heard of the receiver; absent once it is retired. */
-  readonly echo?: { readonly number: number; readonly sentMs: number };
-};
-
-/** The value of an instance's record in the platform. */
-export type InstanceRecord = {
-  readonly incarnation: string;
-  readonly dataCentre: string;
-  readonly state: "live" | "retired";
+  readonly isWatchBroken: boolean;
 };
 
 /** One instance in the platform's lagging list. */
--- a/packages/core/src/platform/handle_answer.ts
+++ b/packages/core/src/platform/handle_answer.ts
@@ -1,8 +1,6 @@
 import type { InstanceState, Step } from "../instance/types.ts";
-import { noteOwnRecord } from "../membership/note_own_record.ts";
 import { assertNever } from "../shared/assert_never.ts";
 import { dropEntry } from "../shared/drop_entry.ts";
-import { noteSharesAnswer } from "../shares/note_shares_answer.ts";
 import type { PlatformAnswer } from "./types.ts";
 
 /** Hands the platform's answer to the feature that asked. */
@@ -27,11 +25,9 @@
   const after: InstanceState = { ...state, platform };
   switch (asked.purpose.feature) {
     case "shares":
-      return noteSharesAnswer(after, asked, { answer, nowMs });
-    case "membership":
-      return noteOwnRecord(after, asked, { answer, nowMs });
     case "jobs":
     case "claims":
+    case "membership":
       return { state: after, effects: [] };
     default:
       return assertNever(asked.purpose);
--- a/packages/core/src/work/start_attempt.ts
+++ b/packages/core/src/work/start_attempt.ts
@@ -1,5 +1,7 @@
+import { holdsKey } from "../config/holds_key.ts";
 import type { AttemptId } from "../ids/types.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
+import { checkInvariant } from "../invariants/check_invariant.ts";
 import { setSharded } from "../sharded/set_sharded.ts";
 import { countInFlight } from "../upstreams/count_in_flight.ts";
 import type { Upstream } from "../upstreams/types.ts";
@@ -13,6 +15,11 @@
   { upstream, nowMs }: { readonly upstream: Upstream; readonly nowMs: number },
 ): Step {
   const { workId, origin, lane } = work.order;
+  checkInvariant(
+    "runs-for-own-customer",
+    state.config === undefined || holdsKey(state.config.document, work.order),
+    () => `${workId} for ${work.order.customer}`,
+  );
   const attemptCount = state.attemptCount + 1;
   const attemptId = `${state.self.incarnation}-${attemptCount}` as AttemptId;
   const { upstreamId } = upstream;
--- a/packages/daemon/src/caller/caller_task.ts
+++ b/packages/daemon/src/caller/caller_task.ts
@@ -97,7 +97,7 @@
       end,
       firstWriteMs:
         firstWriteMs === undefined ? undefined : firstWriteMs - startedMs,
-      attempts: exchange.attempts,
+      upstreams: exchange.upstreams,
       totalMs: performance.now() - startedMs,
     });
   }
--- a/packages/daemon/src/caller/exchange.ts
+++ b/packages/daemon/src/caller/exchange.ts
@@ -3,8 +3,10 @@
   type AttemptId,
   checkInvariant,
   type Refusal,
+  type UpstreamId,
 } from "@gooseberryline/core";
 import type { AnswerHead, AnswerSink, AttemptCall } from "../tasks/types.ts";
+import { ChunkWriter } from "./chunk_writer.ts";
 import { HttpRefusal } from "./http_refusal.ts";
 
 /**
@@ -18,7 +20,8 @@
   readonly #onFirstWrite: () => void;
   #writer: AttemptId | undefined;
   #isEventStream = false;
-  #attempts = 0;
+  readonly #upstreams: UpstreamId[] = [];
+  #chunks: ChunkWriter | undefined;
   #announcedBytes: number | undefined;
   #writtenBytes = 0;
   #end: () => void = () => undefined;
@@ -37,8 +40,8 @@
   }
 
   /** A sink for one attempt; dead once another attempt has written. */
-  openSink(attemptId: AttemptId): AnswerSink {
-    this.#attempts += 1;
+  openSink(attemptId: AttemptId, upstreamId: UpstreamId): AnswerSink {
+    this.#upstreams.push(upstreamId);
     return {
       writeHead: (head) => {
         if (this.#writer === undefined) {
@@ -58,7 +61,7 @@
         (announced === undefined || announced === this.#writtenBytes),
       () => `${this.#writtenBytes} bytes of ${announced}`,
     );
-    this.#res.end();
+    this.#chunks?.end();
     this.#end();
   }
 
@@ -74,7 +77,7 @@
       this.#res.writeHead(status, { ...headers, ...type });
       this.#res.end(JSON.stringify(body));
     } else if (this.#isEventStream) {
-      this.#res.end(`event: error\ndata: ${JSON.stringify(body)}\n\n`);
+      this.#chunks?.end(`event: error\ndata: ${JSON.stringify(body)}\n\n`);
     } else {
       this.#res.destroy();
     }
@@ -86,9 +89,9 @@
     this.#end();
   }
 
-  /** Attempts made so far. */
-  get attempts(): number {
-    return this.#attempts;
+  /** Upstreams of the attempts made so far. */
+  get upstreams(): readonly UpstreamId[] {
+    return this.#upstreams;
   }
 
   get status(): number {
@@ -105,12 +108,13 @@
     this.#announcedBytes = hasBody ? Number(length) : undefined;
     this.#res.writeHead(status, { ...headers, "x-request-id": requestId });
     this.#res.flushHeaders();
+    this.#chunks = new ChunkWriter(this.#res);
     this.#onFirstWrite();
   }
 
   #write(chunk: Buffer): boolean {
     this.#writtenBytes += chunk.length;
-    return this.#res.write(chunk);
+    return this.#chunks?.write(chunk) ?? true;
   }
 }
 
--- a/packages/daemon/src/caller/types.ts
+++ b/packages/daemon/src/caller/types.ts
@@ -7,6 +7,7 @@
   ProfileName,
   Refusal,
   RunCertainty,
+  UpstreamId,
   WorkOrder,
 } from "@gooseberryline/core";
 
@@ -40,7 +41,8 @@
   /** Time to the first byte of the answer, absent where none was sent. */
   readonly firstWriteMs: number | undefined;
   readonly totalMs: number;
-  readonly attempts: number;
+  /** Upstreams of its attempts, in their order. */
+  readonly upstreams: readonly UpstreamId[];
 };
 
 /** The profile that a request chose, or its customer's default. */
--- a/packages/daemon/src/jobs/types.ts
+++ b/packages/daemon/src/jobs/types.ts
@@ -1,5 +1,5 @@
 /** Files and batches as the OpenAI-compatible interface shows them. */
-import type { CustomerId, JobSpec } from "@gooseberryline/core";
+import type { CustomerId, InstanceId, JobSpec } from "@gooseberryline/core";
 
 /** A stored file's description. */
 export type FileMeta = {
@@ -39,3 +39,18 @@
   readonly status: number;
   readonly body: unknown;
 };
+
+/** Files in the data folders of other instances; rejects with `PeerError`. */
+export type BlobPeers = {
+  /** Stores a file at a peer; resolves once the peer has synced it. */
+  readonly put: (
+    to: InstanceId,
+    name: string,
+    content: AsyncIterable<Buffer>,
+  ) => Promise<{ readonly name: string; readonly bytes: number }>;
+  readonly get: (from: InstanceId, name: string) => AsyncIterable<Buffer>;
+  readonly list: (
+    at: InstanceId,
+    prefix: string,
+  ) => Promise<readonly { readonly name: string; readonly bytes: number }[]>;
+};
--- a/packages/daemon/src/metrics/report_request.ts
+++ b/packages/daemon/src/metrics/report_request.ts
@@ -7,7 +7,8 @@
   report: RequestReport,
   { log, metrics }: { readonly log: Log; readonly metrics: Metrics },
 ): void {
-  const { requestId, order, status, end, firstWriteMs, totalMs } = report;
+  const { requestId, order, status, end } = report;
+  const { firstWriteMs, totalMs, upstreams } = report;
   const { customer, profile, service } = order;
   const tags = { customer, profile, service };
   const fault = end.kind === "refused" ? end.refusal.fault : undefined;
@@ -17,7 +18,8 @@
     ...tags,
     status,
     end: end.kind,
-    attempts: report.attempts,
+    attempts: upstreams.length,
+    upstream: upstreams.at(-1),
     code: fault?.code,
     step: fault?.step,
     peer: fault?.peer,
@@ -26,8 +28,8 @@
     totalMs: toTenths(totalMs),
   });
   metrics.count("requests", { ...tags, end: end.kind });
-  if (report.attempts > 1) {
-    metrics.count("retries", tags, report.attempts - 1);
+  if (upstreams.length > 1) {
+    metrics.count("retries", tags, upstreams.length - 1);
   }
   if (fault !== undefined) {
     metrics.count("refusals", { code: fault.code });
--- a/packages/daemon/src/metrics/watch_instance.ts
+++ b/packages/daemon/src/metrics/watch_instance.ts
@@ -17,9 +17,10 @@
   const delay = monitorEventLoopDelay();
   delay.enable();
   const timer = setInterval(() => {
-    const { queues, works, jobs } = readState();
-    Object.entries(queues.services).forEach(([service, { count }]) => {
-      metrics.gauge("queue_length", count, { service });
+    const { config, queues, works, jobs } = readState();
+    Object.keys(config?.document.services ?? {}).forEach((service) => {
+      const length = queues.services[service]?.count ?? 0;
+      metrics.gauge("queue_length", length, { service });
     });
     metrics.gauge("works", works.count);
     metrics.gauge("jobs", Object.keys(jobs).length);
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -2,4 +2,5 @@
 export { createLog, type Log } from "./logs/create_log.ts";
 export { parseSettings } from "./settings/parse_settings.ts";
 export type * from "./settings/types.ts";
-export { type Daemon, startDaemon } from "./start_daemon.ts";
+export type * from "./start/types.ts";
+export { startDaemon } from "./start_daemon.ts";
--- /dev/null
+++ b/packages/daemon/src/peers/blobs_test.ts
@@ -0,0 +1,117 @@
+import { mkdtemp } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { InstanceId } from "@gooseberryline/core";
+import { credentials, ServerCredentials } from "@grpc/grpc-js";
+import { afterEach, expect, test } from "vitest";
+import { createLog } from "../logs/create_log.ts";
+import { BlobClient } from "./blob_client.ts";
+import { createPeerCounts } from "./create_peer_counts.ts";
+import { FolderBlobs } from "./folder_blobs.ts";
+import { PeerTask } from "./peer_task.ts";
+import { startPeerServer } from "./start_peer_server.ts";
+import type { BlobKeeper } from "./types.ts";
+
+const peer = "two" as InstanceId;
+const closers: (() => void)[] = [];
+
+const startPair = async (blobs: BlobKeeper | undefined) => {
+  const parts = {
+    credentials: {
+      client: credentials.createInsecure(),
+      server: ServerCredentials.createInsecure(),
+      certificateName: undefined,
+    },
+    counts: createPeerCounts(),
+  };
+  const server = await startPeerServer(
+    { host: "127.0.0.1", port: 0 },
+    {
+      ...parts,
+      log: createLog({}, () => undefined),
+      post: () => undefined,
+      answer: () => Promise.reject(new Error("none")),
+      blobs,
+    },
+  );
+  const peers = new PeerTask({
+    ...parts,
+    sender: { from: "one" as InstanceId, incarnation: "1" },
+    findAddress: (id) => (id === peer ? server.address : undefined),
+  });
+  closers.push(() => peers.stop(), server.close);
+  return new BlobClient(peers);
+};
+
+const startKept = async () =>
+  startPair(new FolderBlobs(await mkdtemp(join(tmpdir(), "blobs-"))));
+
+async function* streamBytes(size: number) {
+  yield Buffer.alloc(size, "a");
+  yield Buffer.from("end");
+}
+
+const readAll = async (content: AsyncIterable<Buffer>) => {
+  const blocks: Buffer[] = [];
+  for await (const block of content) {
+    blocks.push(block);
+  }
+  return Buffer.concat(blocks);
+};
+
+afterEach(() => {
+  closers.splice(0).forEach((close) => {
+    close();
+  });
+});
+
+test("a file goes to a peer and comes back whole", async () => {
+  const client = await startKept();
+  const size = 3_000_000;
+  const stored = await client.put(peer, "jobs/j1.jsonl", streamBytes(size));
+  expect(stored).toEqual({ name: "jobs/j1.jsonl", bytes: size + 3 });
+  const content = await readAll(client.get(peer, "jobs/j1.jsonl"));
+  expect(content.length).toBe(size + 3);
+  expect(content.subarray(-3).toString()).toBe("end");
+  expect(await client.list(peer, "jobs/")).toEqual([stored]);
+  expect(await client.list(peer, "other/")).toEqual([]);
+});
+
+test("a lacking file is told", async () => {
+  const client = await startKept();
+  await expect(readAll(client.get(peer, "none"))).rejects.toThrow("ENOENT");
+});
+
+test.each(["../x", "/etc/x", "a/../../x", "", ".x"])(
+  "the name %j is refused",
+  async (name) => {
+    const client = await startKept();
+    await expect(client.put(peer, name, streamBytes(1))).rejects.toThrow();
+  },
+);
+
+test("an upload cut off by its sender leaves no file", async () => {
+  const client = await startKept();
+  async function* breakOff() {
+    yield Buffer.from("half");
+    throw new Error("source lost");
+  }
+  const sent = client.put(peer, "half", breakOff());
+  await expect(sent).rejects.toThrow("source lost");
+  const other = await client.put(peer, "other", streamBytes(1_000_000));
+  expect(await client.list(peer, "")).toEqual([other]);
+});
+
+test("an instance without a disk refuses", async () => {
+  const client = await startPair(undefined);
+  const sent = client.put(peer, "a", streamBytes(1));
+  await expect(sent).rejects.toThrow("keeps no files");
+  const got = readAll(client.get(peer, "a"));
+  await expect(got).rejects.toThrow("keeps no files");
+});
+
+test("a peer without an address is told at once", async () => {
+  const client = await startKept();
+  const list = async () => client.list("three" as InstanceId, "");
+  await expect(list()).rejects.toThrow("unknown-peer");
+});
--- /dev/null
+++ b/packages/daemon/src/peers/list_members.ts
@@ -0,0 +1,16 @@
+import type { InstanceState, ListedInstance } from "@gooseberryline/core";
+
+/** Lists this instance and the members it knows, as the platform would. */
+export function listMembers({
+  self,
+  isStopping,
+  membership,
+}: InstanceState): readonly ListedInstance[] {
+  const own = { ...self, isStopping };
+  return [own, ...Object.values(membership.members)].map((member) => ({
+    instanceId: member.instanceId,
+    address: member.address,
+    dataCentre: member.dataCentre,
+    state: member.isStopping ? "leaving" : "live",
+  }));
+}
--- /dev/null
+++ b/packages/daemon/src/peers/peer_link.ts
@@ -0,0 +1,113 @@
+import type { PeerMessage } from "@gooseberryline/core";
+import {
+  type Envelope,
+  encodeMessage,
+  PEER_SERVICE,
+  type PeerClient,
+  type PeerDelivery,
+  type QuestionKind,
+} from "@gooseberryline/protocol";
+import type { ClientWritableStream } from "@grpc/grpc-js";
+import { CHANNEL_OPTIONS } from "./channel_options.ts";
+import { PeerError } from "./peer_error.ts";
+import type { PeerCredentials } from "./types.ts";
+
+/** Messages that may wait for the socket before more are dropped. */
+const MAX_PENDING = 512;
+const REOPEN_MS = 200;
+
+type OpenStream = {
+  readonly call: ClientWritableStream<Envelope>;
+  pending: number;
+  sequence: number;
+};
+
+/** The connection to one peer: a message stream and single calls. */
+export class PeerLink {
+  readonly address: string;
+  readonly client: PeerClient;
+  usedMs = Date.now();
+  readonly #sender: Pick<PeerDelivery, "from" | "incarnation">;
+  #stream: OpenStream | undefined;
+  #reopenMs = 0;
+
+  constructor(
+    address: string,
+    sender: Pick<PeerDelivery, "from" | "incarnation">,
+    { client, certificateName }: PeerCredentials,
+  ) {
+    this.address = address;
+    this.#sender = sender;
+    const name =
+      certificateName === undefined
+        ? {}
+        : { "grpc.ssl_target_name_override": certificateName };
+    const options = { ...CHANNEL_OPTIONS, ...name };
+    this.client = new PEER_SERVICE(address, client, options);
+  }
+
+  /** Sends a message; false where it had to be dropped. */
+  send(message: PeerMessage): boolean {
+    this.usedMs = Date.now();
+    const stream = this.#stream ?? this.#open();
+    if (stream === undefined || stream.pending >= MAX_PENDING) {
+      return false;
+    }
+    stream.pending += 1;
+    stream.sequence += 1;
+    const { sequence } = stream;
+    const envelope = encodeMessage({ ...this.#sender, sequence, message });
+    stream.call.write(envelope, () => {
+      stream.pending -= 1;
+    });
+    return true;
+  }
+
+  /** Asks the peer; rejects with a `PeerError` after `timeoutMs`. */
+  ask(
+    kind: QuestionKind,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> {
+    this.usedMs = Date.now();
+    const question = {
+      from: this.#sender.from,
+      kind,
+      json: JSON.stringify(params ?? {}),
+    };
+    const deadline = Date.now() + timeoutMs;
+    return new Promise((resolve, reject) => {
+      this.client.ask(question, { deadline }, (error, reply) => {
+        if (error === null && reply !== undefined) {
+          resolve(JSON.parse(reply.json));
+          return;
+        }
+        const about = { step: kind, peer: this.address };
+        const detail = error?.details ?? "no reply";
+        reject(new PeerError("unreachable", { ...about, detail }));
+      });
+    });
+  }
+
+  close(): void {
+    this.#stream?.call.cancel();
+    this.#stream = undefined;
+    this.client.close();
+  }
+
+  #open(): OpenStream | undefined {
+    if (Date.now() < this.#reopenMs) {
+      return undefined;
+    }
+    const call = this.client.deliver(() => {
+      if (this.#stream === opened) {
+        this.#stream = undefined;
+        this.#reopenMs = Date.now() + REOPEN_MS;
+      }
+    });
+    const opened: OpenStream = { call, pending: 0, sequence: 0 };
+    call.on("error", () => undefined);
+    this.#stream = opened;
+    return opened;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/platform/platform_task.ts
@@ -0,0 +1,57 @@
+import {
+  assertNever,
+  type InstanceEvent,
+  type PlatformAnswer,
+  type PlatformCall,
+} from "@gooseberryline/core";
+import { type Platform, PlatformError } from "@gooseberryline/protocol";
+
+/** Carries out the core's calls of the platform and posts their answers. */
+export class PlatformTask {
+  readonly #platform: Platform;
+  readonly #post: (event: InstanceEvent) => void;
+
+  constructor(platform: Platform, post: (event: InstanceEvent) => void) {
+    this.#platform = platform;
+    this.#post = post;
+  }
+
+  /** Starts a call; its answer comes as an event, an outage too. */
+  start(callId: string, call: PlatformCall): void {
+    this.#carryOut(call)
+      .catch(describeFailure)
+      .then((answer) => {
+        this.#post({ kind: "platform-answered", callId, answer });
+      });
+  }
+
+  async #carryOut(call: PlatformCall): Promise<PlatformAnswer> {
+    switch (call.kind) {
+      case "get":
+        return { kind: "got", record: await this.#platform.get(call.key) };
+      case "list": {
+        const records = await this.#platform.list(call.prefix);
+        return { kind: "listed", records };
+      }
+      case "cas":
+        return this.#platform.cas(call);
+      case "grant-lease": {
+        const leaseId = await this.#platform.grantLease(call.ttlMs);
+        return { kind: "granted", leaseId };
+      }
+      case "keep-lease": {
+        const isKept = await this.#platform.keepLease(call.leaseId);
+        return { kind: "kept", isKept };
+      }
+      default:
+        return assertNever(call);
+    }
+  }
+}
+
+function describeFailure(error: unknown): PlatformAnswer {
+  const fault = error instanceof PlatformError ? error.fault : undefined;
+  return fault?.kind === "rate-limited"
+    ? { kind: "throttled", retryAfterMs: fault.retryAfterMs }
+    : { kind: "unavailable" };
+}
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -21,6 +21,15 @@
   port: PORT.default(8125),
 });
 
+const ADDRESS = z.string().regex(/^(\d+\.\d+\.\d+\.\d+|\[[0-9a-f:]+\]):\d+$/);
+
+const PEER_LISTENER = z.strictObject({
+  host: z.union([z.ipv4(), z.ipv6()]).default("127.0.0.1"),
+  port: PORT.default(0),
+  /** `IP:port` under which peers reach it, where that isn't what it binds. */
+  advertise: ADDRESS.optional(),
+});
+
 const OPERATOR = z.strictObject({
   name: z.string().min(1),
   /** SHA-256 of the operator's token, hex. */
@@ -34,6 +43,10 @@
   dataCentre: z.string().min(1),
   callerListener: LISTENER.prefault({}),
   adminListener: LISTENER.prefault({}),
+  /** Where other instances of the system connect. */
+  peerListener: PEER_LISTENER.prefault({}),
+  /** Peer listeners to start from while the platform gives no list. */
+  peers: z.array(ADDRESS).default([]),
   platform: z.strictObject({ url: z.url() }).optional(),
   /** Folder on a disk that outlasts the process; absent keeps nothing. */
   dataFolder: z.string().optional(),
--- a/packages/daemon/src/settings/settings_test.ts
+++ b/packages/daemon/src/settings/settings_test.ts
@@ -1,4 +1,8 @@
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { expect, test } from "vitest";
+import { runMain } from "../run_main.ts";
 import { parseSettings } from "./parse_settings.ts";
 
 const faultOf = (text: string) => {
@@ -32,3 +36,48 @@
   const text = '{"instanceId":"one","dataCentre":"a",\n"colour":1}';
   expect(faultOf(text)).toMatchObject({ line: 2, path: "colour" });
 });
+
+const runWith = async (text: string, ...flags: string[]) => {
+  const folder = await mkdtemp(join(tmpdir(), "settings-"));
+  const file = join(folder, "settings.jsonc");
+  await writeFile(file, text);
+  const lines: string[] = [];
+  const write = (line: string) => lines.push(line.replace(folder, ""));
+  const code = await runMain(["--settings", file, ...flags], {
+    write,
+    writeError: write,
+  });
+  await rm(folder, { recursive: true });
+  return { code, text: lines.join("") };
+};
+
+test("valid settings are said to be so", async () => {
+  const url = "http://127.0.0.1:1";
+  const text = `{"instanceId":"one","dataCentre":"a","platform":{"url":"${url}"}}`;
+  expect(await runWith(text, "--check")).toEqual({
+    code: 0,
+    text: "/settings.jsonc: valid\n",
+  });
+});
+
+test("every fault is printed with its place", async () => {
+  const text = '{\n  "instanceId": "",\n  "metrics": {"port": "x"}\n}';
+  const { code, text: printed } = await runWith(text, "--check");
+  expect(code).toBe(1);
+  expect(printed).toContain("/settings.jsonc:2:17: instanceId: ");
+  expect(printed).toContain("/settings.jsonc:3:23: metrics.port: ");
+  expect(printed).toContain("/settings.jsonc:1:1: dataCentre: ");
+});
+
+test("a platform is needed unless one is embedded", async () => {
+  const text = '{"instanceId":"one","dataCentre":"a"}';
+  expect((await runWith(text, "--check")).code).toBe(1);
+  expect((await runWith(text, "--check", "--embedded")).code).toBe(0);
+});
+
+test("wrong usage has a code of its own", async () => {
+  const output = { write: () => undefined, writeError: () => undefined };
+  expect(await runMain(["--colour"], output)).toBe(2);
+  expect(await runMain(["--settings", "/no/such/file"], output)).toBe(1);
+  expect(await runMain(["--help"], output)).toBe(0);
+});
--- /dev/null
+++ b/packages/daemon/src/start/log_run.ts
@@ -0,0 +1,20 @@
+import type { RunRecord } from "@gooseberryline/core";
+import type { Log } from "../logs/create_log.ts";
+import type { Metrics } from "../metrics/types.ts";
+
+/** Writes a run record as a log line and counts it. */
+export function logRun(
+  run: RunRecord,
+  { log, metrics }: { readonly log: Log; readonly metrics: Metrics },
+): void {
+  const { upstreamId: upstream, outcome } = run;
+  log.info("run", {
+    workId: run.workId,
+    attemptId: run.attemptId,
+    customer: run.customer,
+    profile: run.profile,
+    upstream,
+    outcome,
+  });
+  metrics.count("attempts", { upstream, outcome });
+}
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -1,29 +1,36 @@
-import { randomInt, randomUUID } from "node:crypto";
+import { randomInt } from "node:crypto";
 import { mkdtemp } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type {
-  DataCentreId,
   InstanceEvent,
-  InstanceId,
-  InstanceSelf,
-  RunRecord,
+  InstanceState,
+  ListedInstance,
 } from "@gooseberryline/core";
 import type { Platform } from "@gooseberryline/protocol";
+import { credentials as grpc, ServerCredentials } from "@grpc/grpc-js";
 import { createAdminApp } from "./admin/create_admin_app.ts";
+import { createFleetReports } from "./admin/create_fleet_reports.ts";
 import { createLocalReports } from "./admin/create_local_reports.ts";
 import { BurnTask } from "./burn/burn_task.ts";
 import { CallerTask } from "./caller/caller_task.ts";
 import { createCallerApp } from "./caller/create_caller_app.ts";
-import { watchConfig } from "./config/watch_config.ts";
+import { ConfigFile } from "./config/config_file.ts";
+import { ConfigWatch } from "./config/config_watch.ts";
 import { JobTask } from "./jobs/job_task.ts";
-import type { Log } from "./logs/create_log.ts";
 import { createMetrics } from "./metrics/create_metrics.ts";
 import { reportRequest } from "./metrics/report_request.ts";
-import type { Metrics } from "./metrics/types.ts";
 import { watchInstance } from "./metrics/watch_instance.ts";
+import { countCalls, type PlatformCounts } from "./platform/count_calls.ts";
+import { PlatformTask } from "./platform/platform_task.ts";
+import { pollInstances } from "./platform/poll_instances.ts";
 import { RunRing } from "./runs/run_ring.ts";
 import type { Settings } from "./settings/types.ts";
+import { createAnswers } from "./start/create_answers.ts";
+import { describeSelf } from "./start/describe_self.ts";
+import { logRun } from "./start/log_run.ts";
+import { startPeering } from "./start/start_peering.ts";
+import type { Daemon, DaemonOptions } from "./start/types.ts";
 import { AttemptTask } from "./tasks/attempt_task.ts";
 import { CoreTask } from "./tasks/core_task.ts";
 import { handleEffect } from "./tasks/handle_effect.ts";
@@ -32,47 +39,68 @@
 const STOP_POLL_MS = 20;
 const SEED_LIMIT = 2 ** 32;
 
-/** A running instance. */
-export type Daemon = {
-  /** Addresses of the listeners, `IP:port`. */
-  readonly caller: string;
-  readonly admin: string;
-  /** Stops gracefully: finishes what was accepted, then ends. */
-  readonly stop: () => Promise<void>;
-};
-
-/** Where an instance tells what it does. */
-export type DaemonOptions = {
-  readonly log: Log;
-  readonly onRun?: (run: RunRecord) => void;
-};
-
 /** Starts an instance: its tasks, and then its listeners. */
 export async function startDaemon(
   settings: Settings,
-  platform: Platform,
+  service: Platform,
   { log, onRun }: DaemonOptions,
 ): Promise<Daemon> {
   const folder =
     settings.dataFolder ?? (await mkdtemp(join(tmpdir(), "gooseberryline-")));
+  const platformCounts: PlatformCounts = {};
+  const platform = countCalls(service, platformCounts);
   const post = (event: InstanceEvent): void => {
     burn.noteEvent(event);
     core.post(event);
   };
+  const readState = (): InstanceState => core.state;
   const readConfig = () => core.state.config;
+  const self = describeSelf(settings);
+  const configFile =
+    settings.dataFolder === undefined
+      ? undefined
+      : new ConfigFile(settings.dataFolder, log);
+  const kept = await configFile?.read();
   const burn = new BurnTask(readConfig);
   const ring = new RunRing();
   const metrics = createMetrics(settings.metrics, {
     instance: settings.instanceId,
     data_centre: settings.dataCentre,
   });
+  const localReports = createLocalReports({
+    readState,
+    listRuns: (query) => ring.list(query),
+    listJobs: () => jobs.listAll(),
+    buildBurn: () => burn.buildRows(),
+  });
+  const peering = await startPeering(settings, self, {
+    credentials: {
+      client: grpc.createInsecure(),
+      server: ServerCredentials.createInsecure(),
+      certificateName: undefined,
+    },
+    log,
+    post,
+    readState,
+    answer: createAnswers({ readState, reports: localReports }),
+  });
+  // Nothing may wait from here until the core stands: peers send already.
+  const { peers, address } = peering;
   const attempts = new AttemptTask(post);
   const calls = new CallerTask(post, (report) =>
     reportRequest(report, { log, metrics }),
   );
   const jobs = new JobTask(folder, post);
+  const platformTask = new PlatformTask(platform, post);
+  const watch = new ConfigWatch({
+    platform,
+    log,
+    offer: (config) =>
+      post({ kind: "config-offered", config, source: "store" }),
+    report: (isReached) => post({ kind: "config-watch-ended", isReached }),
+  });
   const core = new CoreTask(
-    describeSelf(settings),
+    { ...self, address },
     randomInt(SEED_LIMIT),
     (effect) => {
       burn.noteEffect(effect);
@@ -80,22 +108,30 @@
         attempts,
         calls,
         jobs,
+        peers,
+        platform: platformTask,
+        watch,
+        keepConfig: (config) => configFile?.keep(config),
         readConfig,
         keepRun: (run) => {
-          logRun(log, run);
-          countRun(metrics, run);
+          logRun(run, { log, metrics });
           ring.keep(run);
           onRun?.(run);
         },
       });
     },
   );
-  const watch = watchConfig(
+  if (kept !== undefined) {
+    core.post({ kind: "config-offered", config: kept, source: "disk" });
+  }
+  const poll = pollInstances({
     platform,
-    (config) => core.post({ kind: "config-offered", config }),
-    log,
-  );
-  const gauges = watchInstance(() => core.state, metrics);
+    seeds: settings.peers,
+    askMembers: (seed) =>
+      peers.askAddress<readonly ListedInstance[]>(seed, "members"),
+    offer: (instances) => core.post({ kind: "instances-listed", instances }),
+  });
+  const gauges = watchInstance(readState, metrics);
   const callerApp = createCallerApp({
     readConfig,
     calls,
@@ -104,61 +140,58 @@
     metrics,
   });
   const adminApp = createAdminApp({
-    readState: () => core.state,
+    readState,
     operators: settings.operators,
     platform,
-    reports: createLocalReports({
-      readState: () => core.state,
-      listRuns: (query) => ring.list(query),
-      listJobs: () => jobs.listAll(),
-      buildBurn: () => burn.buildRows(),
-    }),
+    reports: createFleetReports(localReports, { peers, readState }),
     cancelJob: (jobId) => core.post({ kind: "job-cancel-asked", jobId }),
     log,
   });
   const caller = await listen(callerApp.callback(), settings.callerListener);
   const admin = await listen(adminApp.callback(), settings.adminListener);
-  log.info("listening", { caller: caller.address, admin: admin.address });
-  const stop = async (): Promise<void> => {
-    core.post({ kind: "stop-asked" });
-    while (core.state.works.count > 0) {
-      await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
-    }
+  log.info("listening", {
+    caller: caller.address,
+    admin: admin.address,
+    peer: address,
+  });
+  const closeTasks = (): void => {
     watch.stop();
+    poll.stop();
     core.stop();
     gauges.stop();
     metrics.close();
     attempts.stop();
+    peers.stop();
+    peering.server.close();
+  };
+  const stop = async (): Promise<void> => {
+    core.post({ kind: "stop-asked" });
+    while (core.state.works.count > 0) {
+      await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
+    }
+    closeTasks();
+    await configFile?.settle();
     [caller, admin].forEach(({ server }) => {
       server.close();
       server.closeIdleConnections();
     });
     log.info("stopped");
   };
-  return { caller: caller.address, admin: admin.address, stop };
-}
-
-function countRun(metrics: Metrics, run: RunRecord): void {
-  const { upstreamId: upstream, outcome } = run;
-  metrics.count("attempts", { upstream, outcome });
-}
-
-function logRun(log: Log, run: RunRecord): void {
-  log.info("run", {
-    workId: run.workId,
-    attemptId: run.attemptId,
-    customer: run.customer,
-    profile: run.profile,
-    upstream: run.upstreamId,
-    outcome: run.outcome,
-  });
-}
-
-function describeSelf(settings: Settings): InstanceSelf {
+  const kill = (): void => {
+    closeTasks();
+    [caller, admin].forEach(({ server }) => {
+      server.close();
+      server.closeAllConnections();
+    });
+  };
   return {
-    instanceId: settings.instanceId as InstanceId,
-    dataCentre: settings.dataCentre as DataCentreId,
-    address: "",
-    incarnation: randomUUID().slice(0, 8),
+    caller: caller.address,
+    admin: admin.address,
+    peer: address,
+    readState,
+    peerCounts: peers.counts,
+    platformCounts,
+    stop,
+    kill,
   };
 }
--- a/packages/daemon/src/tasks/answer_marks.ts
+++ b/packages/daemon/src/tasks/answer_marks.ts
@@ -17,8 +17,8 @@
   readonly isEventStream: boolean;
   readonly #needsEndMark: boolean;
   readonly #answer: IncomingMessage;
-  #lines = 0;
-  #tail = "";
+  #tokens = 0;
+  #last: Buffer = NO_BYTES;
   #held: Buffer = NO_BYTES;
 
   constructor(answer: IncomingMessage, isPlain: boolean) {
@@ -48,7 +48,8 @@
 
   /** Whether the end mark was seen: nothing is missing from here on. */
   hasEndMark(): boolean {
-    return this.#needsEndMark && END_MARK.test(this.#tail);
+    const tail = this.#last.subarray(-TAIL_BYTES).toString("latin1");
+    return this.#needsEndMark && END_MARK.test(tail);
   }
 
   /**
@@ -62,21 +63,25 @@
     return this.#answer.complete && hasKnownEnd(this.#answer);
   }
 
-  /** Events of a streamed answer; two line feeds end each. */
+  /** Events of a streamed answer. */
   countTokens(): number {
-    return Math.floor(this.#lines / 2);
+    return this.#tokens;
   }
 
   #noteEvents(whole: Buffer): void {
     if (whole.length === 0) {
       return;
     }
-    const text = whole.toString("latin1");
-    this.#lines += text.split("\n").length - 1;
-    this.#tail = `${this.#tail}${text.slice(-TAIL_BYTES)}`.slice(-TAIL_BYTES);
+    this.#last = whole;
+    const isOneEvent = whole.indexOf(EVENT_END) === whole.length - 2;
+    this.#tokens += isOneEvent ? 1 : countEvents(whole);
   }
 }
 
+function countEvents(bytes: Buffer): number {
+  return bytes.toString("latin1").split(/\r?\n\r?\n/).length - 1;
+}
+
 /** Where the last whole event ends; everything once too much is held. */
 function findEventsEnd(bytes: Buffer): number {
   const size = bytes.length;
--- a/packages/daemon/src/tasks/attempt_task.ts
+++ b/packages/daemon/src/tasks/attempt_task.ts
@@ -1,4 +1,4 @@
-import type { AttemptId, InstanceEvent } from "@gooseberryline/core";
+import type { AttemptId, Fault, InstanceEvent } from "@gooseberryline/core";
 import type { AttemptOrder } from "./types.ts";
 import { UpstreamAttempt } from "./upstream_attempt.ts";
 import { UpstreamPool } from "./upstream_pool.ts";
@@ -17,22 +17,28 @@
     const { attemptId } = order;
     const attempt = new UpstreamAttempt(order, {
       pool: this.#pool,
-      onFirstToken: () => {
-        this.#post({ kind: "attempt-first-token", attemptId });
+      onFirstToken: (seen) => {
+        this.#post({ kind: "attempt-first-token", attemptId, ...seen });
       },
-      onEnd: (outcome) => {
+      onEnd: (outcome, seen) => {
         this.#running.delete(attemptId);
-        this.#post({ kind: "attempt-ended", attemptId, outcome });
+        this.#post({ kind: "attempt-ended", attemptId, outcome, ...seen });
       },
     });
     this.#running.set(attemptId, attempt);
   }
 
   /** Ends an attempt; its connection is closed, nothing more is told. */
-  cancel(attemptId: AttemptId): void {
+  cancel(attemptId: AttemptId, isSilent = false): void {
     const attempt = this.#running.get(attemptId);
     this.#running.delete(attemptId);
-    attempt?.cancel();
+    attempt?.cancel(isSilent);
+  }
+
+  /** Ends an attempt that could not be made: nothing was sent. */
+  refuse(attemptId: AttemptId, fault: Fault): void {
+    const outcome = { kind: "not-started", fault } as const;
+    this.#post({ kind: "attempt-ended", attemptId, outcome });
   }
 
   /** Closes the pooled connections. */
--- a/packages/daemon/src/tasks/attempt_test.ts
+++ b/packages/daemon/src/tasks/attempt_test.ts
@@ -80,7 +80,7 @@
           .find((event) => event.attemptId === attemptId)?.outcome,
       { timeout: 5_000 },
     );
-  return { task, start, end, control };
+  return { task, start, end, control, events };
 };
 
 const answer = (body: string, headers = "") =>
@@ -142,6 +142,36 @@
   expect(raw.sockets).toHaveLength(2);
 });
 
+test("silence drops the idle connections with its own", async () => {
+  const { task, start, end } = createTask();
+  const heads: string[] = [];
+  const raw = await startRaw((socket, head) => {
+    heads.push(head);
+    if (/a-[1245]/.test(head)) {
+      socket.write(answer("{}"));
+    }
+  });
+  const pooled = [start(raw.url), start(raw.url)];
+  await Promise.all(pooled.map(({ attemptId }) => end(attemptId)));
+  const silent = start(raw.url);
+  await vi.waitUntil(() => heads.length === 3);
+  task.cancel(silent.attemptId, true);
+  await end(start(raw.url).attemptId);
+  await vi.waitUntil(
+    () =>
+      raw.sockets.map(({ readyState }) => readyState).join() ===
+      "closed,closed,open",
+  );
+});
+
+test("an answer names its upstream's boot", async () => {
+  const { start, end, events } = createTask();
+  const named = answer("{}", "x-boot-id: b-1\r\n");
+  const raw = await startRaw((socket) => socket.write(named));
+  await end(start(raw.url).attemptId);
+  expect(events).toMatchObject([{ bootId: "b-1" }, { bootId: "b-1" }]);
+});
+
 test("a crossed answer is dropped with its connection", async () => {
   const { start, end } = createTask();
   const crossed = answer('{"secret":1}', "x-request-id: another\r\n");
--- a/packages/daemon/src/tasks/describe_head.ts
+++ b/packages/daemon/src/tasks/describe_head.ts
@@ -2,7 +2,7 @@
 import { HOP_BY_HOP_HEADERS } from "./hop_by_hop_headers.ts";
 import type { AnswerHead } from "./types.ts";
 
-const OWN_HEADERS = ["x-request-id", "x-run", "set-cookie"];
+const OWN_HEADERS = ["x-request-id", "x-run", "x-boot-id", "set-cookie"];
 
 /** Describes the head of an answer as the caller gets it. */
 export function describeHead(
--- a/packages/daemon/src/tasks/handle_effect.ts
+++ b/packages/daemon/src/tasks/handle_effect.ts
@@ -1,13 +1,14 @@
 import {
-  type AttemptId,
   assertNever,
   type Config,
   type Effect,
   type RunRecord,
-  type WorkId,
 } from "@gooseberryline/core";
 import type { CallerTask } from "../caller/caller_task.ts";
+import type { ConfigWatch } from "../config/config_watch.ts";
 import type { JobTask } from "../jobs/job_task.ts";
+import type { PeerTask } from "../peers/peer_task.ts";
+import type { PlatformTask } from "../platform/platform_task.ts";
 import type { AttemptTask } from "./attempt_task.ts";
 import type { AttemptOrder } from "./types.ts";
 
@@ -16,10 +17,16 @@
   readonly attempts: AttemptTask;
   readonly calls: CallerTask;
   readonly jobs: JobTask;
+  readonly peers: PeerTask;
+  readonly platform: PlatformTask;
+  readonly watch: ConfigWatch;
+  readonly keepConfig: (config: Config) => void;
   readonly readConfig: () => Config | undefined;
   readonly keepRun: (run: RunRecord) => void;
 };
 
+type StartAttempt = Extract<Effect, { kind: "start-attempt" }>;
+
 /** Hands an effect of the core to the task that carries it out. */
 export function handleEffect(effect: Effect, parts: EffectParts): void {
   switch (effect.kind) {
@@ -27,7 +34,7 @@
       startAttempt(effect, parts);
       return;
     case "cancel-attempt":
-      parts.attempts.cancel(effect.attemptId);
+      parts.attempts.cancel(effect.attemptId, effect.isSilent);
       return;
     case "complete-request":
       parts.calls.complete(effect.workId);
@@ -42,8 +49,16 @@
       void parts.jobs.end(effect.jobId, effect.phase);
       return;
     case "send-peer":
+      parts.peers.send(effect.to, effect.message);
+      return;
     case "call-platform":
-      // Carried out once the peer and platform tasks exist.
+      parts.platform.start(effect.callId, effect.call);
+      return;
+    case "watch-config":
+      parts.watch.setHeld(effect.isHeld);
+      return;
+    case "keep-config":
+      parts.keepConfig(effect.config);
       return;
     case "record-run":
       parts.keepRun(effect.run);
@@ -54,16 +69,22 @@
 }
 
 function startAttempt(
-  effect: Extract<Effect, { kind: "start-attempt" }>,
+  effect: StartAttempt,
   { attempts, calls, jobs, readConfig }: EffectParts,
 ): void {
   const { attemptId, workId, upstreamId, origin } = effect;
   const target =
     origin.kind === "request"
-      ? openExchange(calls, workId, attemptId)
+      ? openExchange(calls, effect)
       : jobs.open(origin, attemptId);
   const upstreamUrl = readConfig()?.document.upstreams[upstreamId]?.url;
   if (target === undefined || upstreamUrl === undefined) {
+    attempts.refuse(attemptId, {
+      code: "upstream_unreachable",
+      step: "connect",
+      peer: upstreamId,
+      message: "the call or its upstream is gone",
+    });
     return;
   }
   const { call, sink } = target;
@@ -72,11 +93,10 @@
 
 function openExchange(
   calls: CallerTask,
-  workId: WorkId,
-  attemptId: AttemptId,
+  { workId, attemptId, upstreamId }: StartAttempt,
 ): Pick<AttemptOrder, "call" | "sink"> | undefined {
   const exchange = calls.find(workId);
   return exchange === undefined
     ? undefined
-    : { call: exchange.call, sink: exchange.openSink(attemptId) };
+    : { call: exchange.call, sink: exchange.openSink(attemptId, upstreamId) };
 }
--- a/packages/daemon/src/tasks/upstream_attempt.ts
+++ b/packages/daemon/src/tasks/upstream_attempt.ts
@@ -13,11 +13,16 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_KEPT_BYTES = 262_144;
 const SERVER_ERROR = 500;
+/** Header by which an upstream names its present start. */
+const BOOT_HEADER = "x-boot-id";
+
+/** What an answer tells of the upstream. */
+type SeenUpstream = { readonly bootId?: string };
 
 type AttemptParts = {
   readonly pool: UpstreamPool;
-  readonly onFirstToken: () => void;
-  readonly onEnd: (outcome: AttemptOutcome) => void;
+  readonly onFirstToken: (seen: SeenUpstream) => void;
+  readonly onEnd: (outcome: AttemptOutcome, seen: SeenUpstream) => void;
 };
 
 /**
@@ -34,6 +39,7 @@
   #head: AnswerHead | undefined;
   #kept: Buffer[] = [];
   #keptBytes = 0;
+  #seen: SeenUpstream = {};
   #mayBeSent = false;
   #hasBegun = false;
   #isRelayed = false;
@@ -51,11 +57,14 @@
     request.end(order.call.body);
   }
 
-  /** Ends the attempt and closes its connection; nothing more is told. */
-  cancel(): void {
+  /**
+   * Ends the attempt and closes its connection; nothing more is told. Where
+   * a pooled connection went silent the idle ones go too: what lost track of
+   * one may have lost track of all.
+   */
+  cancel(isSilent: boolean): void {
     this.#isOver = true;
     this.#request.destroy();
-    const isSilent = this.#request.reusedSocket && !this.#hasBegun;
     if (isSilent) {
       this.#parts.pool.dropIdle(this.#order.upstreamUrl);
     }
@@ -90,6 +99,8 @@
     const order = this.#order;
     const echoed = answer.headers["x-request-id"];
     const status = answer.statusCode ?? 0;
+    const bootId = answer.headers[BOOT_HEADER];
+    this.#seen = bootId === undefined ? {} : { bootId: String(bootId) };
     if (echoed !== undefined && echoed !== order.attemptId) {
       this.#fail("answer_mismatch", "the answer names another request");
       return;
@@ -130,7 +141,7 @@
   #begin(): void {
     if (!this.#hasBegun) {
       this.#hasBegun = true;
-      this.#parts.onFirstToken();
+      this.#parts.onFirstToken(this.#seen);
     }
   }
 
@@ -215,7 +226,7 @@
 
   #end(outcome: AttemptOutcome): void {
     this.#isOver = true;
-    this.#parts.onEnd(outcome);
+    this.#parts.onEnd(outcome, this.#seen);
   }
 }
 
--- a/packages/fakes/src/engine/start_engine.ts
+++ b/packages/fakes/src/engine/start_engine.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import type { ServerResponse } from "node:http";
 import Router from "@koa/router";
 import Koa from "koa";
@@ -25,6 +26,7 @@
 ): Promise<FakeEngine> {
   const runs: EngineRun[] = [];
   const control = { inFlight: 0, faults: {} as Partial<EngineFaults> };
+  const bootId = randomUUID();
   const app = new Koa();
   const router = new Router();
   router.post(["/v1/chat/completions", "/v1/completions"], async (ctx) => {
@@ -54,6 +56,7 @@
     }
     const echoed = faults.isCrossed === true ? "another" : requestId;
     ctx.res.setHeader("x-request-id", echoed);
+    ctx.res.setHeader("x-boot-id", bootId);
     const answer = { body, res: ctx.res, options, faults };
     run.isFinished =
       body.stream === true
--- a/packages/fakes/src/world/effect_runner.ts
+++ b/packages/fakes/src/world/effect_runner.ts
@@ -1,6 +1,7 @@
 import {
   type AttemptId,
   assertNever,
+  type Config,
   type Effect,
   getSharded,
   type InstanceEvent,
@@ -25,9 +26,10 @@
   readonly store: VirtualStore;
   readonly network: WorldNetwork;
   readonly engines: ReadonlyMap<UpstreamId, VirtualEngine>;
-  /** The processes that run under a name. */
-  readonly findNodes: (id: InstanceId) => readonly WorldNode[];
+  readonly findNode: (id: InstanceId) => WorldNode | undefined;
   readonly post: (node: WorldNode, event: InstanceEvent) => void;
+  readonly setWatch: (node: WorldNode, isHeld: boolean) => void;
+  readonly keepConfig: (node: WorldNode, config: Config) => void;
 };
 
 /** Carries out effects of the core with the fakes of the world. */
@@ -85,6 +87,12 @@
       case "record-run":
         this.#parts.ledger.runRecords.push(effect.run);
         return;
+      case "watch-config":
+        this.#parts.setWatch(node, effect.isHeld);
+        return;
+      case "keep-config":
+        this.#parts.keepConfig(node, effect.config);
+        return;
       case "end-job":
         return;
       default:
@@ -96,16 +104,18 @@
     node: WorldNode,
     { to, message }: Extract<Effect, { kind: "send-peer" }>,
   ): void {
-    this.#parts.ledger.notePeerMessage(message);
-    this.#parts.findNodes(to).forEach((target) => {
-      const delayMs = this.#parts.network.draw(node, target);
-      if (delayMs !== undefined) {
-        const from = node.id;
-        this.#parts.queue.schedule(delayMs, () =>
-          this.#parts.post(target, { kind: "peer-message", from, message }),
-        );
-      }
-    });
+    const target = this.#parts.findNode(to);
+    this.#parts.ledger.noteMessage(message);
+    if (target === undefined) {
+      return;
+    }
+    const delayMs = this.#parts.network.draw(node, target);
+    if (delayMs !== undefined) {
+      const from = node.id;
+      this.#parts.queue.schedule(delayMs, () =>
+        this.#parts.post(target, { kind: "peer-message", from, message }),
+      );
+    }
   }
 
   #callPlatform(
--- a/packages/fakes/src/world/types.ts
+++ b/packages/fakes/src/world/types.ts
@@ -16,6 +16,8 @@
 export type WorldOptions = {
   readonly seed: number;
   readonly document: ConfigDocument;
+  /** Instances that have a disk. */
+  readonly disks?: readonly string[];
   /** Instances in each data centre. */
   readonly instances: Readonly<Record<string, number>>;
   /** Delay between two data centres, one way, milliseconds. */
@@ -74,17 +76,11 @@
     | { readonly kind: "refused"; readonly refusal: Refusal }
     /** Its instance was lost. */
     | { readonly kind: "lost" }
+    /** The caller went away. */
+    | { readonly kind: "abandoned" }
     | undefined;
 };
 
-/** Requests of a customer that one step of an instance admitted. */
-export type Admission = {
-  readonly customer: string;
-  readonly instanceId: InstanceId;
-  readonly count: number;
-  readonly atMs: number;
-};
-
 /** One process of the world. */
 export type WorldNode = {
   state: InstanceState;
--- a/packages/fakes/src/world/virtual_engine.ts
+++ b/packages/fakes/src/world/virtual_engine.ts
@@ -95,6 +95,14 @@
     );
   }
 
+  /** Loses one running answer while new requests work. */
+  silence(attemptId: AttemptId): void {
+    const running = this.#running.get(attemptId);
+    if (running !== undefined) {
+      this.#running.set(attemptId, { ...running, tell: () => undefined });
+    }
+  }
+
   cancel(attemptId: AttemptId): void {
     this.#running.delete(attemptId);
   }
--- a/packages/fakes/src/world/world.ts
+++ b/packages/fakes/src/world/world.ts
@@ -11,6 +11,7 @@
   type UpstreamId,
   type WorkOrder,
 } from "@gooseberryline/core";
+import { ConfigFeed } from "./config_feed.ts";
 import { EffectRunner } from "./effect_runner.ts";
 import { ENGINE_DEFAULTS } from "./engine_defaults.ts";
 import { EventQueue } from "./event_queue.ts";
@@ -38,22 +39,28 @@
   readonly #nodes = new Map<InstanceId, WorldNode>();
   readonly #options: WorldOptions;
   readonly #listed = new Map<string, ListedInstance>();
-  #config: Config;
+  readonly #feed: ConfigFeed;
   #incarnations = 0;
 
   constructor(options: WorldOptions) {
     this.#options = options;
-    this.#config = { revision: 1, document: options.document };
     this.network = new WorldNetwork(options.seed, options.delayMs ?? 1);
+    this.#feed = new ConfigFeed(options.document, options.disks ?? [], {
+      queue: this.queue,
+      store: this.store,
+      network: this.network,
+      post: (node, event) => this.#postTo(node, event),
+    });
     this.#runner = new EffectRunner({
       queue: this.queue,
       ledger: this.ledger,
       store: this.store,
       network: this.network,
       engines: this.engines,
-      findNodes: (id) =>
-        [...this.#nodes.values()].filter((node) => node.id === id),
+      findNode: (id) => this.#nodes.get(id),
       post: (node, event) => this.#postTo(node, event),
+      setWatch: (node, isHeld) => this.#feed.setWatch(node, isHeld),
+      keepConfig: (node, config) => this.#feed.keep(node, config),
     });
     Object.keys(options.document.upstreams).forEach((id) => {
       this.#addEngine(id as UpstreamId);
@@ -73,8 +80,10 @@
         state: "live",
       });
     });
+    const { config } = this.#feed;
     places.forEach(({ id, dataCentre }) => {
       this.start(id, dataCentre);
+      this.post(id, { kind: "config-offered", config, source: "store" });
     });
   }
 
@@ -83,13 +92,13 @@
   }
 
   get instanceIds(): readonly InstanceId[] {
-    return [...this.#nodes]
-      .filter(([, { isAlive }]) => isAlive)
-      .map(([id]) => id);
+    return [...this.#nodes.values()]
+      .filter(({ isAlive }) => isAlive)
+      .map(({ id }) => id);
   }
 
   get config(): Config {
-    return this.#config;
+    return this.#feed.config;
   }
 
   stateOf(id: InstanceId): InstanceState | undefined {
@@ -117,22 +126,10 @@
     };
     this.#nodes.set(id, node);
     this.#offerList(node);
-    this.#offerConfig(node);
+    this.#feed.offerDisk(node);
     this.#tick(node);
   }
 
-  /** Starts a second process under a name; the first one runs on as `~id`. */
-  startTwin(id: InstanceId): InstanceId | undefined {
-    const first = this.#nodes.get(id);
-    const alias = `~${id}` as InstanceId;
-    if (first === undefined || this.#nodes.get(alias)?.isAlive === true) {
-      return undefined;
-    }
-    this.#nodes.set(alias, first);
-    this.start(id, first.dataCentre);
-    return alias;
-  }
-
   /** Kills an instance hard: its state and open requests are lost. */
   kill(id: InstanceId): void {
     const node = this.#nodes.get(id);
@@ -183,18 +180,14 @@
     }
   }
 
-  /** Accepts a new configuration and offers it to instances in reach. */
+  /** Accepts a new configuration, as the store does for operators. */
   setConfig(document: ConfigDocument): Config {
-    this.#config = { revision: this.#config.revision + 1, document };
     Object.keys(document.upstreams)
       .filter((id) => !this.engines.has(id as UpstreamId))
       .forEach((id) => {
         this.#addEngine(id as UpstreamId);
       });
-    this.#nodes.forEach((node) => {
-      this.#offerConfig(node);
-    });
-    return this.#config;
+    return this.#feed.accept(document);
   }
 
   /** Lets a request arrive at an instance. */
@@ -210,13 +203,7 @@
   /** Hands an event to an instance; held back while it is paused. */
   post(id: InstanceId, event: InstanceEvent): void {
     const node = this.#nodes.get(id);
-    if (node !== undefined) {
-      this.#postTo(node, event);
-    }
-  }
-
-  #postTo(node: WorldNode, event: InstanceEvent): void {
-    if (!node.isAlive) {
+    if (node === undefined || !node.isAlive) {
       return;
     }
     if (node.isPaused) {
@@ -226,6 +213,12 @@
     this.#step(node, event);
   }
 
+  #postTo(node: WorldNode, event: InstanceEvent): void {
+    if (this.#nodes.get(node.id) === node) {
+      this.post(node.id, event);
+    }
+  }
+
   #addEngine(id: UpstreamId): void {
     const config = this.#options.document.upstreams[id];
     const model = {
@@ -259,21 +252,10 @@
     this.queue.schedule(LIST_MS, () => this.#offerList(node));
   }
 
-  #offerConfig(node: WorldNode): void {
-    const place = { id: node.id, dataCentre: node.dataCentre };
-    const isReached = !this.network.isCut(place, PLATFORM_PLACE);
-    if (isReached && !this.store.faults.isDown) {
-      const config = this.#config;
-      this.#postTo(node, { kind: "config-offered", config });
-    }
-  }
-
   #step(node: WorldNode, event: InstanceEvent): void {
     const stepWith = this.#options.step ?? stepInstance;
-    const { limits } = node.state;
     const step = stepWith(node.state, event, this.nowMs);
     node.state = step.state;
-    this.ledger.noteAdmissions(limits, step.state, this.nowMs);
     step.effects.forEach((effect) => {
       this.#runner.carryOut(node, effect);
     });
--- a/packages/fakes/src/world/world_ledger.ts
+++ b/packages/fakes/src/world/world_ledger.ts
@@ -1,21 +1,19 @@
 import type {
   AttemptId,
   InstanceId,
-  InstanceState,
   PeerMessage,
   RunRecord,
   WorkId,
   WorkOrder,
 } from "@gooseberryline/core";
-import type { Admission, CallerView, EngineRun } from "./types.ts";
+import type { CallerView, EngineRun } from "./types.ts";
 
 /** What callers and engines saw, kept outside the program under test. */
 export class WorldLedger {
   readonly #calls = new Map<WorkId, CallerView>();
   readonly #runs = new Map<AttemptId, EngineRun>();
+  readonly #messages = new Map<string, { count: number; bytes: number }>();
   readonly runRecords: RunRecord[] = [];
-  readonly admissions: Admission[] = [];
-  readonly #peerMessages = new Map<PeerMessage["kind"], number>();
 
   get calls(): readonly CallerView[] {
     return [...this.#calls.values()];
@@ -25,31 +23,22 @@
     return [...this.#runs.values()];
   }
 
-  /** Notes what a step admitted against customers' rates and bursts. */
-  noteAdmissions(
-    before: InstanceState["limits"],
-    { limits, self }: InstanceState,
-    nowMs: number,
-  ): void {
-    if (before === limits) {
-      return;
-    }
-    Object.entries(limits).forEach(([customer, limit]) => {
-      const count = limit.admitted - (before[customer]?.admitted ?? 0);
-      if (count > 0) {
-        const { instanceId } = self;
-        this.admissions.push({ customer, instanceId, count, atMs: nowMs });
-      }
-    });
+  /** Messages of a kind that instances sent to each other. */
+  countMessages(kind: PeerMessage["kind"]): number {
+    return this.#messages.get(kind)?.count ?? 0;
   }
 
-  notePeerMessage({ kind }: PeerMessage): void {
-    this.#peerMessages.set(kind, this.countPeerMessages(kind) + 1);
+  /** Bytes of a kind of message as JSON; heartbeats are only counted. */
+  countBytes(kind: PeerMessage["kind"]): number {
+    return this.#messages.get(kind)?.bytes ?? 0;
   }
 
-  /** Messages of a kind that instances sent each other. */
-  countPeerMessages(kind: PeerMessage["kind"]): number {
-    return this.#peerMessages.get(kind) ?? 0;
+  noteMessage(message: PeerMessage): void {
+    const { kind } = message;
+    const before = this.#messages.get(kind) ?? { count: 0, bytes: 0 };
+    before.count += 1;
+    before.bytes += kind === "heartbeat" ? 0 : JSON.stringify(message).length;
+    this.#messages.set(kind, before);
   }
 
   findCall(workId: WorkId): CallerView | undefined {
--- a/packages/measure/src/caller/door_test.ts
+++ b/packages/measure/src/caller/door_test.ts
@@ -91,7 +91,8 @@
 });
 
 test("a deadline only shortens", async () => {
-  const late = await refuse(body, { "x-deadline-ms": "0" });
+  const long = { ...body, max_tokens: 4_000 };
+  const late = await refuse(long, { "x-deadline-ms": "50" });
   const wrong = await refuse(body, { "x-deadline-ms": "1e3" });
   expect(late).toMatchObject({ status: 504, code: "deadline_exceeded" });
   expect(wrong).toMatchObject({ status: 400, code: "invalid_header" });
--- /dev/null
+++ b/packages/measure/src/caller/metrics_test.ts
@@ -0,0 +1,40 @@
+import { createSocket } from "node:dgram";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { waitUntil } from "../support/wait_until.ts";
+import { startDoor } from "./start_door.ts";
+
+const receiver = createSocket("udp4");
+const lines: string[] = [];
+let door: Awaited<ReturnType<typeof startDoor>>;
+
+beforeAll(async () => {
+  receiver.on("message", (data) => lines.push(...data.toString().split("\n")));
+  await new Promise<void>((resolve) => {
+    receiver.bind(0, "127.0.0.1", resolve);
+  });
+  const { port } = receiver.address();
+  const metrics = { host: "127.0.0.1", port };
+  door = await startDoor({ settings: { metrics } });
+});
+afterAll(async () => {
+  await door.stop();
+  receiver.close();
+});
+
+const waitForLine = (start: string) =>
+  waitUntil(() => lines.some((line) => line.startsWith(start)));
+
+test("requests, refusals and attempts are sent on", async () => {
+  const json = { model: "demo-model", messages: [] };
+  await door.api.post("v1/chat/completions", { json });
+  await door.api.post("v1/chat/completions", { json: { model: "none" } });
+  await waitForLine("gooseberryline.requests:1|c|#");
+  await waitForLine("gooseberryline.refusals:1|c|#");
+  await waitForLine("gooseberryline.attempts:1|c|#");
+  await waitForLine("gooseberryline.first_token_ms:");
+  await waitForLine("gooseberryline.total_ms:");
+  const request = lines.find((line) => line.includes(".requests:"));
+  expect(request).toContain("customer:demo");
+  expect(request).toContain("instance:one");
+  expect(lines.join("")).not.toContain("demo-key");
+});
--- /dev/null
+++ b/packages/measure/src/capacity/measure_fleet.ts
@@ -0,0 +1,84 @@
+import type { InstanceState } from "@gooseberryline/core";
+import { World } from "@gooseberryline/fakes";
+import { driveArrivals } from "../world/drive_arrivals.ts";
+import { buildWorldConfig } from "../world/world_config.ts";
+import { type MeterReading, StepMeter } from "./step_meter.ts";
+
+const WARM_UP_MS = 15_000;
+const MEASURED_MS = 20_000;
+const MS_PER_SECOND = 1_000;
+
+/** A fleet to be measured; every data centre is alike. */
+export type FleetSize = {
+  readonly seed: number;
+  readonly dataCentres: number;
+  readonly instancesEach: number;
+  readonly upstreamsEach: number;
+  readonly customers: number;
+  /** Requests a second over all instances and customers. */
+  readonly requestRate: number;
+};
+
+/** What one node does in a second, and what it holds. */
+export type NodeCost = {
+  readonly messages: number;
+  readonly messageBytes: number;
+  readonly cpuMs: number;
+  readonly platformReads: number;
+  readonly platformWrites: number;
+  readonly state: InstanceState;
+  readonly total: MeterReading;
+};
+
+/** Runs a fleet under virtual time and measures what a node costs. */
+export function measureFleet(size: FleetSize): NodeCost {
+  const meter = new StepMeter();
+  const ids = Array.from({ length: size.dataCentres }, (_, at) => `d${at}`);
+  const customers = Array.from({ length: size.customers }, (_, at) => `c${at}`);
+  const world = new World({
+    seed: size.seed,
+    document: buildWorldConfig({
+      dataCentres: ids,
+      upstreamsEach: size.upstreamsEach,
+      customers,
+      rate: (2 * size.requestRate) / size.customers + 1,
+      burst: (2 * size.requestRate) / size.customers + 1,
+    }),
+    instances: Object.fromEntries(ids.map((id) => [id, size.instancesEach])),
+    step: meter.step,
+  });
+  if (size.requestRate > 0) {
+    customers.forEach((customer, at) => {
+      driveArrivals(world, {
+        seed: size.seed * 1_000 + at,
+        customer,
+        rate: size.requestRate / size.customers,
+        untilMs: WARM_UP_MS + MEASURED_MS,
+      });
+    });
+  }
+  world.runFor(WARM_UP_MS);
+  meter.reset();
+  world.runFor(MEASURED_MS);
+  return describeCost(world, meter.reading);
+}
+
+function describeCost(world: World, total: MeterReading): NodeCost {
+  const ids = world.instanceIds;
+  const [first] = ids;
+  const state = first === undefined ? undefined : world.stateOf(first);
+  if (state === undefined) {
+    throw new Error("the fleet has no instance");
+  }
+  const seconds = MEASURED_MS / MS_PER_SECOND;
+  const each = (count: number): number => count / seconds / ids.length;
+  return {
+    messages: each(total.messages),
+    messageBytes: each(total.messageBytes),
+    cpuMs: each(total.cpuMs),
+    platformReads: each(total.platformReads),
+    platformWrites: each(total.platformWrites),
+    state,
+    total,
+  };
+}
--- /dev/null
+++ b/packages/measure/src/matrix/run_cell.ts
@@ -0,0 +1,74 @@
+import { INVARIANTS } from "@gooseberryline/core";
+import type { WorldOptions } from "@gooseberryline/fakes";
+import { checkLedger } from "../soak/check_ledger.ts";
+import { SoakFleet } from "../soak/soak_fleet.ts";
+import type { Cell, CellVerdict, Scenario } from "./types.ts";
+
+const SEED = 11;
+const RATE = 100;
+const BURST = 50;
+const START_MS = 2_000;
+const SEARCH_MS = 12_000;
+const STRUCK_MS = 3_000;
+const REST_MS = 40_000;
+const STEP_MS = 1;
+
+/** Runs a cell with the first scenario that reaches its step. */
+export function runCell(cell: Cell, step?: WorldOptions["step"]): CellVerdict {
+  INVARIANTS.shouldThrow = true;
+  try {
+    return cell.subject.scenarios.reduce<CellVerdict>(
+      (verdict, scenario) =>
+        verdict.kind === "unreached"
+          ? runScenario(cell, scenario, step)
+          : verdict,
+      { kind: "unreached" },
+    );
+  } catch (error) {
+    return { kind: "broken", message: (error as Error).message };
+  }
+}
+
+function runScenario(
+  { subject, step, faults }: Cell,
+  scenario: Scenario,
+  stepWith: WorldOptions["step"],
+): CellVerdict {
+  const fleet = new SoakFleet({
+    seed: SEED,
+    step: stepWith,
+    rate: RATE,
+    burst: BURST,
+  });
+  fleet.world.runFor(START_MS);
+  scenario.start(fleet);
+  const isReached = runUntil(fleet, () => subject.readStep(fleet) === step);
+  if (!isReached) {
+    return { kind: "unreached" };
+  }
+  faults.forEach((fault) => {
+    const place = subject.locate(fleet);
+    fault.strike(fleet, place);
+    fleet.world.runFor(STRUCK_MS);
+    fault.mend(fleet, place);
+  });
+  fleet.settle(REST_MS);
+  const [promise] = checkLedger(fleet.world.ledger);
+  const [own] = subject.listFaults(fleet);
+  const message =
+    promise === undefined ? own : `${promise.promise}: ${promise.detail}`;
+  return message === undefined
+    ? { kind: "held", scenario: scenario.name }
+    : { kind: "broken", message: `${scenario.name}: ${message}` };
+}
+
+function runUntil(fleet: SoakFleet, isTrue: () => boolean): boolean {
+  const endsMs = fleet.world.nowMs + SEARCH_MS;
+  while (fleet.world.nowMs < endsMs) {
+    if (isTrue()) {
+      return true;
+    }
+    fleet.world.runFor(STEP_MS);
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/measure/src/matrix/subject_list.ts
@@ -0,0 +1,8 @@
+import { buildRequestSubject } from "./subjects/build_request_subject.ts";
+import type { Subject } from "./types.ts";
+
+/** Everything that goes through a chart of the core. */
+export const SUBJECT_LIST: readonly Subject[] = [
+  buildRequestSubject("counter"),
+  buildRequestSubject("charge"),
+];
--- a/packages/measure/src/measures/measure_list.ts
+++ b/packages/measure/src/measures/measure_list.ts
@@ -1,4 +1,5 @@
+import { RELAY_OVERHEAD } from "./relay_overhead.ts";
 import type { Measure } from "./types.ts";
 
 /** Every measurement, in the order in which they run. */
-export const MEASURE_LIST: readonly Measure[] = [];
+export const MEASURE_LIST: readonly Measure[] = [RELAY_OVERHEAD];
--- /dev/null
+++ b/packages/measure/src/processes/count_over_limit.ts
@@ -0,0 +1,31 @@
+import { groupBy } from "@gooseberryline/core";
+import type { CallResult } from "./types.ts";
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Counts windows that hold more admissions than the limit allows. A call
+ * counts in a window when it was sent and ended within it, so that its
+ * admission surely lies in there.
+ */
+export function countOverLimit(
+  results: readonly CallResult[],
+  { rate, burst }: { readonly rate: number; readonly burst: number },
+): number {
+  const admitted = results.filter(
+    ({ end }) => end.kind === "answered" || end.kind === "partial",
+  );
+  const groups = [...groupBy(admitted, ({ customer }) => customer).values()];
+  return groups
+    .flatMap((calls) => {
+      const byEnd = calls.toSorted((a, b) => a.endedMs - b.endedMs);
+      return calls.map(({ sentMs }) => {
+        const inside = byEnd.filter((call) => call.sentMs >= sentMs);
+        return inside.some(({ endedMs }, at) => {
+          const seconds = (endedMs - sentMs) / MS_PER_SECOND;
+          return at + 1 > rate * seconds + burst;
+        });
+      });
+    })
+    .filter((isOver) => isOver).length;
+}
--- /dev/null
+++ b/packages/measure/src/processes/process_fleet.ts
@@ -0,0 +1,176 @@
+import { createHash } from "node:crypto";
+import { mkdtemp, writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { type FakeEngine, startEngine } from "@gooseberryline/fakes";
+import { got } from "got";
+import { buildProcessConfig } from "./build_process_config.ts";
+import { type Program, spawnProgram } from "./spawn_program.ts";
+
+const PACKAGES = new URL("../../../", import.meta.url).pathname;
+const DAEMON = join(PACKAGES, "daemon/dist/main.js");
+const STORE = join(PACKAGES, "fakes/dist/programs/store_main.js");
+const ENGINES_EACH = [3, 3, 2] as const;
+
+/** Operator's token of every instance. */
+const TOKEN = "operator-token";
+
+const DATA_CENTRES = ["a", "b", "c"] as const;
+
+type Ports = {
+  readonly caller: number;
+  readonly admin: number;
+  readonly peer: number;
+};
+
+/** Six daemons in three data centres, a store and eight engines. */
+export class ProcessFleet {
+  readonly engines: FakeEngine[] = [];
+  readonly logs: string[] = [];
+  readonly #daemons = new Map<string, Program>();
+  readonly #ports = new Map<string, Ports>();
+  #folder = "";
+  #store: Program | undefined;
+
+  get instanceIds(): readonly string[] {
+    return [...this.#ports.keys()];
+  }
+
+  async start(customers: readonly string[]): Promise<void> {
+    this.#folder = await mkdtemp(join(tmpdir(), "gooseberryline-run-"));
+    const upstreams = await this.#startEngines();
+    const document = buildProcessConfig({ customers, upstreams });
+    const config = join(this.#folder, "config.json");
+    await writeFile(config, JSON.stringify(document));
+    const ids = DATA_CENTRES.flatMap((id) => [`${id}-1`, `${id}-2`]);
+    for (const id of ids) {
+      const [caller = 0, admin = 0, peer = 0] = await findPorts(3);
+      this.#ports.set(id, { caller, admin, peer });
+    }
+    const listed = ids.flatMap((id) => [
+      "--instance",
+      `${id},${readDataCentre(id)},127.0.0.1:${this.#ports.get(id)?.peer}`,
+    ]);
+    this.#store = await spawnProgram(STORE, ["--config", config, ...listed]);
+    await Promise.all(ids.map((id) => this.startDaemon(id)));
+    await Promise.all(ids.map((id) => this.#waitUntilReady(id)));
+  }
+
+  async startDaemon(id: string): Promise<void> {
+    const ports = this.#ports.get(id);
+    const settings = {
+      instanceId: id,
+      dataCentre: readDataCentre(id),
+      callerListener: { port: ports?.caller },
+      adminListener: { port: ports?.admin },
+      peerListener: { port: ports?.peer },
+      platform: { url: this.#store?.listening.url },
+      dataFolder: join(this.#folder, id),
+      operators: [
+        {
+          name: "run",
+          role: "operator",
+          tokenHash: createHash("sha256").update(TOKEN).digest("hex"),
+        },
+      ],
+    };
+    const file = join(this.#folder, `${id}.jsonc`);
+    await writeFile(file, JSON.stringify(settings));
+    const program = await spawnProgram(DAEMON, ["--settings", file], (line) => {
+      this.logs.push(line);
+    });
+    this.#daemons.set(id, program);
+  }
+
+  /** Sends a signal to a daemon; resolves at its end for ending signals. */
+  async signal(id: string, signal: NodeJS.Signals): Promise<number | null> {
+    const program = this.#daemons.get(id);
+    program?.process.kill(signal);
+    const isEnding = signal === "SIGKILL" || signal === "SIGTERM";
+    return isEnding ? ((await program?.ended) ?? null) : null;
+  }
+
+  callerUrl(id: string): string {
+    return `http://127.0.0.1:${this.#ports.get(id)?.caller}`;
+  }
+
+  /** Calls the administration API of an instance. */
+  async administer(id: string, path: string): Promise<void> {
+    const { admin } = this.#ports.get(id) ?? {};
+    await got.post(`http://127.0.0.1:${admin}/admin/v1/${path}`, {
+      headers: { authorization: `Bearer ${TOKEN}` },
+    });
+  }
+
+  async setStore(faults: Readonly<Record<string, unknown>>): Promise<void> {
+    const url = this.#store?.listening.url;
+    await got.post(`${url}/control/faults`, { json: faults });
+  }
+
+  async stop(): Promise<void> {
+    this.#daemons.forEach(({ process: child }) => {
+      child.kill("SIGKILL");
+    });
+    this.#store?.process.kill("SIGKILL");
+    await Promise.all(this.engines.map((engine) => engine.close()));
+  }
+
+  async #startEngines() {
+    const places = DATA_CENTRES.flatMap((dataCentre, at) =>
+      Array.from({ length: ENGINES_EACH[at] ?? 0 }, () => dataCentre),
+    );
+    return Promise.all(
+      places.map(async (dataCentre, at) => {
+        const engine = await startEngine({
+          firstTokenMs: 50,
+          tokenMs: 10,
+          tokens: 12,
+        });
+        this.engines.push(engine);
+        return { id: `engine-${at}`, dataCentre, url: engine.url };
+      }),
+    );
+  }
+
+  async #waitUntilReady(id: string): Promise<void> {
+    const { admin } = this.#ports.get(id) ?? {};
+    const { statusCode } = await got(`http://127.0.0.1:${admin}/readyz`, {
+      throwHttpErrors: false,
+      retry: { limit: 0 },
+    });
+    if (statusCode !== 200) {
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      await this.#waitUntilReady(id);
+    }
+  }
+}
+
+function readDataCentre(id: string): string {
+  return id.split("-")[0] ?? "";
+}
+
+async function findPorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<void>((resolve) => {
+          server.listen(0, "127.0.0.1", resolve);
+        }),
+    ),
+  );
+  const ports = servers.map((server) => {
+    const address = server.address();
+    return typeof address === "object" ? (address?.port ?? 0) : 0;
+  });
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<void>((resolve) => {
+          server.close(() => resolve());
+        }),
+    ),
+  );
+  return ports;
+}
--- /dev/null
+++ b/packages/measure/src/processes/send_call.ts
@@ -0,0 +1,67 @@
+import { got, RequestError } from "got";
+import type { CallEnd } from "./types.ts";
+
+const TIMEOUT_MS = 20_000;
+
+type Refused = {
+  readonly error?: { readonly code: string; readonly run: string };
+};
+
+/** Sends one request and tells how it ended for its caller. */
+export async function sendCall(
+  url: string,
+  call: {
+    readonly instanceId: string;
+    readonly customer: string;
+    readonly mark: string;
+    readonly isStream: boolean;
+    readonly profile: string;
+  },
+): Promise<CallEnd> {
+  const { instanceId, customer, mark, isStream, profile } = call;
+  try {
+    const { statusCode, body } = await got.post(`${url}/v1/chat/completions`, {
+      json: {
+        model: "pega",
+        stream: isStream,
+        messages: [{ role: "user", content: mark }],
+      },
+      headers: {
+        authorization: `Bearer key-${customer}`,
+        "x-gooseberryline-profile": profile,
+        ...(profile === "order" ? { "idempotency-key": mark } : {}),
+      },
+      throwHttpErrors: false,
+      retry: { limit: 0 },
+      timeout: { request: TIMEOUT_MS },
+    });
+    return statusCode === 200
+      ? describeAnswer(body, isStream)
+      : describeRefusal(body);
+  } catch (error) {
+    if (error instanceof RequestError) {
+      return { kind: "broken", instanceId };
+    }
+    throw error;
+  }
+}
+
+function describeAnswer(body: string, isStream: boolean): CallEnd {
+  const failed = /event: error\ndata: (.*)/.exec(body)?.[1];
+  if (failed !== undefined) {
+    return describeRefusal(failed);
+  }
+  const isWhole = isStream
+    ? body.includes("data: [DONE]")
+    : body.includes('"choices"');
+  return { kind: isWhole ? "answered" : "partial" };
+}
+
+function describeRefusal(body: string): CallEnd {
+  const { error } = JSON.parse(body) as Refused;
+  return {
+    kind: "refused",
+    code: error?.code ?? "unknown",
+    run: error?.run ?? "unknown",
+  };
+}
--- /dev/null
+++ b/packages/measure/src/relay/start_relay.ts
@@ -0,0 +1,111 @@
+import {
+  Agent,
+  createServer,
+  type IncomingMessage,
+  request,
+  type ServerResponse,
+} from "node:http";
+import { got } from "got";
+
+const COALESCE_MS = 10;
+const PATH = "/v1/chat/completions";
+
+/** Ways to relay a stream, without any of the product's decisions. */
+export type RelayKind = "got-stream" | "http-pipe" | "http-coalesced";
+
+export type Relay = { readonly url: string; readonly close: () => void };
+
+type Pass = (url: string, body: Buffer, res: ServerResponse) => void;
+
+const PASSES: Readonly<Record<RelayKind, Pass>> = {
+  "got-stream": (url, body, res) => void relayByGot(url, body, res),
+  "http-pipe": (url, body, res) =>
+    open(url, body, (answer) => {
+      res.writeHead(200, { "content-type": "text/event-stream" });
+      answer.pipe(res);
+    }),
+  "http-coalesced": (url, body, res) =>
+    open(url, body, (answer) => relayCoalesced(answer, res)),
+};
+
+/** Starts a bare relay that spreads its streams over the engines. */
+export async function startRelay(
+  kind: RelayKind,
+  engineUrls: readonly string[],
+): Promise<Relay> {
+  const control = { count: 0 };
+  const server = createServer((req, res) => {
+    const chunks: Buffer[] = [];
+    req.on("data", (chunk: Buffer) => chunks.push(chunk));
+    req.on("end", () => {
+      control.count += 1;
+      const url = engineUrls[control.count % engineUrls.length] ?? "";
+      PASSES[kind](url, Buffer.concat(chunks), res);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as { port: number };
+  return {
+    url: `http://127.0.0.1:${port}`,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+const AGENT = new Agent({ keepAlive: true });
+
+function open(
+  url: string,
+  body: Buffer,
+  onAnswer: (answer: IncomingMessage) => void,
+): void {
+  const headers = { "content-length": String(body.length) };
+  const req = request(`${url}${PATH}`, {
+    method: "POST",
+    headers,
+    agent: AGENT,
+  });
+  req.on("response", onAnswer);
+  req.on("error", () => undefined);
+  req.end(body);
+}
+
+async function relayByGot(
+  url: string,
+  body: Buffer,
+  res: ServerResponse,
+): Promise<void> {
+  const stream = got.stream.post(`${url}${PATH}`, {
+    body,
+    retry: { limit: 0 },
+    decompress: false,
+  });
+  stream.on("error", () => res.destroy());
+  res.writeHead(200, { "content-type": "text/event-stream" });
+  for await (const chunk of stream as AsyncIterable<Buffer>) {
+    res.write(chunk);
+  }
+  res.end();
+}
+
+function relayCoalesced(answer: IncomingMessage, res: ServerResponse): void {
+  const held: Buffer[] = [];
+  const control = { timer: undefined as NodeJS.Timeout | undefined };
+  const flush = (): void => {
+    control.timer = undefined;
+    res.write(Buffer.concat(held.splice(0)));
+  };
+  res.writeHead(200, { "content-type": "text/event-stream" });
+  answer.on("data", (chunk: Buffer) => {
+    held.push(chunk);
+    control.timer ??= setTimeout(flush, COALESCE_MS);
+  });
+  answer.on("end", () => {
+    clearTimeout(control.timer);
+    res.end(Buffer.concat(held));
+  });
+}
--- a/packages/measure/src/soak/run_actions.ts
+++ b/packages/measure/src/soak/run_actions.ts
@@ -15,7 +15,7 @@
   const before = countChecks();
   INVARIANTS.shouldThrow = true;
   try {
-    const fleet = new SoakFleet(seed, step);
+    const fleet = new SoakFleet({ seed, step });
     actions.forEach((action) => {
       fleet.apply(action);
     });
--- a/packages/measure/src/soak/soak_fleet.ts
+++ b/packages/measure/src/soak/soak_fleet.ts
@@ -3,6 +3,7 @@
   type DataCentreId,
   type InstanceId,
   type UpstreamId,
+  type WorkId,
 } from "@gooseberryline/core";
 import { World, type WorldOptions } from "@gooseberryline/fakes";
 import { driveArrivals } from "../world/drive_arrivals.ts";
@@ -14,21 +15,29 @@
 const BURST_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 
+/** Size of each customer's rate and burst, and the core's step. */
+export type FleetOptions = {
+  readonly seed: number;
+  readonly step?: WorldOptions["step"] | undefined;
+  readonly rate?: number;
+  readonly burst?: number;
+};
+
 /** A fleet of today's size to which actions happen. */
 export class SoakFleet {
   readonly world: World;
   readonly #dead: { id: InstanceId; dataCentre: DataCentreId }[] = [];
   #requestSeed = 1;
 
-  constructor(seed: number, step?: WorldOptions["step"]) {
+  constructor({ seed, step, rate, burst }: FleetOptions) {
     this.world = new World({
       seed,
       document: buildWorldConfig({
         dataCentres: DATA_CENTRES,
         upstreamsEach: 2,
         customers: CUSTOMERS,
-        rate: 20,
-        burst: 10,
+        rate: rate ?? 20,
+        burst: burst ?? 10,
         concurrency: 8,
       }),
       instances: { a: 2, b: 2, c: 2 },
@@ -115,6 +124,15 @@
     }
   }
 
+  /** Lets a request's caller go away. */
+  abandon(id: InstanceId, workId: WorkId): void {
+    const { world } = this;
+    if (world.ledger.findCall(workId)?.end === undefined) {
+      world.ledger.noteEnd(workId, { kind: "abandoned" }, world.nowMs);
+      world.post(id, { kind: "request-abandoned", workId });
+    }
+  }
+
   /** Ends every fault and lets the fleet come to rest. */
   settle(restMs: number): void {
     this.apply({ kind: "heal" });
--- a/packages/measure/src/world/world_test.ts
+++ b/packages/measure/src/world/world_test.ts
@@ -4,7 +4,7 @@
 import { driveArrivals } from "./drive_arrivals.ts";
 import { buildWorldConfig } from "./world_config.ts";
 
-const createWorld = (seed: number, each = 2) =>
+const createWorld = (seed: number) =>
   new World({
     seed,
     document: buildWorldConfig({
@@ -12,7 +12,7 @@
       upstreamsEach: 2,
       customers: ["c1", "c2"],
     }),
-    instances: { a: each, b: each },
+    instances: { a: 2, b: 2 },
   });
 
 const runWorld = (seed: number) => {
@@ -37,25 +37,43 @@
   expect(runWorld(7).ledger.calls).toEqual(runWorld(7).ledger.calls);
 });
 
-const listHeard = (world: World, id: InstanceId) =>
-  Object.values(world.stateOf(id)?.membership.members ?? {})
+const heardAt = (world: World, id: string) => {
+  const state = world.stateOf(id as InstanceId);
+  return Object.values(state?.membership.members ?? {})
     .filter(({ heardMs }) => heardMs > 0)
-    .map(({ instanceId }) => instanceId);
+    .map(({ instanceId }): string => instanceId);
+};
 
-test("heartbeats reach a data centre and two delegates of each other", () => {
-  const world = createWorld(3, 3);
+test("heartbeats reach the instances of a data centre", () => {
+  const world = createWorld(3);
   world.runFor(1_000);
-  const heard = world.instanceIds.map((id) => {
-    const ids = listHeard(world, id);
-    const near = ids.filter((other) => other[0] === id[0]);
-    return { id, near: near.length, far: ids.length - near.length };
+  const local = heardAt(world, "a-0").filter((id) => id.startsWith("a-"));
+  expect(local).toEqual(["a-1"]);
+});
+
+test("only delegates speak to other data centres", () => {
+  const world = new World({
+    seed: 3,
+    document: buildWorldConfig({
+      dataCentres: ["a", "b"],
+      upstreamsEach: 1,
+      customers: ["c1"],
+    }),
+    instances: { a: 6, b: 6 },
   });
-  expect(heard.map(({ near }) => near)).toEqual([2, 2, 2, 2, 2, 2]);
-  const far = (place: string) =>
-    heard
-      .filter(({ id }) => id.startsWith(place))
-      .map((one) => one.far)
-      .sort();
-  expect(far("a")).toEqual([0, 2, 2]);
-  expect(far("b")).toEqual([0, 2, 2]);
+  world.runFor(2_500);
+  const before = new Map(
+    world.instanceIds.map((id) => [id, world.stateOf(id)?.membership.members]),
+  );
+  world.runFor(10_000);
+  const speakers = world.instanceIds.flatMap((id) =>
+    Object.values(world.stateOf(id)?.membership.members ?? {})
+      .filter(({ dataCentre }) => !id.startsWith(dataCentre))
+      .filter(
+        ({ instanceId, heardMs }) =>
+          heardMs > (before.get(id)?.[instanceId]?.heardMs ?? 0),
+      )
+      .map(({ instanceId }) => instanceId),
+  );
+  expect(new Set(speakers).size).toBe(4);
 });
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -1,4 +1,14 @@
 /** What the system's processes say to the platform and to each other. */
+export type { BlobInfo__Output as BlobInfo } from "./generated/gooseberryline/BlobInfo.ts";
+export type { Envelope } from "./generated/gooseberryline/Envelope.ts";
+export type {
+  PeerClient,
+  PeerHandlers,
+} from "./generated/gooseberryline/Peer.ts";
+export { decodeMessage } from "./peers/decode_message.ts";
+export { encodeMessage } from "./peers/encode_message.ts";
+export { PEER_SERVICE } from "./peers/peer_service.ts";
+export type * from "./peers/types.ts";
 export { connectPlatform } from "./platform/connect_platform.ts";
 export {
   PlatformError,
--- /dev/null
+++ b/packages/protocol/src/peers/peer_service.ts
@@ -0,0 +1,21 @@
+import { fileURLToPath } from "node:url";
+import { loadPackageDefinition } from "@grpc/grpc-js";
+import { loadSync } from "@grpc/proto-loader";
+import type { ProtoGrpcType } from "../generated/peer.ts";
+
+const FILE = new URL("../../proto/peer.proto", import.meta.url);
+
+/**
+ * Client and service definition of what instances say to each other. Types
+ * are generated: `npm run generate -w packages/protocol`.
+ */
+export const PEER_SERVICE = loadPeerService();
+
+function loadPeerService(): ProtoGrpcType["gooseberryline"]["Peer"] {
+  const definition = loadSync(fileURLToPath(FILE), {
+    longs: Number,
+    defaults: true,
+  });
+  const loaded = loadPackageDefinition(definition) as unknown as ProtoGrpcType;
+  return loaded.gooseberryline.Peer;
+}
--- /dev/null
+++ b/packages/protocol/src/peers/peers_test.ts
@@ -0,0 +1,44 @@
+import type { DataCentreId, InstanceId } from "@gooseberryline/core";
+import { expect, test } from "vitest";
+import { decodeMessage } from "./decode_message.ts";
+import { encodeMessage } from "./encode_message.ts";
+import { PEER_SERVICE } from "./peer_service.ts";
+import type { PeerDelivery } from "./types.ts";
+
+const delivery: PeerDelivery = {
+  from: "one" as InstanceId,
+  incarnation: "1a",
+  sequence: 7,
+  message: {
+    kind: "heartbeat",
+    dataCentre: "a" as DataCentreId,
+    address: "127.0.0.1:9",
+    incarnation: "1a",
+    revision: 3,
+    isStopping: false,
+    isWatchBroken: false,
+  },
+};
+
+const { requestSerialize, requestDeserialize } = PEER_SERVICE.service.Deliver;
+
+const sendOver = (sent: PeerDelivery) =>
+  requestDeserialize(requestSerialize(encodeMessage(sent)));
+
+test("a message survives the wire", () => {
+  const decoded = decodeMessage(sendOver(delivery));
+  expect(decoded).toEqual({ kind: "message", delivery });
+});
+
+test("a kind of another build is told", () => {
+  const envelope = { ...sendOver(delivery), kind: "toString" };
+  expect(decodeMessage(envelope)).toEqual({
+    kind: "unknown-kind",
+    name: "toString",
+  });
+});
+
+test.each(["", "[]", "null", "{"])("broken fields %j are told", (json) => {
+  const envelope = { ...sendOver(delivery), json };
+  expect(decodeMessage(envelope).kind).toBe("broken");
+});
--- a/packages/protocol/src/platform/connect_platform.ts
+++ b/packages/protocol/src/platform/connect_platform.ts
@@ -1,14 +1,16 @@
+import { Agent } from "node:http";
 import type { PlatformRecord } from "@gooseberryline/core";
-import { got, HTTPError } from "got";
+import { got, HTTPError, TimeoutError } from "got";
 import { PlatformError } from "./platform_error.ts";
 import type { CasAnswer, Platform, WatchAnswer } from "./types.ts";
 
 const CALL_TIMEOUT_MS = 2_000;
-const WATCH_TIMEOUT_MS = 35_000;
 const DEFAULT_RETRY_AFTER_MS = 1_000;
 
 /** Connects to the platform's key-value service at a base URL. */
 export function connectPlatform(url: string): Platform {
+  // Each watch has its own connection: a pooled one may have gone silent.
+  const watchAgent = { http: new Agent({ keepAlive: false }) };
   const call = <Answer>(
     step: string,
     body: unknown,
@@ -31,8 +33,21 @@
       (await call<{ records: PlatformRecord[] }>("kv/list", { prefix }))
         .records,
     cas: (request) => call<CasAnswer>("kv/cas", request),
-    watch: (prefix, revision) =>
-      call<WatchAnswer>("kv/watch", { prefix, revision }, WATCH_TIMEOUT_MS),
+    watch: (prefix, revision, waitMs) =>
+      got
+        .post(`${url}/kv/watch`, {
+          json: { prefix, revision },
+          retry: { limit: 0 },
+          timeout: { request: waitMs },
+          agent: watchAgent,
+        })
+        .json<WatchAnswer>()
+        .catch((error: unknown) => {
+          if (error instanceof TimeoutError) {
+            return undefined;
+          }
+          throw describeError(error, "kv/watch", url);
+        }),
     grantLease: async (ttlMs) =>
       (await call<{ leaseId: string }>("lease/grant", { ttlMs })).leaseId,
     keepLease: async (leaseId) =>
--- a/packages/protocol/src/platform/types.ts
+++ b/packages/protocol/src/platform/types.ts
@@ -29,8 +29,15 @@
   readonly get: (key: string) => Promise<PlatformRecord | undefined>;
   readonly list: (prefix: string) => Promise<readonly PlatformRecord[]>;
   readonly cas: (request: CasRequest) => Promise<CasAnswer>;
-  /** Waits for a change under `prefix` after `revision`, or a while. */
-  readonly watch: (prefix: string, revision: number) => Promise<WatchAnswer>;
+  /**
+   * Waits for a change under `prefix` after `revision`; undefined where none
+   * was told within `waitMs`.
+   */
+  readonly watch: (
+    prefix: string,
+    revision: number,
+    waitMs: number,
+  ) => Promise<WatchAnswer | undefined>;
   readonly grantLease: (ttlMs: number) => Promise<string>;
   readonly keepLease: (leaseId: string) => Promise<boolean>;
   readonly listInstances: () => Promise<readonly ListedInstance[]>;
