--- a/packages/core/src/config/adopt_config.ts
+++ b/packages/core/src/config/adopt_config.ts
@@ -1,7 +1,7 @@
 import { chainAll } from "../instance/chain_all.ts";
 import { chainStep } from "../instance/chain_step.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
-import { cancelJob } from "../jobs/cancel_job.ts";
+import { stopWithdrawn } from "../jobs/stop_withdrawn.ts";
 import { refillBucket } from "../limits/refill_bucket.ts";
 import type { Bucket } from "../limits/types.ts";
 import { listSharded } from "../sharded/list_sharded.ts";
@@ -34,13 +34,10 @@
     .map(({ order }) => order)
     .filter((order) => !holdsKey(config.document, order))
     .map(({ workId }) => workId);
-  const jobIds = Object.values(adopted.jobs)
-    .filter(({ spec }) => !holdsKey(config.document, spec))
-    .map(({ spec }) => spec.jobId);
   const cancelled = chainAll(adopted, withdrawn, (at, workId) =>
     cancelWork(at, workId, "key_withdrawn"),
   );
-  return chainStep(cancelled, (after) => chainAll(after, jobIds, cancelJob));
+  return chainStep(cancelled, (after) => stopWithdrawn(after, nowMs));
 }
 
 function buildBuckets(
--- a/packages/core/src/instance/create_instance.ts
+++ b/packages/core/src/instance/create_instance.ts
@@ -1,3 +1,4 @@
+import { createJobs } from "../jobs/create_jobs.ts";
 import { createSharded } from "../sharded/create_sharded.ts";
 import type { InstanceSelf, InstanceState } from "./types.ts";
 
@@ -18,7 +19,7 @@
     attempts: createSharded(),
     timers: {},
     queues: { services: {}, tags: {} },
-    jobs: {},
+    jobs: createJobs(),
     membership: { members: {}, nextHeartbeatMs: 0, nextDelegateMs: 0 },
     spread: {
       startedMs: undefined,
--- a/packages/core/src/instance/handle_message.ts
+++ b/packages/core/src/instance/handle_message.ts
@@ -1,6 +1,7 @@
 import { answerConfig } from "../config/answer_config.ts";
 import { takeConfig } from "../config/take_config.ts";
 import type { InstanceId } from "../ids/types.ts";
+import { stopJob } from "../jobs/stop_job.ts";
 import { noteHeartbeat } from "../membership/note_heartbeat.ts";
 import { assertNever } from "../shared/assert_never.ts";
 import type { InstanceState, PeerMessage, Step } from "./types.ts";
@@ -17,6 +18,8 @@
   switch (message.kind) {
     case "heartbeat":
       return noteHeartbeat(state, from, { heartbeat: message, nowMs });
+    case "job-cancelled":
+      return stopJob(state, message.jobId, nowMs);
     case "config-asked":
       return answerConfig(state, from, message.have);
     case "config-sent":
--- a/packages/core/src/instance/peer_message_kinds.ts
+++ b/packages/core/src/instance/peer_message_kinds.ts
@@ -8,4 +8,5 @@
   heartbeat: true,
   "config-asked": true,
   "config-sent": true,
+  "job-cancelled": true,
 };
--- a/packages/core/src/instance/step_instance.ts
+++ b/packages/core/src/instance/step_instance.ts
@@ -3,8 +3,11 @@
 import { stepSpread } from "../config/step_spread.ts";
 import { checkInvariant } from "../invariants/check_invariant.ts";
 import { cancelJob } from "../jobs/cancel_job.ts";
+import { noteOutput } from "../jobs/note_output.ts";
 import { offerJob } from "../jobs/offer_job.ts";
+import { retryResult } from "../jobs/retry_result.ts";
 import { settleResult } from "../jobs/settle_result.ts";
+import { stepJobs } from "../jobs/step_jobs.ts";
 import { noteList } from "../membership/note_list.ts";
 import { sendDelegateHeartbeats } from "../membership/send_delegate_heartbeats.ts";
 import { sendHeartbeats } from "../membership/send_heartbeats.ts";
@@ -56,15 +59,19 @@
     case "request-abandoned":
       return abandonRequest(state, event.workId);
     case "job-offered":
-      return offerJob(state, event.spec);
+      return offerJob(state, event, nowMs);
     case "job-cancel-asked":
-      return cancelJob(state, event.jobId);
+      return cancelJob(state, event, nowMs);
     case "attempt-first-token":
       return noteFirstToken(state, event.attemptId);
     case "attempt-ended":
       return endAttempt(state, event, nowMs);
     case "result-stored":
-      return settleResult(state, event);
+      return settleResult(state, event, nowMs);
+    case "result-store-failed":
+      return retryResult(state, event);
+    case "output-built":
+      return noteOutput(state, event, nowMs);
     case "stop-asked":
       return { state: { ...state, isStopping: true }, effects: [] };
     case "peer-message":
@@ -76,7 +83,13 @@
     case "tick":
       return chainAll(
         state,
-        [expireWork, sendHeartbeats, sendDelegateHeartbeats, stepSpread],
+        [
+          expireWork,
+          sendHeartbeats,
+          sendDelegateHeartbeats,
+          stepSpread,
+          stepJobs,
+        ],
         (at, stepBy) => stepBy(at, nowMs),
       );
     default:
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -8,13 +8,22 @@
 } from "../config/types.ts";
 import type {
   AttemptId,
+  CustomerId,
   DataCentreId,
   InstanceId,
   JobId,
   UpstreamId,
   WorkId,
 } from "../ids/types.ts";
-import type { ItemResult, Job, JobSpec } from "../jobs/types.ts";
+import type {
+  EndedSegment,
+  ItemResult,
+  JobCancelled,
+  JobOutput,
+  JobSpec,
+  JobsState,
+  OfferAnswer,
+} from "../jobs/types.ts";
 import type { Bucket } from "../limits/types.ts";
 import type {
   Heartbeat,
@@ -48,6 +57,8 @@
   readonly address: string;
   /** Unique for each start of the process. */
   readonly incarnation: string;
+  /** Whether it has a data folder that outlasts the process. */
+  readonly hasDisk: boolean;
 };
 
 /** All that an instance knows; plain data. */
@@ -65,14 +76,14 @@
   /** Timers by group of `TIMER_GROUP_MS`. */
   readonly timers: Table<readonly Timer[]>;
   readonly queues: QueueState;
-  readonly jobs: Table<Job>;
+  readonly jobs: JobsState;
   readonly membership: MembershipState;
   readonly spread: SpreadState;
   readonly platform: PlatformState;
 };
 
 /** What instances say to each other. */
-export type PeerMessage = Heartbeat | ConfigAsked | ConfigSent;
+export type PeerMessage = Heartbeat | ConfigAsked | ConfigSent | JobCancelled;
 
 /** What happened, as told by the daemon's tasks. */
 export type InstanceEvent =
@@ -85,8 +96,16 @@
   | { readonly kind: "config-watch-ended"; readonly isReached: boolean }
   | { readonly kind: "request-arrived"; readonly order: WorkOrder }
   | { readonly kind: "request-abandoned"; readonly workId: WorkId }
-  | { readonly kind: "job-offered"; readonly spec: JobSpec }
-  | { readonly kind: "job-cancel-asked"; readonly jobId: JobId }
+  | {
+      readonly kind: "job-offered";
+      readonly offerId: string;
+      readonly spec: JobSpec;
+    }
+  | {
+      readonly kind: "job-cancel-asked";
+      readonly jobId: JobId;
+      readonly customer: CustomerId;
+    }
   | {
       readonly kind: "attempt-first-token";
       readonly attemptId: AttemptId;
@@ -104,6 +123,23 @@
       readonly jobId: JobId;
       readonly index: number;
       readonly result: ItemResult;
+      readonly blobId: string;
+    }
+  /** A disk of the file failed; the answer is kept until it is stored. */
+  | {
+      readonly kind: "result-store-failed";
+      readonly jobId: JobId;
+      readonly index: number;
+      readonly attemptId: AttemptId | undefined;
+      readonly result: ItemResult;
+      readonly blobId: string;
+      readonly disk: InstanceId;
+    }
+  /** A job's files were built; without `output` they could not be. */
+  | {
+      readonly kind: "output-built";
+      readonly jobId: JobId;
+      readonly output: JobOutput | undefined;
     }
   | {
       readonly kind: "peer-message";
@@ -150,12 +186,23 @@
       /** Attempt whose answer is the result; absent for an error. */
       readonly attemptId: AttemptId | undefined;
       readonly result: ItemResult;
+      /** Result file, and the instances whose disks it has to be on. */
+      readonly blobId: string;
+      readonly disks: readonly InstanceId[];
     }
   | {
-      readonly kind: "end-job";
-      readonly jobId: JobId;
-      readonly phase: "completed" | "cancelled";
+      readonly kind: "answer-job";
+      readonly offerId: string;
+      readonly answer: OfferAnswer;
+    }
+  /** Build the output and error files of a job whose items have ended. */
+  | {
+      readonly kind: "build-output";
+      readonly spec: JobSpec;
+      readonly segments: readonly EndedSegment[];
     }
+  /** The job ended and its files stand: its results need no keeping. */
+  | { readonly kind: "drop-results"; readonly jobId: JobId }
   | {
       readonly kind: "send-peer";
       readonly to: InstanceId;
--- /dev/null
+++ b/packages/core/src/jobs/advance_item.ts
@@ -0,0 +1,24 @@
+import { checkInvariant } from "../invariants/check_invariant.ts";
+import { ITEM_STATES } from "./item_states.ts";
+
+const { CHART } = ITEM_STATES;
+const STRIDE = CHART.states.length;
+const TABLE: Readonly<Record<string, readonly number[]>> = Object.fromEntries(
+  CHART.events.map((event) => [
+    event,
+    CHART.states.map((state) =>
+      CHART.states.indexOf(CHART.next(state, event) ?? ""),
+    ),
+  ]),
+);
+
+/** Moves an item's code along the chart; without an arrow it stays. */
+export function advanceItem(code: number, event: string): number {
+  const next = code < STRIDE ? (TABLE[event]?.[code] ?? -1) : -1;
+  checkInvariant(
+    "chart-arrow-exists",
+    next >= 0,
+    () => `item: ${event} in ${CHART.states[code]}`,
+  );
+  return next < 0 ? code : next;
+}
--- /dev/null
+++ b/packages/core/src/jobs/find_segment_of.ts
@@ -0,0 +1,14 @@
+import type { JobId } from "../ids/types.ts";
+import type { InstanceState } from "../instance/types.ts";
+import { JOBS } from "./constants.ts";
+import { nameSegment } from "./name_segment.ts";
+import type { Segment } from "./types.ts";
+
+/** The owned segment that an item is in, if it is this instance's. */
+export function findSegmentOf(
+  state: InstanceState,
+  { jobId, index }: { readonly jobId: JobId; readonly index: number },
+): Segment | undefined {
+  const number = Math.floor(index / JOBS.SEGMENT_ITEMS);
+  return state.jobs.owned[nameSegment(jobId, number)];
+}
--- /dev/null
+++ b/packages/core/src/jobs/list_offsets.ts
@@ -0,0 +1,8 @@
+import type { Ranges } from "./types.ts";
+
+/** Lists every offset of sorted runs. */
+export function listOffsets(ranges: Ranges): readonly number[] {
+  return ranges.flatMap(([from, to]) =>
+    Array.from({ length: to - from + 1 }, (_, at) => from + at),
+  );
+}
--- /dev/null
+++ b/packages/core/src/jobs/list_segments.ts
@@ -0,0 +1,16 @@
+import type { JobId } from "../ids/types.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { askPlatform } from "../platform/ask_platform.ts";
+
+/** Lists a job's segment records, to find a free one or the job's end. */
+export function listSegments(
+  state: InstanceState,
+  jobId: JobId,
+  nowMs: number,
+): Step {
+  return askPlatform(
+    { ...state, jobs: { ...state.jobs, isSeeking: true } },
+    { kind: "list", prefix: `segments/${jobId}/` },
+    { purpose: { feature: "jobs", what: "segments", id: jobId }, nowMs },
+  );
+}
--- a/packages/core/src/jobs/offer_job.ts
+++ b/packages/core/src/jobs/offer_job.ts
@@ -1,21 +1,23 @@
 import type { InstanceState, Step } from "../instance/types.ts";
 import { setEntry } from "../shared/set_entry.ts";
-import { ITEM_STATES, type Job, type JobSpec } from "./types.ts";
+import { driveOffer } from "./drive_offer.ts";
+import type { JobOffer, JobSpec } from "./types.ts";
 
-/** Takes on a job whose input is safely stored; a known one is left as is. */
-export function offerJob(state: InstanceState, spec: JobSpec): Step {
-  if (state.jobs[spec.jobId] !== undefined) {
-    return { state, effects: [] };
-  }
-  const job: Job = {
+/** Takes a job whose input is safely stored; its record is written first. */
+export function offerJob(
+  state: InstanceState,
+  { offerId, spec }: { readonly offerId: string; readonly spec: JobSpec },
+  nowMs: number,
+): Step {
+  const offer: JobOffer = {
     spec,
-    phase: "running",
-    items: Array.from({ length: spec.itemCount }, () => ITEM_STATES.PENDING),
-    tries: {},
-    cursor: 0,
-  };
-  return {
-    state: { ...state, jobs: setEntry(state.jobs, spec.jobId, job) },
-    effects: [],
+    offeredMs: nowMs,
+    isAsking: false,
+    mustRead: false,
+    mayHaveRun: false,
+    retryMs: nowMs,
   };
+  const offers = setEntry(state.jobs.offers, offerId, offer);
+  const offered = { ...state, jobs: { ...state.jobs, offers } };
+  return driveOffer(offered, offerId, nowMs);
 }
--- a/packages/core/src/jobs/return_item.ts
+++ b/packages/core/src/jobs/return_item.ts
@@ -1,19 +1,20 @@
 import type { InstanceState } from "../instance/types.ts";
 import type { WorkOrigin } from "../work/types.ts";
-import { setItem } from "./set_item.ts";
-import { ITEM_STATES } from "./types.ts";
+import { findSegmentOf } from "./find_segment_of.ts";
+import { setSegment } from "./set_segment.ts";
+import { yieldItem } from "./yield_item.ts";
 
 /** Gives an item back to its job, to start again after `tries` tries. */
 export function returnItem(
   state: InstanceState,
-  { jobId, index }: Extract<WorkOrigin, { kind: "item" }>,
+  origin: Extract<WorkOrigin, { kind: "item" }>,
   tries: number,
 ): InstanceState {
-  const job = state.jobs[jobId];
-  if (job === undefined || job.phase !== "running") {
+  const segment = findSegmentOf(state, origin);
+  if (segment === undefined) {
     return state;
   }
-  const tried =
-    tries === 0 ? job : { ...job, tries: { ...job.tries, [index]: tries } };
-  return setItem(state, tried, { index, itemState: ITEM_STATES.PENDING });
+  const offset = origin.index - segment.first;
+  const noted = { ...segment, tries: { ...segment.tries, [offset]: tries } };
+  return yieldItem(setSegment(state, noted), origin);
 }
--- a/packages/core/src/jobs/set_item.ts
+++ b/packages/core/src/jobs/set_item.ts
@@ -1,17 +1,13 @@
-import type { InstanceState } from "../instance/types.ts";
-import { setEntry } from "../shared/set_entry.ts";
-import type { ItemState, Job } from "./types.ts";
+import { advanceItem } from "./advance_item.ts";
+import type { Segment } from "./types.ts";
 
-/** Returns the state with one item of `job` moved to `itemState`. */
+/** Moves one item of a segment, by its offset, along the item chart. */
 export function setItem(
-  state: InstanceState,
-  job: Job,
-  {
-    index,
-    itemState,
-  }: { readonly index: number; readonly itemState: ItemState },
-): InstanceState {
-  const items = job.items.with(index, itemState);
-  const moved = { ...job, items, cursor: Math.min(job.cursor, index) };
-  return { ...state, jobs: setEntry(state.jobs, job.spec.jobId, moved) };
+  segment: Segment,
+  offset: number,
+  event: string,
+): Segment {
+  const next = advanceItem(segment.items[offset] ?? 0, event);
+  const items = segment.items.with(offset, next);
+  return { ...segment, items, cursor: Math.min(segment.cursor, offset) };
 }
--- a/packages/core/src/jobs/settle_result.ts
+++ b/packages/core/src/jobs/settle_result.ts
@@ -1,43 +1,61 @@
 import type { JobId } from "../ids/types.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
 import { checkInvariant } from "../invariants/check_invariant.ts";
-import { dropEntry } from "../shared/drop_entry.ts";
+import { addToRanges } from "./add_to_ranges.ts";
+import { findSegmentOf } from "./find_segment_of.ts";
+import { ITEM_STATES } from "./item_states.ts";
 import { setItem } from "./set_item.ts";
-import { ITEM_STATES, type ItemResult, type Job } from "./types.ts";
+import { setSegment } from "./set_segment.ts";
+import type { ItemResult, SegmentPart } from "./types.ts";
 
-/** Counts an item whose result is stored; ends the job after its last. */
+const FIRST_ERROR_STATUS = 400;
+
+/** Notes an item whose result is on its disks; it waits for its commit. */
 export function settleResult(
   state: InstanceState,
-  {
-    jobId,
-    index,
-    result,
-  }: {
+  stored: {
     readonly jobId: JobId;
     readonly index: number;
     readonly result: ItemResult;
+    readonly blobId: string;
   },
+  nowMs: number,
 ): Step {
-  const job = state.jobs[jobId];
-  if (job === undefined) {
+  const segment = findSegmentOf(state, stored);
+  const offset = stored.index - (segment?.first ?? 0);
+  const isAwaited = segment?.parts.some(
+    ({ blobId }) => blobId === stored.blobId,
+  );
+  if (segment === undefined || isAwaited !== true) {
     return { state, effects: [] };
   }
   checkInvariant(
     "item-completes-once",
-    job.items[index] === ITEM_STATES.STORING,
-    () => `${jobId}/${index} in state ${job.items[index]}`,
+    segment.items[offset] === ITEM_STATES.STORING,
+    () => `${stored.jobId}/${stored.index} in state ${segment.items[offset]}`,
+  );
+  const parts = segment.parts.map((part) =>
+    part.blobId === stored.blobId ? addResult(part, offset, stored) : part,
   );
-  const itemState =
-    result.kind === "answer" ? ITEM_STATES.COMPLETED : ITEM_STATES.FAILED;
-  const after = setItem(state, job, { index, itemState });
-  return isDone(after.jobs[jobId])
-    ? {
-        state: { ...after, jobs: dropEntry(after.jobs, jobId) },
-        effects: [{ kind: "end-job", jobId, phase: "completed" }],
-      }
-    : { state: after, effects: [] };
+  const noted = setItem(segment, offset, "STORED");
+  const oldestMs = segment.oldestMs ?? nowMs;
+  const uncommitted = segment.uncommitted + 1;
+  return {
+    state: setSegment(state, { ...noted, parts, oldestMs, uncommitted }),
+    effects: [],
+  };
 }
 
-function isDone(job: Job | undefined): boolean {
-  return job?.items.every((item) => item >= ITEM_STATES.COMPLETED) ?? false;
+function addResult(
+  part: SegmentPart,
+  offset: number,
+  { result }: { readonly result: ItemResult },
+): SegmentPart {
+  const isAnswer =
+    result.kind === "answer" && result.status < FIRST_ERROR_STATUS;
+  return {
+    ...part,
+    done: addToRanges(part.done, offset),
+    failed: isAnswer ? part.failed : addToRanges(part.failed, offset),
+  };
 }
--- a/packages/core/src/jobs/start_items.ts
+++ b/packages/core/src/jobs/start_items.ts
@@ -6,50 +6,51 @@
 import { createWork } from "../work/create_work.ts";
 import { startAttempt } from "../work/start_attempt.ts";
 import { LANES, type Work, type WorkOrder } from "../work/types.ts";
-import { setItem } from "./set_item.ts";
-import { ITEM_STATES, type Job } from "./types.ts";
+import { findStartableItem } from "./find_startable_item.ts";
+import { noteItemStarted } from "./note_item_started.ts";
+import type { JobSpec, Segment } from "./types.ts";
 
 /** Starts batch items, earliest due job first, while places are free. */
 export function startItems(state: InstanceState, nowMs: number): Step {
   if (state.isStopping || Object.keys(state.queues.services).length > 0) {
     return { state, effects: [] };
   }
-  const jobIds = Object.values(state.jobs)
-    .filter(({ phase }) => phase === "running")
-    .sort((a, b) => a.spec.dueMs - b.spec.dueMs)
-    .map(({ spec }) => spec.jobId);
+  const names = Object.entries(state.jobs.owned)
+    .map(([name, { jobId }]) => ({
+      name,
+      dueMs: state.jobs.known[jobId]?.record.spec.dueMs ?? 0,
+    }))
+    .sort((a, b) => a.dueMs - b.dueMs)
+    .map(({ name }) => name);
   const start: Step = { state, effects: [] };
-  return jobIds.reduce((step, jobId) => fillFromJob(step, jobId, nowMs), start);
+  return names.reduce((step, name) => fillFrom(step, name, nowMs), start);
 }
 
-function fillFromJob(step: Step, jobId: string, nowMs: number): Step {
-  const job = step.state.jobs[jobId];
-  if (job === undefined) {
+function fillFrom(step: Step, name: string, nowMs: number): Step {
+  const segment = step.state.jobs.owned[name];
+  const spec = step.state.jobs.known[segment?.jobId ?? ""]?.record.spec;
+  if (segment === undefined || spec === undefined) {
     return step;
   }
-  const index = job.items.indexOf(ITEM_STATES.PENDING, job.cursor);
-  const upstream = chooseUpstream(step.state.upstreams, job.spec.service);
-  if (index < 0 || upstream === undefined) {
+  const index = findStartableItem(step.state, segment, nowMs);
+  const upstream = chooseUpstream(step.state.upstreams, spec.service);
+  if (index === undefined || upstream === undefined) {
     return step;
   }
   const next = chainStep(step, (state) => {
-    const work = buildItemWork(job, index, nowMs);
-    const marked = setItem(
-      state,
-      { ...job, cursor: index + 1 },
-      {
-        index,
-        itemState: ITEM_STATES.RUNNING,
-      },
-    );
+    const work = buildItemWork(spec, segment, { index, nowMs });
+    const marked = noteItemStarted(state, segment, index);
     const works = setSharded(marked.works, work.order.workId, work);
     return startAttempt({ ...marked, works }, work, { upstream, nowMs });
   });
-  return fillFromJob(next, jobId, nowMs);
+  return fillFrom(next, name, nowMs);
 }
 
-function buildItemWork(job: Job, index: number, nowMs: number): Work {
-  const { spec } = job;
+function buildItemWork(
+  spec: JobSpec,
+  { first, tries }: Segment,
+  { index, nowMs }: { readonly index: number; readonly nowMs: number },
+): Work {
   const order: WorkOrder = {
     workId: `${spec.jobId}/${index}` as WorkId,
     origin: { kind: "item", jobId: spec.jobId, index },
@@ -63,5 +64,5 @@
     prefixHash: 0,
     deadlineMs: Number.POSITIVE_INFINITY,
   };
-  return createWork(order, { nowMs, attemptCount: job.tries[index] ?? 0 });
+  return createWork(order, { nowMs, attemptCount: tries[index - first] ?? 0 });
 }
--- /dev/null
+++ b/packages/core/src/jobs/stop_withdrawn.ts
@@ -0,0 +1,20 @@
+import { holdsKey } from "../config/holds_key.ts";
+import { chainAll } from "../instance/chain_all.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { cancelJob } from "./cancel_job.ts";
+
+/** Cancels jobs whose customer's tenant key was withdrawn. */
+export function stopWithdrawn(state: InstanceState, nowMs: number): Step {
+  const document = state.config?.document;
+  if (document === undefined) {
+    return { state, effects: [] };
+  }
+  const withdrawn = Object.values(state.jobs.known)
+    .filter(
+      ({ isCancelled, record }) =>
+        !isCancelled && record.phase === "in_progress",
+    )
+    .map(({ record }) => record.spec)
+    .filter((spec) => !holdsKey(document, spec));
+  return chainAll(state, withdrawn, (at, spec) => cancelJob(at, spec, nowMs));
+}
--- /dev/null
+++ b/packages/core/src/jobs/store_item.ts
@@ -0,0 +1,67 @@
+import type { AttemptId } from "../ids/types.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { chooseDisks } from "./choose_disks.ts";
+import { nameSegment } from "./name_segment.ts";
+import { setSegment } from "./set_segment.ts";
+import type { ItemResult, Segment, SegmentPart } from "./types.ts";
+
+/** Sends the result of an item in state `storing` to the segment's disks. */
+export function storeItem(
+  state: InstanceState,
+  segment: Segment,
+  item: {
+    readonly offset: number;
+    readonly attemptId: AttemptId | undefined;
+    readonly result: ItemResult;
+    /** Disks that failed just now. */
+    readonly avoid?: readonly string[];
+  },
+): Step {
+  const { offset, attemptId, result, avoid = [] } = item;
+  const { jobId, first } = segment;
+  const current = findPart(segment, avoid);
+  const part = current ?? addPart(state, segment, avoid);
+  const parts =
+    current === undefined ? [...segment.parts, part] : segment.parts;
+  const { blobId, disks } = part;
+  return {
+    state: setSegment(state, { ...segment, parts }),
+    effects: [
+      {
+        kind: "store-result",
+        jobId,
+        index: first + offset,
+        attemptId,
+        result,
+        blobId,
+        disks,
+      },
+    ],
+  };
+}
+
+function findPart(
+  segment: Segment,
+  avoid: readonly string[],
+): SegmentPart | undefined {
+  const part = segment.parts.at(-1);
+  const isOwn = part?.blobId.startsWith(namePrefix(segment)) ?? false;
+  const isSound = part?.disks.every((id) => !avoid.includes(id)) ?? false;
+  return isOwn && isSound ? part : undefined;
+}
+
+function addPart(
+  state: InstanceState,
+  segment: Segment,
+  avoid: readonly string[],
+): SegmentPart {
+  const name = nameSegment(segment.jobId, segment.number);
+  const nowMs = state.jobs.tickMs;
+  const disks = chooseDisks(state, name, { nowMs, avoid });
+  const blobId = `${namePrefix(segment)}${segment.parts.length}`;
+  return { blobId, disks, done: [], failed: [] };
+}
+
+function namePrefix({ jobId, number, fence }: Segment): string {
+  return `${jobId}.${number}.${fence}.`;
+}
--- /dev/null
+++ b/packages/core/src/jobs/write_job.ts
@@ -0,0 +1,24 @@
+import type { InstanceState, Step } from "../instance/types.ts";
+import { askPlatform } from "../platform/ask_platform.ts";
+import { nameJobKey } from "./name_job_key.ts";
+import { setJob } from "./set_job.ts";
+import type { Job, JobRecord } from "./types.ts";
+
+/** Writes a job's record under the version that it is known by. */
+export function writeJob(
+  state: InstanceState,
+  job: Job,
+  { record, nowMs }: { readonly record: JobRecord; readonly nowMs: number },
+): Step {
+  const { jobId, customer } = job.record.spec;
+  return askPlatform(
+    setJob(state, { ...job, isAsking: true }),
+    {
+      kind: "cas",
+      key: nameJobKey(customer, jobId),
+      value: JSON.stringify(record),
+      expect: job.version,
+    },
+    { purpose: { feature: "jobs", what: "job", id: jobId }, nowMs },
+  );
+}
--- /dev/null
+++ b/packages/core/src/jobs/write_segment.ts
@@ -0,0 +1,33 @@
+import type { InstanceState, Step } from "../instance/types.ts";
+import { askPlatform } from "../platform/ask_platform.ts";
+import { buildSegmentRecord } from "./build_segment_record.ts";
+import { nameSegment } from "./name_segment.ts";
+import { setSegment } from "./set_segment.ts";
+import type { Segment } from "./types.ts";
+
+/** Writes a segment's record under the version that it was last known by. */
+export function writeSegment(
+  state: InstanceState,
+  segment: Segment,
+  nowMs: number,
+): Step {
+  const name = nameSegment(segment.jobId, segment.number);
+  const record = buildSegmentRecord(state, segment);
+  const asking = {
+    ...segment,
+    count: record.count,
+    isAsking: true,
+    askedMs: nowMs,
+    wroteMs: nowMs,
+  };
+  return askPlatform(
+    setSegment(state, asking),
+    {
+      kind: "cas",
+      key: `segments/${name}`,
+      value: JSON.stringify(record),
+      expect: segment.version,
+    },
+    { purpose: { feature: "jobs", what: "segment", id: name }, nowMs },
+  );
+}
--- a/packages/core/src/membership/build_heartbeat.ts
+++ b/packages/core/src/membership/build_heartbeat.ts
@@ -11,6 +11,7 @@
     incarnation: self.incarnation,
     revision: state.config?.revision ?? 0,
     isStopping: state.isStopping,
+    hasDisk: state.self.hasDisk,
     isWatchBroken: nowMs < spread.brokenUntilMs,
   };
 }
--- a/packages/core/src/membership/note_list.ts
+++ b/packages/core/src/membership/note_list.ts
@@ -23,6 +23,7 @@
         revision: 0,
         isStopping: one.state === "leaving",
         isWatchBroken: false,
+        hasDisk: false,
       },
     ]);
   const members = {
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -15,6 +15,8 @@
   readonly isStopping: boolean;
   /** Whether its watch of the configuration failed lately. */
   readonly isWatchBroken: boolean;
+  /** Whether it has a disk for bulk data. */
+  readonly hasDisk: boolean;
 };
 
 export type MembershipState = {
@@ -34,6 +36,8 @@
   readonly revision: number;
   readonly isStopping: boolean;
   readonly isWatchBroken: boolean;
+  /** Whether it has a disk for bulk data. */
+  readonly hasDisk: boolean;
 };
 
 /** One instance in the platform's lagging list. */
--- a/packages/core/src/platform/handle_answer.ts
+++ b/packages/core/src/platform/handle_answer.ts
@@ -1,4 +1,5 @@
 import type { InstanceState, Step } from "../instance/types.ts";
+import { handleJobsAnswer } from "../jobs/handle_jobs_answer.ts";
 import { assertNever } from "../shared/assert_never.ts";
 import { dropEntry } from "../shared/drop_entry.ts";
 import type { PlatformAnswer } from "./types.ts";
@@ -24,8 +25,9 @@
   };
   const after: InstanceState = { ...state, platform };
   switch (asked.purpose.feature) {
-    case "shares":
     case "jobs":
+      return handleJobsAnswer(after, { asked, answer }, nowMs);
+    case "shares":
     case "claims":
     case "membership":
       return { state: after, effects: [] };
--- a/packages/core/src/platform/types.ts
+++ b/packages/core/src/platform/types.ts
@@ -19,12 +19,23 @@
       readonly expect: number;
       readonly leaseId?: string;
     }
+  /** Waits a while for records that changed after a store revision. */
+  | {
+      readonly kind: "changes";
+      readonly prefix: string;
+      readonly revision: number;
+    }
   | { readonly kind: "grant-lease"; readonly ttlMs: number }
   | { readonly kind: "keep-lease"; readonly leaseId: string };
 
 export type PlatformAnswer =
   | { readonly kind: "got"; readonly record: PlatformRecord | undefined }
   | { readonly kind: "listed"; readonly records: readonly PlatformRecord[] }
+  | {
+      readonly kind: "changed";
+      readonly revision: number;
+      readonly records: readonly PlatformRecord[];
+    }
   | { readonly kind: "written"; readonly version: number }
   | { readonly kind: "conflict"; readonly current: PlatformRecord | undefined }
   | { readonly kind: "granted"; readonly leaseId: string }
--- a/packages/daemon/src/admin/add_report_routes.ts
+++ b/packages/daemon/src/admin/add_report_routes.ts
@@ -1,8 +1,9 @@
-import { type JobId, mergeBurnRows } from "@gooseberryline/core";
+import { mergeBurnRows } from "@gooseberryline/core";
 import type Router from "@koa/router";
 import type { Context } from "koa";
+import type { JobView } from "../jobs/types.ts";
 import { AdminRefusal } from "./admin_refusal.ts";
-import type { AdminParts, JobView, OperatorRole } from "./types.ts";
+import type { AdminParts, OperatorRole } from "./types.ts";
 
 const DEFAULT_RUNS = 100;
 const MAX_RUNS = 10_000;
@@ -46,7 +47,7 @@
   router.post("/admin/v1/jobs/:id/cancel", async (ctx) => {
     const operator = requireRole(ctx, "operator");
     const job = await findJob(String(ctx.params.id));
-    cancelJob(job.spec.jobId as JobId);
+    cancelJob(job.spec);
     log.info("job-cancel-asked", { operator, jobId: job.spec.jobId });
     ctx.status = 202;
     ctx.body = { id: job.spec.jobId };
--- a/packages/daemon/src/admin/create_fleet_reports.ts
+++ b/packages/daemon/src/admin/create_fleet_reports.ts
@@ -30,7 +30,8 @@
   return {
     gatherStatus: () => join(own.gatherStatus(), "status"),
     gatherRuns: (query) => join(own.gatherRuns(query), "runs", query),
-    gatherJobs: () => join(own.gatherJobs(), "jobs"),
+    // The platform holds every job: no peer need be asked.
+    gatherJobs: () => own.gatherJobs(),
     gatherBurn: () => join(own.gatherBurn(), "burn"),
   };
 }
--- a/packages/daemon/src/admin/create_local_reports.ts
+++ b/packages/daemon/src/admin/create_local_reports.ts
@@ -1,12 +1,13 @@
 import type { BurnRow, InstanceState, RunRecord } from "@gooseberryline/core";
+import type { JobView } from "../jobs/types.ts";
 import { describeStatus } from "./describe_status.ts";
-import type { Gathered, JobView, Reports, RunQuery } from "./types.ts";
+import type { Gathered, Reports, RunQuery } from "./types.ts";
 
 /** Where one instance finds its own part of each report. */
 export type ReportSources = {
   readonly readState: () => InstanceState;
   readonly listRuns: (query: RunQuery) => readonly RunRecord[];
-  readonly listJobs: () => readonly JobView[];
+  readonly listJobs: () => Promise<readonly JobView[]>;
   readonly buildBurn: () => readonly BurnRow[];
 };
 
@@ -19,7 +20,7 @@
   return {
     gatherStatus: () => gather(describeStatus(sources.readState(), Date.now())),
     gatherRuns: (query) => gather(sources.listRuns(query)),
-    gatherJobs: () => gather(sources.listJobs()),
+    gatherJobs: async () => gather(await sources.listJobs()),
     gatherBurn: () => gather(sources.buildBurn()),
   };
 }
--- a/packages/daemon/src/admin/describe_status.ts
+++ b/packages/daemon/src/admin/describe_status.ts
@@ -19,7 +19,7 @@
     isStopping: state.isStopping,
     inFlight: works.filter(({ attempt }) => attempt !== undefined).length,
     queued: works.filter(({ attempt }) => attempt === undefined).length,
-    jobs: Object.keys(state.jobs).length,
+    jobs: Object.keys(state.jobs.known).length,
     members: Object.values(state.membership.members).map((member) => ({
       instanceId: member.instanceId,
       dataCentre: member.dataCentre,
--- a/packages/daemon/src/admin/types.ts
+++ b/packages/daemon/src/admin/types.ts
@@ -2,11 +2,11 @@
 import type {
   BurnRow,
   InstanceState,
-  JobId,
+  JobSpec,
   RunRecord,
 } from "@gooseberryline/core";
 import type { Platform } from "@gooseberryline/protocol";
-import type { JobRecord } from "../jobs/types.ts";
+import type { JobView } from "../jobs/types.ts";
 import type { Log } from "../logs/create_log.ts";
 import type { Settings } from "../settings/types.ts";
 
@@ -32,12 +32,6 @@
   readonly limit: number;
 };
 
-/** A job as operators see it, whoever its customer is. */
-export type JobView = JobRecord & {
-  readonly completed: number;
-  readonly failed: number;
-};
-
 /** An instance as operators see it. */
 export type StatusView = {
   readonly instanceId: string;
@@ -80,6 +74,6 @@
   readonly operators: readonly Operator[];
   readonly platform: Platform;
   readonly reports: Reports;
-  readonly cancelJob: (jobId: JobId) => void;
+  readonly cancelJob: (spec: JobSpec) => void;
   readonly log: Log;
 };
--- a/packages/daemon/src/caller/describe_batch.ts
+++ b/packages/daemon/src/caller/describe_batch.ts
@@ -1,31 +1,34 @@
-import type { JobRecord } from "../jobs/types.ts";
+import { OutputBuilder } from "../jobs/output_builder.ts";
+import type { JobView } from "../jobs/types.ts";
 
 const MS_PER_SECOND = 1000;
 
 /** Describes a job as the OpenAI-compatible interface shows a batch. */
 export function describeBatch(
-  record: JobRecord,
-  counts: { readonly completed: number; readonly failed: number },
+  view: JobView,
 ): Readonly<Record<string, unknown>> {
-  const { spec, status, endedMs } = record;
+  const { spec, status, completed, failed, endedMs } = view;
+  const { about, jobId } = spec;
   const endedS = endedMs === undefined ? null : toSeconds(endedMs);
+  const isBuilt = endedMs !== undefined;
   return {
-    id: spec.jobId,
+    id: jobId,
     object: "batch",
-    endpoint: record.endpoint,
+    endpoint: about.endpoint,
     errors: null,
-    input_file_id: record.inputFileId,
-    completion_window: record.completionWindow,
+    input_file_id: about.inputFileId,
+    completion_window: about.completionWindow,
     status,
-    output_file_id: record.outputFileId ?? null,
-    error_file_id: record.errorFileId ?? null,
+    output_file_id: isBuilt ? OutputBuilder.nameFile(jobId, "output") : null,
+    error_file_id:
+      isBuilt && failed > 0 ? OutputBuilder.nameFile(jobId, "error") : null,
     created_at: toSeconds(spec.createdMs),
     in_progress_at: toSeconds(spec.createdMs),
     expires_at: toSeconds(spec.dueMs),
     completed_at: status === "completed" ? endedS : null,
     cancelled_at: status === "cancelled" ? endedS : null,
-    request_counts: { total: spec.itemCount, ...counts },
-    metadata: record.metadata,
+    request_counts: { total: spec.itemCount, completed, failed },
+    metadata: about.metadata,
   };
 }
 
--- a/packages/daemon/src/caller/read_upload.ts
+++ b/packages/daemon/src/caller/read_upload.ts
@@ -1,55 +1,108 @@
 import type { IncomingMessage } from "node:http";
+import type { Readable } from "node:stream";
 import busboy from "busboy";
+import { FileStore } from "../jobs/file_store.ts";
 import { HttpRefusal } from "./http_refusal.ts";
 
 const MAX_FILE_BYTES = 536_870_912;
+const MAX_FIELD_BYTES = 4_096;
 
-/** A file as uploaded by multipart. */
+/** A file as uploaded by multipart, on this disk but not yet accepted. */
 export type Upload = {
-  readonly content: Buffer;
+  readonly id: string;
+  readonly bytes: number;
   readonly filename: string;
   readonly purpose: string;
 };
 
-/** Reads the one file and the purpose of a multipart upload. */
-export function readUpload(req: IncomingMessage): Promise<Upload> {
+type Found = {
+  filename: string;
+  purpose: string;
+  isTooLarge: boolean;
+  staged: Promise<number> | undefined;
+};
+
+/**
+ * Streams the one file of a multipart upload to disk and reads its purpose.
+ * What a broken upload left behind is removed.
+ */
+export async function readUpload(
+  req: IncomingMessage,
+  files: FileStore,
+  maxBytes = MAX_FILE_BYTES,
+): Promise<Upload> {
+  const id = FileStore.createId();
+  try {
+    const found = await collectUpload(req, { id, files, maxBytes });
+    const { filename, purpose } = found;
+    const bytes = (await found.staged) ?? 0;
+    if (found.isTooLarge) {
+      throw new HttpRefusal(413, `the file exceeds ${maxBytes} bytes`, {
+        code: "file_too_large",
+      });
+    }
+    return { id, bytes, filename, purpose };
+  } catch (error) {
+    await files.drop(id);
+    throw error;
+  }
+}
+
+function collectUpload(
+  req: IncomingMessage,
+  {
+    id,
+    files,
+    maxBytes,
+  }: {
+    readonly id: string;
+    readonly files: FileStore;
+    readonly maxBytes: number;
+  },
+): Promise<Found> {
   return new Promise((resolve, reject) => {
-    const parser = createParser(req);
-    const chunks: Buffer[] = [];
-    const found = { filename: "", purpose: "batch", hasFile: false };
+    const parser = createParser(req, maxBytes);
+    const found: Found = {
+      filename: "",
+      purpose: "batch",
+      isTooLarge: false,
+      staged: undefined,
+    };
+    const fail = (message: string): void => {
+      parser.destroy();
+      const refusal = refuseUpload(message);
+      (found.staged ?? Promise.resolve()).then(
+        () => reject(refusal),
+        () => reject(refusal),
+      );
+    };
     parser.on("field", (name, value) => {
-      if (name === "purpose") {
-        found.purpose = value;
-      }
+      found.purpose = name === "purpose" ? value : found.purpose;
     });
     parser.on("file", (_name, stream, { filename }) => {
       found.filename = filename ?? "";
-      found.hasFile = true;
-      stream.on("data", (chunk: Buffer) => chunks.push(chunk));
-      stream.on("limit", () =>
-        reject(
-          new HttpRefusal(413, `the file exceeds ${MAX_FILE_BYTES} bytes`, {
-            code: "file_too_large",
-          }),
-        ),
-      );
+      stream.on("limit", () => {
+        found.isTooLarge = true;
+      });
+      found.staged = files.stage(id, stream as Readable);
+      found.staged.catch(() => fail("the upload could not be stored"));
     });
-    parser.on("error", () => reject(refuseUpload("broken multipart body")));
+    parser.on("error", () => fail("broken multipart body"));
     parser.on("close", () => {
-      if (found.hasFile) {
-        resolve({ ...found, content: Buffer.concat(chunks) });
-      } else {
+      if (found.staged === undefined) {
         reject(refuseUpload("the field `file` is missing"));
+      } else {
+        resolve(found);
       }
     });
-    req.on("aborted", () => reject(refuseUpload("the upload was cut off")));
+    req.on("aborted", () => fail("the upload was cut off"));
     req.pipe(parser);
   });
 }
 
-function createParser(req: IncomingMessage): busboy.Busboy {
+function createParser(req: IncomingMessage, maxBytes: number): busboy.Busboy {
   try {
-    const limits = { fileSize: MAX_FILE_BYTES, files: 1 };
+    const limits = { fileSize: maxBytes, files: 1, fieldSize: MAX_FIELD_BYTES };
     return busboy({ headers: req.headers, limits });
   } catch {
     throw refuseUpload("a multipart body is needed");
--- a/packages/daemon/src/jobs/file_store.ts
+++ b/packages/daemon/src/jobs/file_store.ts
@@ -1,39 +1,44 @@
 import { randomUUID } from "node:crypto";
-import { createReadStream, type ReadStream } from "node:fs";
-import { mkdir, open, readFile, rename, writeFile } from "node:fs/promises";
-import { join } from "node:path";
-import type { CustomerId } from "@gooseberryline/core";
+import type { CustomerId, InstanceId } from "@gooseberryline/core";
+import type { SharedBlobs } from "./shared_blobs.ts";
 import type { FileMeta } from "./types.ts";
 
 const MS_PER_SECOND = 1000;
 
-/** Keeps callers' files in the data folder, synced before they count. */
+/** Keeps callers' files, on two disks before they count. */
 export class FileStore {
-  readonly #folder: string;
+  readonly #blobs: SharedBlobs;
 
-  constructor(folder: string) {
-    this.#folder = folder;
+  constructor(blobs: SharedBlobs) {
+    this.#blobs = blobs;
   }
 
-  async add(
-    content: Buffer,
-    about: {
-      readonly customer: CustomerId;
-      readonly filename: string;
-      readonly purpose: string;
-    },
-  ): Promise<FileMeta> {
-    await mkdir(this.#folder, { recursive: true });
-    const id = `file-${randomUUID()}`;
-    const meta: FileMeta = {
-      id,
-      bytes: content.length,
-      createdS: Math.floor(Date.now() / MS_PER_SECOND),
-      ...about,
-    };
-    await writeSynced(this.#path(id, "data"), content);
-    await writeSynced(this.#path(id, "json"), JSON.stringify(meta));
-    return meta;
+  /** A new id for an upload. */
+  static createId(): string {
+    return `file-${randomUUID()}`;
+  }
+
+  /** Streams content to this disk; without `commit` it is no file yet. */
+  stage(id: string, content: AsyncIterable<Buffer>): Promise<number> {
+    return this.#blobs.folder.write(nameData(id), content);
+  }
+
+  /** Drops staged content of an upload that was cut off. */
+  drop(id: string): Promise<void> {
+    return this.#blobs.folder.remove(nameData(id));
+  }
+
+  /** Makes staged content a file; resolves once it is on its disks. */
+  async commit(about: Omit<FileMeta, "createdS">): Promise<{
+    readonly meta: FileMeta;
+    readonly disks: readonly InstanceId[];
+  }> {
+    const createdS = Math.floor(Date.now() / MS_PER_SECOND);
+    const meta: FileMeta = { ...about, createdS };
+    const name = nameMeta(about.id);
+    await this.#blobs.folder.write(name, streamText(JSON.stringify(meta)));
+    const disks = await this.#blobs.replicate([nameData(about.id), name]);
+    return { meta, disks };
   }
 
   /** A customer's file, or undefined where it has none of that id. */
@@ -41,35 +46,40 @@
     if (!/^file-[0-9a-f-]+$/.test(id)) {
       return undefined;
     }
-    const text = await readFile(this.#path(id, "json"), "utf8").catch(
-      () => undefined,
-    );
-    const meta =
-      text === undefined ? undefined : (JSON.parse(text) as FileMeta);
-    return meta?.customer === customer ? meta : undefined;
+    const name = nameMeta(id);
+    if (!(await this.#blobs.ensure(name))) {
+      return undefined;
+    }
+    const text = await collectText(this.#blobs.folder.read(name));
+    const meta = JSON.parse(text) as FileMeta;
+    return meta.customer === customer ? meta : undefined;
   }
 
-  readContent(id: string): Promise<Buffer> {
-    return readFile(this.#path(id, "data"));
+  /** Reads a file, fetched from a peer where this disk lacks it. */
+  async read(id: string): Promise<AsyncIterable<Buffer>> {
+    if (!(await this.#blobs.ensure(nameData(id)))) {
+      throw new Error(`no instance in reach holds ${id}`);
+    }
+    return this.#blobs.folder.read(nameData(id));
   }
+}
 
-  streamContent(id: string): ReadStream {
-    return createReadStream(this.#path(id, "data"));
-  }
+function nameData(id: string): string {
+  return `files/${id}.data`;
+}
 
-  #path(id: string, ending: string): string {
-    return join(this.#folder, `${id}.${ending}`);
-  }
+function nameMeta(id: string): string {
+  return `files/${id}.json`;
+}
+
+async function* streamText(text: string): AsyncIterable<Buffer> {
+  yield Buffer.from(text);
 }
 
-async function writeSynced(
-  path: string,
-  content: Buffer | string,
-): Promise<void> {
-  const draft = `${path}.part`;
-  await writeFile(draft, content);
-  const handle = await open(draft);
-  await handle.sync();
-  await handle.close();
-  await rename(draft, path);
+async function collectText(content: AsyncIterable<Buffer>): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of content) {
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString();
 }
--- /dev/null
+++ b/packages/daemon/src/jobs/job_directory.ts
@@ -0,0 +1,87 @@
+import {
+  type CustomerId,
+  countOffsets,
+  type InstanceState,
+  type JobId,
+  type JobRecord,
+  nameJobKey,
+  type SegmentRecord,
+} from "@gooseberryline/core";
+import type { Platform } from "@gooseberryline/protocol";
+import type { JobView } from "./types.ts";
+
+type Counts = { readonly completed: number; readonly failed: number };
+
+/** Reads jobs as the platform's records have them, for callers. */
+export class JobDirectory {
+  readonly #platform: Platform;
+  readonly #readState: () => InstanceState;
+
+  constructor(platform: Platform, readState: () => InstanceState) {
+    this.#platform = platform;
+    this.#readState = readState;
+  }
+
+  /** A customer's job; rejects while the platform can't be asked. */
+  async find(jobId: JobId, customer: CustomerId): Promise<JobView | undefined> {
+    const known = this.#readState().jobs.known[jobId]?.record;
+    const record = known ?? (await this.#read(nameJobKey(customer, jobId)));
+    return record?.spec.customer === customer
+      ? this.describe(record)
+      : undefined;
+  }
+
+  /** Jobs whose keys begin with `prefix`, the newest first. */
+  async list(customer?: CustomerId): Promise<readonly JobRecord[]> {
+    const prefix = customer === undefined ? "jobs/" : `jobs/${customer}/`;
+    const records = await this.#platform.list(prefix);
+    return records
+      .map(({ value }) => JSON.parse(value) as JobRecord)
+      .toSorted((a, b) => b.spec.createdMs - a.spec.createdMs);
+  }
+
+  /** Jobs of all customers, or those that run while the platform is down. */
+  async listViews(): Promise<readonly JobView[]> {
+    const records = await this.list().catch(() =>
+      Object.values(this.#readState().jobs.known).map(({ record }) => record),
+    );
+    return Promise.all(records.map((record) => this.describe(record)));
+  }
+
+  async describe(record: JobRecord): Promise<JobView> {
+    const { spec, phase, output } = record;
+    const known = this.#readState().jobs.known[spec.jobId];
+    const isCancelled = known?.isCancelled === true && phase === "in_progress";
+    const counts = output ?? (await this.#count(spec.jobId));
+    return {
+      spec,
+      status: isCancelled ? "cancelling" : phase,
+      completed: counts.completed,
+      failed: counts.failed,
+      endedMs: output?.endedMs,
+    };
+  }
+
+  async #read(key: string): Promise<JobRecord | undefined> {
+    const found = await this.#platform.get(key);
+    return found === undefined
+      ? undefined
+      : (JSON.parse(found.value) as JobRecord);
+  }
+
+  /** Counts what segment records hold; 0 while the platform is down. */
+  async #count(jobId: JobId): Promise<Counts> {
+    const records = await this.#platform
+      .list(`segments/${jobId}/`)
+      .catch(() => []);
+    const parts = records.flatMap(
+      ({ value }) => (JSON.parse(value) as SegmentRecord).parts,
+    );
+    const failed = parts.reduce(
+      (sum, part) => sum + countOffsets(part.failed),
+      0,
+    );
+    const done = parts.reduce((sum, part) => sum + countOffsets(part.done), 0);
+    return { completed: done - failed, failed };
+  }
+}
--- a/packages/daemon/src/jobs/job_task.ts
+++ b/packages/daemon/src/jobs/job_task.ts
@@ -1,160 +1,237 @@
 import { randomUUID } from "node:crypto";
-import { appendFile, mkdir } from "node:fs/promises";
-import { join } from "node:path";
 import type {
+  AttemptId,
   CustomerId,
   Effect,
   InstanceEvent,
+  InstanceState,
   JobId,
   JobSpec,
+  OfferAnswer,
 } from "@gooseberryline/core";
-import type { JobView } from "../admin/types.ts";
-import type { AnswerSink, AttemptCall } from "../tasks/types.ts";
+import type { Log } from "../logs/create_log.ts";
+import type { AttemptTarget } from "../tasks/types.ts";
 import { CollectedAnswer } from "./collected_answer.ts";
 import { FileStore } from "./file_store.ts";
-import type { InputLine, JobRecord, StoredResult } from "./types.ts";
-import { writeOutputLine } from "./write_output_line.ts";
+import { InputReader } from "./input_reader.ts";
+import type { JobDirectory } from "./job_directory.ts";
+import { OutputBuilder } from "./output_builder.ts";
+import { ResultWriter } from "./result_writer.ts";
+import type { SharedBlobs } from "./shared_blobs.ts";
+import type { StoredResult } from "./types.ts";
+
+const BUILD_RETRY_MS = 2_000;
+const FIRST_ERROR_STATUS = 400;
 
 type StoreResult = Extract<Effect, { kind: "store-result" }>;
+type BuildOutput = Extract<Effect, { kind: "build-output" }>;
+type ItemOrigin = { readonly jobId: JobId; readonly index: number };
+
+type OpenItem = {
+  readonly customId: string;
+  readonly answer: CollectedAnswer;
+};
 
-type RunningJob = {
-  record: JobRecord;
-  readonly lines: readonly InputLine[];
-  readonly results: StoredResult[];
+/** What the task needs of the rest of the daemon. */
+export type JobTaskParts = {
+  readonly blobs: SharedBlobs;
+  readonly directory: JobDirectory;
+  readonly readState: () => InstanceState;
+  readonly post: (event: InstanceEvent) => void;
+  readonly log: Log;
 };
 
-/** Owns the data folder: files, job inputs and item results. */
+/** Owns the files of batch jobs: inputs, item results and outputs. */
 export class JobTask {
   readonly files: FileStore;
-  readonly #folder: string;
-  readonly #post: (event: InstanceEvent) => void;
-  readonly #jobs = new Map<JobId, RunningJob>();
-  readonly #answers = new Map<string, CollectedAnswer>();
-
-  constructor(folder: string, post: (event: InstanceEvent) => void) {
-    this.#folder = folder;
-    this.#post = post;
-    this.files = new FileStore(join(folder, "files"));
+  readonly blobs: SharedBlobs;
+  readonly directory: JobDirectory;
+  readonly #parts: JobTaskParts;
+  readonly #inputs: InputReader;
+  readonly #results: ResultWriter;
+  readonly #outputs: OutputBuilder;
+  readonly #opening = new Set<AttemptId>();
+  readonly #items = new Map<string, OpenItem>();
+  readonly #offers = new Map<string, (answer: OfferAnswer) => void>();
+
+  constructor(parts: JobTaskParts) {
+    this.#parts = parts;
+    this.blobs = parts.blobs;
+    this.directory = parts.directory;
+    this.files = new FileStore(parts.blobs);
+    this.#inputs = new InputReader(parts.blobs);
+    this.#results = new ResultWriter(parts.blobs);
+    this.#outputs = new OutputBuilder(parts.blobs, this.files);
   }
 
-  /** Takes on a job; one that is known already is found, not doubled. */
-  create(record: JobRecord, lines: readonly InputLine[]): JobRecord {
-    const { spec } = record;
-    const known = this.#jobs.get(spec.jobId);
-    if (known !== undefined) {
-      return known.record;
-    }
-    this.#jobs.set(spec.jobId, { record, lines, results: [] });
-    this.#post({ kind: "job-offered", spec });
-    return record;
+  /** Offers a job to the core; resolves with what became of it. */
+  offer(spec: JobSpec): Promise<OfferAnswer> {
+    const offerId = randomUUID();
+    return new Promise((resolve) => {
+      this.#offers.set(offerId, resolve);
+      this.#parts.post({ kind: "job-offered", offerId, spec });
+    });
   }
 
-  find(jobId: JobId, customer: CustomerId): JobRecord | undefined {
-    const record = this.#jobs.get(jobId)?.record;
-    return record?.spec.customer === customer ? record : undefined;
+  answerOffer(offerId: string, answer: OfferAnswer): void {
+    const resolve = this.#offers.get(offerId);
+    this.#offers.delete(offerId);
+    resolve?.(answer);
   }
 
-  list(customer: CustomerId): readonly JobRecord[] {
-    return [...this.#jobs.values()]
-      .map(({ record }) => record)
-      .filter(({ spec }) => spec.customer === customer);
+  cancel(jobId: JobId, customer: CustomerId): void {
+    this.#parts.post({ kind: "job-cancel-asked", jobId, customer });
   }
 
-  /** Every job that this instance knows, whoever its customer is. */
-  listAll(): readonly JobView[] {
-    return [...this.#jobs.values()].map(({ record }) => ({
-      ...record,
-      ...this.count(record.spec.jobId),
-    }));
+  /**
+   * Reads an item's input and hands its call to `begin`, unless the attempt
+   * was cancelled meanwhile. Input that can't be read ends the attempt.
+   */
+  async open(
+    origin: ItemOrigin,
+    attemptId: AttemptId,
+    begin: (target: AttemptTarget) => void,
+  ): Promise<void> {
+    this.#opening.add(attemptId);
+    try {
+      const target = await this.#prepare(origin);
+      if (this.#opening.delete(attemptId)) {
+        begin(target);
+      }
+    } catch (error) {
+      if (this.#opening.delete(attemptId)) {
+        this.#reportUnread(attemptId, String(error));
+      }
+    }
   }
 
-  /** How many items of a job ended so far, by kind. */
-  count(jobId: JobId): { readonly completed: number; readonly failed: number } {
-    const results = this.#jobs.get(jobId)?.results ?? [];
-    const failed = results.filter(({ kind }) => kind === "error").length;
-    return { completed: results.length - failed, failed };
+  /** Keeps an attempt from starting whose input is being read. */
+  cancelOpening(attemptId: AttemptId): void {
+    this.#opening.delete(attemptId);
   }
 
-  cancel(jobId: JobId): void {
-    this.#post({ kind: "job-cancel-asked", jobId });
+  /** Stores an item's result and posts what became of it. */
+  async store(effect: StoreResult): Promise<void> {
+    const { kind: _kind, disks, ...about } = effect;
+    const failed = await this.#append(effect).catch((error: unknown) => {
+      const { jobId, index } = effect;
+      const message = String(error);
+      this.#parts.log.warn("store-failed", {
+        step: "store",
+        jobId,
+        index,
+        message,
+      });
+      return disks[0];
+    });
+    if (failed === undefined) {
+      this.#items.delete(nameItem(effect));
+      this.#parts.post({ kind: "result-stored", ...about });
+      return;
+    }
+    this.#parts.post({ kind: "result-store-failed", ...about, disk: failed });
   }
 
-  /** The call of one item, and a sink that collects its answer. */
-  open(
-    spec: { readonly jobId: JobId; readonly index: number },
-    attemptId: string,
-  ): { readonly call: AttemptCall; readonly sink: AnswerSink } | undefined {
-    const line = this.#jobs.get(spec.jobId)?.lines[spec.index];
-    if (line === undefined) {
-      return undefined;
+  /** Builds an ended job's files and posts them; later where it can't. */
+  async build({ spec, segments }: BuildOutput): Promise<void> {
+    const { jobId } = spec;
+    try {
+      const output = await this.#outputs.build(spec, segments);
+      this.#parts.post({ kind: "output-built", jobId, output });
+    } catch (error) {
+      const message = String(error);
+      this.#parts.log.warn("output-failed", { step: "store", jobId, message });
+      await new Promise((resolve) => setTimeout(resolve, BUILD_RETRY_MS));
+      this.#parts.post({ kind: "output-built", jobId, output: undefined });
     }
+  }
+
+  /** Removes the results of a job whose files stand. */
+  async drop(jobId: JobId): Promise<void> {
+    const prefix = `${jobId}.`;
+    this.#results.drop(prefix);
+    [...this.#items.keys()]
+      .filter((name) => name.startsWith(`${jobId}/`))
+      .forEach((name) => {
+        this.#items.delete(name);
+      });
+    const names = await this.blobs.folder.listFolder("results");
+    await Promise.all(
+      names
+        .filter((name) => name.startsWith(`results/${prefix}`))
+        .map((name) => this.blobs.folder.remove(name)),
+    );
+  }
+
+  /** A new id for a job without an idempotency key. */
+  static createId(): JobId {
+    return `batch_${randomUUID()}` as string as JobId;
+  }
+
+  async #prepare(origin: ItemOrigin): Promise<AttemptTarget> {
+    const spec = this.#findSpec(origin.jobId);
+    const fileId = String(spec?.about.inputFileId);
+    const line = await this.#inputs.read(fileId, origin.index);
     const answer = new CollectedAnswer();
-    this.#answers.set(attemptId, answer);
+    this.#items.set(nameItem(origin), { customId: line.customId, answer });
     const call = {
       method: "POST",
       path: line.url,
       headers: { "content-type": "application/json" },
       body: Buffer.from(JSON.stringify({ ...line.body, stream: false })),
       isStream: false,
+      isIdempotent: spec?.isIdempotent ?? false,
     };
     return { call, sink: answer.sink };
   }
 
-  async store({ jobId, index, attemptId, result }: StoreResult): Promise<void> {
-    const job = this.#jobs.get(jobId);
-    const answer = this.#answers.get(attemptId ?? "");
-    this.#answers.delete(attemptId ?? "");
-    const stored: StoredResult = {
-      index,
-      attemptId: attemptId ?? "",
-      kind: result.kind,
-      status: result.kind === "answer" ? result.status : 0,
-      body: result.kind === "answer" ? answer?.readJson() : result,
-    };
-    const path = join(this.#folder, "jobs", `${jobId}.jsonl`);
-    await mkdir(join(this.#folder, "jobs"), { recursive: true });
-    await appendFile(path, `${JSON.stringify(stored)}\n`);
-    job?.results.push(stored);
-    this.#post({ kind: "result-stored", jobId, index, result });
+  #reportUnread(attemptId: AttemptId, message: string): void {
+    const peer = this.blobs.ownId;
+    this.#parts.log.warn("input-unread", { step: "store", peer, message });
+    const fault = {
+      code: "store_unavailable",
+      step: "store",
+      peer,
+      message,
+    } as const;
+    const outcome = { kind: "not-started", fault } as const;
+    this.#parts.post({ kind: "attempt-ended", attemptId, outcome });
   }
 
-  async end(jobId: JobId, status: "completed" | "cancelled"): Promise<void> {
-    const job = this.#jobs.get(jobId);
-    if (job === undefined) {
-      return;
-    }
-    const { spec } = job.record;
-    const answers = job.results.filter(({ kind }) => kind === "answer");
-    const errors = job.results.filter(({ kind }) => kind === "error");
-    const outputFileId = await this.#addOutput(spec, job, answers);
-    const errorFileId = await this.#addOutput(spec, job, errors);
-    const endedMs = Date.now();
-    job.record = { ...job.record, status, endedMs, outputFileId, errorFileId };
+  async #append(
+    effect: StoreResult,
+  ): Promise<StoreResult["disks"][0] | undefined> {
+    const { jobId, index, result, blobId, disks } = effect;
+    const item = this.#items.get(nameItem(effect));
+    const customId = item?.customId ?? (await this.#readCustomId(effect));
+    const isAnswer = result.kind === "answer";
+    const line = {
+      id: `${jobId}_${index}`,
+      custom_id: customId,
+      response: isAnswer
+        ? {
+            status_code: result.status,
+            request_id: effect.attemptId ?? "",
+            body: item?.answer.readJson() ?? null,
+          }
+        : null,
+      error: isAnswer ? null : { code: result.code, message: result.message },
+    };
+    const isFailed = !isAnswer || result.status >= FIRST_ERROR_STATUS;
+    const stored: StoredResult = { index, isFailed, line };
+    return this.#results.append(blobId, disks, stored);
   }
 
-  async #addOutput(
-    spec: JobSpec,
-    job: RunningJob,
-    results: readonly StoredResult[],
-  ): Promise<string | undefined> {
-    if (results.length === 0) {
-      return undefined;
-    }
-    const lines = results
-      .toSorted((a, b) => a.index - b.index)
-      .map((result) =>
-        writeOutputLine(spec, job.lines[result.index]?.customId ?? "", result),
-      );
-    const meta = await this.files.add(Buffer.from(lines.join("")), {
-      customer: spec.customer,
-      filename: `${spec.jobId}.jsonl`,
-      purpose: "batch_output",
-    });
-    return meta.id;
+  async #readCustomId({ jobId, index }: ItemOrigin): Promise<string> {
+    const fileId = String(this.#findSpec(jobId)?.about.inputFileId);
+    return (await this.#inputs.read(fileId, index)).customId;
   }
 
-  /** A new id for a job without an idempotency key. */
-  static createId(): JobId {
-    return `batch_${randomUUID()}` as string as JobId;
+  #findSpec(jobId: JobId): JobSpec | undefined {
+    return this.#parts.readState().jobs.known[jobId]?.record.spec;
   }
 }
+
+function nameItem({ jobId, index }: ItemOrigin): string {
+  return `${jobId}/${index}`;
+}
--- a/packages/daemon/src/jobs/types.ts
+++ b/packages/daemon/src/jobs/types.ts
@@ -1,5 +1,10 @@
 /** Files and batches as the OpenAI-compatible interface shows them. */
-import type { CustomerId, InstanceId, JobSpec } from "@gooseberryline/core";
+import type {
+  CustomerId,
+  InstanceId,
+  JobRecord,
+  JobSpec,
+} from "@gooseberryline/core";
 
 /** A stored file's description. */
 export type FileMeta = {
@@ -18,26 +23,24 @@
   readonly body: Readonly<Record<string, unknown>>;
 };
 
-/** A job's record: what it is, and how it ended. */
-export type JobRecord = {
+/** A line that can't be accepted, and why. */
+export type LineFault = { readonly code: string; readonly message: string };
+
+/** A job as callers and operators see it. */
+export type JobView = {
   readonly spec: JobSpec;
-  readonly inputFileId: string;
-  readonly endpoint: string;
-  readonly completionWindow: string;
-  readonly metadata: Readonly<Record<string, string>>;
-  readonly status: "in_progress" | "cancelling" | "completed" | "cancelled";
+  readonly status: JobRecord["phase"];
+  readonly completed: number;
+  readonly failed: number;
   readonly endedMs: number | undefined;
-  readonly outputFileId: string | undefined;
-  readonly errorFileId: string | undefined;
 };
 
-/** One stored item result, a line of the job's result file. */
+/** One stored item result, a line of a result file. */
 export type StoredResult = {
   readonly index: number;
-  readonly attemptId: string;
-  readonly kind: "answer" | "error";
-  readonly status: number;
-  readonly body: unknown;
+  readonly isFailed: boolean;
+  /** The item's line in the output or error file. */
+  readonly line: Readonly<Record<string, unknown>>;
 };
 
 /** Files in the data folders of other instances; rejects with `PeerError`. */
--- a/packages/daemon/src/platform/platform_task.ts
+++ b/packages/daemon/src/platform/platform_task.ts
@@ -6,6 +6,8 @@
 } from "@gooseberryline/core";
 import { type Platform, PlatformError } from "@gooseberryline/protocol";
 
+const WATCH_MS = 5_000;
+
 /** Carries out the core's calls of the platform and posts their answers. */
 export class PlatformTask {
   readonly #platform: Platform;
@@ -35,6 +37,11 @@
       }
       case "cas":
         return this.#platform.cas(call);
+      case "changes": {
+        const { prefix, revision } = call;
+        const changes = await this.#platform.watch(prefix, revision, WATCH_MS);
+        return { kind: "changed", ...(changes ?? { revision, records: [] }) };
+      }
       case "grant-lease": {
         const leaseId = await this.#platform.grantLease(call.ttlMs);
         return { kind: "granted", leaseId };
--- a/packages/daemon/src/start/describe_self.ts
+++ b/packages/daemon/src/start/describe_self.ts
@@ -15,5 +15,14 @@
     dataCentre: settings.dataCentre as DataCentreId,
     address: "",
     incarnation: randomUUID().slice(0, INCARNATION_CHARS),
+    hasDisk: hasDisk(settings),
   };
 }
+
+/**
+ * An instance with its own stand-in platform is alone: what it holds is lost
+ * with it anyway, so a temporary folder serves as its disk.
+ */
+function hasDisk({ dataFolder, platform }: Settings): boolean {
+  return dataFolder !== undefined || platform === undefined;
+}
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -17,10 +17,14 @@
 import { createCallerApp } from "./caller/create_caller_app.ts";
 import { ConfigFile } from "./config/config_file.ts";
 import { ConfigWatch } from "./config/config_watch.ts";
+import { DataFolder } from "./jobs/data_folder.ts";
+import { JobDirectory } from "./jobs/job_directory.ts";
 import { JobTask } from "./jobs/job_task.ts";
+import { SharedBlobs } from "./jobs/shared_blobs.ts";
 import { createMetrics } from "./metrics/create_metrics.ts";
 import { reportRequest } from "./metrics/report_request.ts";
 import { watchInstance } from "./metrics/watch_instance.ts";
+import { BlobClient } from "./peers/blob_client.ts";
 import { countCalls, type PlatformCounts } from "./platform/count_calls.ts";
 import { PlatformTask } from "./platform/platform_task.ts";
 import { pollInstances } from "./platform/poll_instances.ts";
@@ -37,6 +41,7 @@
 import { listen } from "./tasks/listen.ts";
 
 const STOP_POLL_MS = 20;
+const STOP_LIMIT_MS = 120_000;
 const SEED_LIMIT = 2 ** 32;
 
 /** Starts an instance: its tasks, and then its listeners. */
@@ -47,6 +52,8 @@
 ): Promise<Daemon> {
   const folder =
     settings.dataFolder ?? (await mkdtemp(join(tmpdir(), "gooseberryline-")));
+  const dataFolder = new DataFolder(join(folder, "blobs"));
+  await dataFolder.open();
   const platformCounts: PlatformCounts = {};
   const platform = countCalls(service, platformCounts);
   const post = (event: InstanceEvent): void => {
@@ -70,7 +77,7 @@
   const localReports = createLocalReports({
     readState,
     listRuns: (query) => ring.list(query),
-    listJobs: () => jobs.listAll(),
+    listJobs: () => jobs.directory.listViews(),
     buildBurn: () => burn.buildRows(),
   });
   const peering = await startPeering(settings, self, {
@@ -90,7 +97,14 @@
   const calls = new CallerTask(post, (report) =>
     reportRequest(report, { log, metrics }),
   );
-  const jobs = new JobTask(folder, post);
+  const blobs = new SharedBlobs({
+    folder: dataFolder,
+    peers: new BlobClient(peers),
+    readState,
+    log,
+  });
+  const directory = new JobDirectory(platform, readState);
+  const jobs = new JobTask({ blobs, directory, readState, post, log });
   const platformTask = new PlatformTask(platform, post);
   const watch = new ConfigWatch({
     platform,
@@ -144,7 +158,7 @@
     operators: settings.operators,
     platform,
     reports: createFleetReports(localReports, { peers, readState }),
-    cancelJob: (jobId) => core.post({ kind: "job-cancel-asked", jobId }),
+    cancelJob: ({ jobId, customer }) => jobs.cancel(jobId, customer),
     log,
   });
   const caller = await listen(callerApp.callback(), settings.callerListener);
@@ -166,7 +180,11 @@
   };
   const stop = async (): Promise<void> => {
     core.post({ kind: "stop-asked" });
-    while (core.state.works.count > 0) {
+    const hasWork = (): boolean =>
+      core.state.works.count > 0 ||
+      Object.keys(core.state.jobs.owned).length > 0;
+    const lastMs = Date.now() + STOP_LIMIT_MS;
+    while (hasWork() && Date.now() < lastMs) {
       await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
     }
     closeTasks();
--- a/packages/daemon/src/tasks/handle_effect.ts
+++ b/packages/daemon/src/tasks/handle_effect.ts
@@ -10,7 +10,7 @@
 import type { PeerTask } from "../peers/peer_task.ts";
 import type { PlatformTask } from "../platform/platform_task.ts";
 import type { AttemptTask } from "./attempt_task.ts";
-import type { AttemptOrder } from "./types.ts";
+import type { AttemptTarget } from "./types.ts";
 
 /** The tasks that effects are handed to. */
 export type EffectParts = {
@@ -34,6 +34,7 @@
       startAttempt(effect, parts);
       return;
     case "cancel-attempt":
+      parts.jobs.cancelOpening(effect.attemptId);
       parts.attempts.cancel(effect.attemptId, effect.isSilent);
       return;
     case "complete-request":
@@ -45,8 +46,14 @@
     case "store-result":
       void parts.jobs.store(effect);
       return;
-    case "end-job":
-      void parts.jobs.end(effect.jobId, effect.phase);
+    case "answer-job":
+      parts.jobs.answerOffer(effect.offerId, effect.answer);
+      return;
+    case "build-output":
+      void parts.jobs.build(effect);
+      return;
+    case "drop-results":
+      void parts.jobs.drop(effect.jobId);
       return;
     case "send-peer":
       parts.peers.send(effect.to, effect.message);
@@ -73,28 +80,31 @@
   { attempts, calls, jobs, readConfig }: EffectParts,
 ): void {
   const { attemptId, workId, upstreamId, origin } = effect;
-  const target =
-    origin.kind === "request"
-      ? openExchange(calls, effect)
-      : jobs.open(origin, attemptId);
   const upstreamUrl = readConfig()?.document.upstreams[upstreamId]?.url;
-  if (target === undefined || upstreamUrl === undefined) {
-    attempts.refuse(attemptId, {
-      code: "upstream_unreachable",
-      step: "connect",
-      peer: upstreamId,
-      message: "the call or its upstream is gone",
-    });
-    return;
+  const begin = (target: AttemptTarget | undefined): void => {
+    if (target === undefined || upstreamUrl === undefined) {
+      attempts.refuse(attemptId, {
+        code: "upstream_unreachable",
+        step: "connect",
+        peer: upstreamId,
+        message: "the call or its upstream is gone",
+      });
+      return;
+    }
+    const about = { attemptId, workId, upstreamUrl, upstreamId };
+    attempts.start({ ...about, ...target });
+  };
+  if (origin.kind === "request") {
+    begin(openExchange(calls, effect));
+  } else {
+    void jobs.open(origin, attemptId, begin);
   }
-  const { call, sink } = target;
-  attempts.start({ attemptId, workId, upstreamUrl, upstreamId, call, sink });
 }
 
 function openExchange(
   calls: CallerTask,
   { workId, attemptId, upstreamId }: StartAttempt,
-): Pick<AttemptOrder, "call" | "sink"> | undefined {
+): AttemptTarget | undefined {
   const exchange = calls.find(workId);
   return exchange === undefined
     ? undefined
--- a/packages/daemon/src/tasks/types.ts
+++ b/packages/daemon/src/tasks/types.ts
@@ -31,6 +31,12 @@
   readonly waitForRoom: () => Promise<void>;
 };
 
+/** What an attempt sends, and where its answer goes. */
+export type AttemptTarget = {
+  readonly call: AttemptCall;
+  readonly sink: AnswerSink;
+};
+
 /** An attempt to be made. */
 export type AttemptOrder = {
   readonly attemptId: AttemptId;
--- a/packages/fakes/src/world/effect_runner.ts
+++ b/packages/fakes/src/world/effect_runner.ts
@@ -10,8 +10,10 @@
 } from "@gooseberryline/core";
 import { describeOutcome } from "./describe_outcome.ts";
 import type { EventQueue } from "./event_queue.ts";
+import { JobEffects } from "./job_effects.ts";
 import { PLATFORM_PLACE } from "./platform_place.ts";
 import type { WorldNode } from "./types.ts";
+import type { VirtualDisks } from "./virtual_disks.ts";
 import type { EngineNotice, VirtualEngine } from "./virtual_engine.ts";
 import type { VirtualStore } from "./virtual_store.ts";
 import type { WorldLedger } from "./world_ledger.ts";
@@ -25,6 +27,7 @@
   readonly ledger: WorldLedger;
   readonly store: VirtualStore;
   readonly network: WorldNetwork;
+  readonly disks: VirtualDisks;
   readonly engines: ReadonlyMap<UpstreamId, VirtualEngine>;
   readonly findNode: (id: InstanceId) => WorldNode | undefined;
   readonly post: (node: WorldNode, event: InstanceEvent) => void;
@@ -35,9 +38,11 @@
 /** Carries out effects of the core with the fakes of the world. */
 export class EffectRunner {
   readonly #parts: RunnerParts;
+  readonly #jobs: JobEffects;
 
   constructor(parts: RunnerParts) {
     this.#parts = parts;
+    this.#jobs = new JobEffects(parts, parts.disks);
   }
 
   carryOut(node: WorldNode, effect: Effect): void {
@@ -69,14 +74,16 @@
         return;
       }
       case "store-result":
-        this.#parts.queue.schedule(1, () =>
-          this.#parts.post(node, {
-            kind: "result-stored",
-            jobId: effect.jobId,
-            index: effect.index,
-            result: effect.result,
-          }),
-        );
+        this.#jobs.store(node, effect);
+        return;
+      case "build-output":
+        this.#jobs.build(node, effect);
+        return;
+      case "drop-results":
+        this.#parts.disks.drop(node.id, effect.jobId);
+        return;
+      case "answer-job":
+        this.#parts.ledger.jobAnswers.push(effect);
         return;
       case "send-peer":
         this.#sendPeer(node, effect);
@@ -93,8 +100,6 @@
       case "keep-config":
         this.#parts.keepConfig(node, effect.config);
         return;
-      case "end-job":
-        return;
       default:
         assertNever(effect);
     }
--- /dev/null
+++ b/packages/fakes/src/world/job_effects.ts
@@ -0,0 +1,80 @@
+import type { Effect, InstanceId } from "@gooseberryline/core";
+import type { RunnerParts } from "./effect_runner.ts";
+import type { WorldNode } from "./types.ts";
+import type { VirtualDisks } from "./virtual_disks.ts";
+
+const WRITE_MS = 1;
+const DISK_TIMEOUT_MS = 300;
+const FIRST_ERROR_STATUS = 400;
+
+type StoreResult = Extract<Effect, { kind: "store-result" }>;
+type BuildOutput = Extract<Effect, { kind: "build-output" }>;
+
+/** Carries out the effects of batch jobs with virtual disks. */
+export class JobEffects {
+  readonly #parts: RunnerParts;
+  readonly #disks: VirtualDisks;
+
+  constructor(parts: RunnerParts, disks: VirtualDisks) {
+    this.#parts = parts;
+    this.#disks = disks;
+  }
+
+  /** Writes to every disk of the file; one that can't be reached fails it. */
+  store(node: WorldNode, effect: StoreResult): void {
+    const { kind: _kind, disks, ...about } = effect;
+    const failed = disks.find((id) => !this.#canReach(node, id));
+    const writes = disks.filter((id) => this.#canReach(node, id));
+    this.#parts.queue.schedule(WRITE_MS, () => {
+      writes.forEach((id) => {
+        this.#disks.write(id, effect.blobId, effect);
+      });
+      if (failed === undefined && disks.length > 0) {
+        this.#parts.post(node, { kind: "result-stored", ...about });
+        return;
+      }
+      const disk = failed ?? ("" as InstanceId);
+      this.#parts.queue.schedule(DISK_TIMEOUT_MS, () =>
+        this.#parts.post(node, { kind: "result-store-failed", ...about, disk }),
+      );
+    });
+  }
+
+  /** Builds a job's output, or reports that a result can't be read now. */
+  build(node: WorldNode, { spec, segments }: BuildOutput): void {
+    const { jobId } = spec;
+    this.#parts.queue.schedule(WRITE_MS, () => {
+      const lines = this.#disks.collect(segments, (id) =>
+        this.#canReach(node, id),
+      );
+      if (lines === undefined) {
+        const output = undefined;
+        this.#parts.post(node, { kind: "output-built", jobId, output });
+        return;
+      }
+      const failed = lines.filter(({ result }) => isFailed(result)).length;
+      const output = {
+        disks: [node.id],
+        completed: lines.length - failed,
+        failed,
+        endedMs: this.#parts.queue.nowMs,
+      };
+      this.#parts.ledger.outputs.set(jobId, lines);
+      this.#parts.post(node, { kind: "output-built", jobId, output });
+    });
+  }
+
+  #canReach(node: WorldNode, id: InstanceId): boolean {
+    const target = this.#parts.findNode(id);
+    return (
+      target?.state.self.hasDisk === true &&
+      target.isAlive &&
+      !target.isPaused &&
+      !this.#parts.network.isCut(node, target)
+    );
+  }
+}
+
+function isFailed(result: StoreResult["result"]): boolean {
+  return result.kind === "error" || result.status >= FIRST_ERROR_STATUS;
+}
--- a/packages/fakes/src/world/types.ts
+++ b/packages/fakes/src/world/types.ts
@@ -6,6 +6,7 @@
   InstanceEvent,
   InstanceId,
   InstanceState,
+  ItemResult,
   Refusal,
   stepInstance,
   UpstreamId,
@@ -16,7 +17,7 @@
 export type WorldOptions = {
   readonly seed: number;
   readonly document: ConfigDocument;
-  /** Instances that have a disk. */
+  /** Instances with a disk; absent, all keep results and none its config. */
   readonly disks?: readonly string[];
   /** Instances in each data centre. */
   readonly instances: Readonly<Record<string, number>>;
@@ -27,6 +28,12 @@
   readonly step?: typeof stepInstance;
 };
 
+/** One item's result as it stands on a disk. */
+export type StoredLine = {
+  readonly index: number;
+  readonly result: ItemResult;
+};
+
 /** How a virtual engine behaves. */
 export type EngineModel = {
   /** Time to the first token of an unloaded engine. */
--- a/packages/fakes/src/world/virtual_store.ts
+++ b/packages/fakes/src/world/virtual_store.ts
@@ -48,6 +48,11 @@
         };
       case "cas":
         return this.records.cas(call, nowMs);
+      case "changes": {
+        const { prefix, revision } = call;
+        const changes = this.records.readChanges(prefix, revision, nowMs);
+        return { kind: "changed", ...changes };
+      }
       case "grant-lease":
         return {
           kind: "granted",
@@ -70,6 +75,8 @@
     case "list":
     case "cas":
       return `/kv/${call.kind}`;
+    case "changes":
+      return "/kv/watch";
     case "grant-lease":
       return "/lease/grant";
     case "keep-lease":
--- a/packages/fakes/src/world/world.ts
+++ b/packages/fakes/src/world/world.ts
@@ -17,6 +17,7 @@
 import { EventQueue } from "./event_queue.ts";
 import { PLATFORM_PLACE } from "./platform_place.ts";
 import type { WorldNode, WorldOptions } from "./types.ts";
+import { VirtualDisks } from "./virtual_disks.ts";
 import { VirtualEngine } from "./virtual_engine.ts";
 import { VirtualStore } from "./virtual_store.ts";
 import { WorldLedger } from "./world_ledger.ts";
@@ -33,6 +34,7 @@
   readonly queue = new EventQueue();
   readonly ledger = new WorldLedger();
   readonly store = new VirtualStore();
+  readonly disks = new VirtualDisks();
   readonly network: WorldNetwork;
   readonly engines = new Map<UpstreamId, VirtualEngine>();
   readonly #runner: EffectRunner;
@@ -56,6 +58,7 @@
       ledger: this.ledger,
       store: this.store,
       network: this.network,
+      disks: this.disks,
       engines: this.engines,
       findNode: (id) => this.#nodes.get(id),
       post: (node, event) => this.#postTo(node, event),
@@ -113,7 +116,14 @@
   start(id: InstanceId, dataCentre: DataCentreId): void {
     this.#incarnations += 1;
     const incarnation = `i${this.#incarnations}`;
-    const self = { instanceId: id, dataCentre, address: id, incarnation };
+    const hasDisk = this.#options.disks?.includes(id) ?? true;
+    const self = {
+      instanceId: id,
+      dataCentre,
+      address: id,
+      incarnation,
+      hasDisk,
+    };
     const seed = this.#options.seed * 1000 + this.#incarnations;
     const node: WorldNode = {
       state: createInstance(self, seed),
--- a/packages/fakes/src/world/world_ledger.ts
+++ b/packages/fakes/src/world/world_ledger.ts
@@ -1,12 +1,14 @@
 import type {
   AttemptId,
   InstanceId,
+  JobId,
+  OfferAnswer,
   PeerMessage,
   RunRecord,
   WorkId,
   WorkOrder,
 } from "@gooseberryline/core";
-import type { CallerView, EngineRun } from "./types.ts";
+import type { CallerView, EngineRun, StoredLine } from "./types.ts";
 
 /** What callers and engines saw, kept outside the program under test. */
 export class WorldLedger {
@@ -14,6 +16,12 @@
   readonly #runs = new Map<AttemptId, EngineRun>();
   readonly #messages = new Map<string, { count: number; bytes: number }>();
   readonly runRecords: RunRecord[] = [];
+  /** Lines of the files built for ended jobs. */
+  readonly outputs = new Map<JobId, readonly StoredLine[]>();
+  readonly jobAnswers: {
+    readonly offerId: string;
+    readonly answer: OfferAnswer;
+  }[] = [];
 
   get calls(): readonly CallerView[] {
     return [...this.#calls.values()];
--- a/packages/measure/src/demo/read_all.ts
+++ b/packages/measure/src/demo/read_all.ts
@@ -1,6 +1,7 @@
 import type { Got } from "got";
 
 const POLL_MS = 50;
+const OPEN_STATUSES = ["validating", "in_progress", "finalizing"];
 
 /** A line of a batch's output file. */
 export type OutputLine = { readonly custom_id: string };
@@ -43,7 +44,7 @@
 
 async function waitForEnd(api: Got, id: string): Promise<Batch> {
   const batch = await api.get(`v1/batches/${id}`).json<Batch>();
-  if (batch.status !== "in_progress") {
+  if (!OPEN_STATUSES.includes(batch.status)) {
     return batch;
   }
   await new Promise((resolve) => setTimeout(resolve, POLL_MS));
--- /dev/null
+++ b/packages/measure/src/jobs/jobs_world_test.ts
@@ -0,0 +1,193 @@
+import { INVARIANTS, type InstanceId, type JobId } from "@gooseberryline/core";
+import { World } from "@gooseberryline/fakes";
+import { beforeAll, expect, test } from "vitest";
+import { buildWorldConfig } from "../world/world_config.ts";
+import { type BatchOrder, offerBatch } from "./offer_batch.ts";
+
+const ids = (...names: string[]) => names as InstanceId[];
+const JOB = "job" as JobId;
+
+const createWorld = (seed = 1) =>
+  new World({
+    seed,
+    document: buildWorldConfig({
+      dataCentres: ["a", "b"],
+      upstreamsEach: 2,
+      customers: ["c1", "c2"],
+    }),
+    instances: { a: 2, b: 1 },
+    engine: { slots: 1_000, firstTokenMs: 100, tokenMs: 2 },
+  });
+
+const [FIRST, SECOND, THIRD] = ids("a-0", "a-1", "b-0") as [
+  InstanceId,
+  InstanceId,
+  InstanceId,
+];
+
+const runBatch = (order: Partial<BatchOrder>, act: (world: World) => void) => {
+  const world = createWorld();
+  offerBatch(world, { name: JOB, itemCount: 3_000, ...order });
+  world.runFor(4_000);
+  act(world);
+  world.runFor(180_000);
+  return world;
+};
+const phaseOf = (world: World) =>
+  JSON.parse(
+    world.store.records.get(`jobs/c1/${JOB}`, world.nowMs)?.value ?? "{}",
+  ).phase;
+const runsAfter = (world: World, atMs: number) =>
+  world.ledger.runs.filter(({ startedMs }) => startedMs > atMs).length;
+
+const indexesOf = (world: World) =>
+  (world.ledger.outputs.get(JOB) ?? [])
+    .map(({ index }) => index)
+    .toSorted((a, b) => a - b);
+const upTo = (count: number) => Array.from({ length: count }, (_, at) => at);
+
+beforeAll(() => {
+  INVARIANTS.shouldThrow = true;
+});
+
+test("a job runs over several instances, each item once", () => {
+  const world = createWorld();
+  offerBatch(world, { name: JOB, itemCount: 5_000 });
+  world.runFor(120_000);
+  expect(indexesOf(world)).toEqual(upTo(5_000));
+  expect(world.ledger.runs.length).toBe(5_000);
+  const owners = new Set(world.ledger.runs.map((run) => run.instanceId));
+  expect([...owners].toSorted()).toEqual([FIRST, SECOND, THIRD]);
+  expect(phaseOf(world)).toBe("completed");
+});
+
+test("an owner's loss repeats only what was not committed", () => {
+  const world = runBatch({}, (at) => at.kill(FIRST));
+  expect(indexesOf(world)).toEqual(upTo(3_000));
+  expect(world.ledger.runs.length).toBeLessThan(3_600);
+});
+
+test("an owner lost just after acknowledging leaves the job", () => {
+  const world = createWorld();
+  world.runFor(1_000);
+  offerBatch(world, { name: JOB, itemCount: 100 });
+  world.runFor(5);
+  expect(world.ledger.jobAnswers.at(-1)?.answer.kind).toBe("accepted");
+  world.kill(FIRST);
+  world.runFor(120_000);
+  expect(indexesOf(world)).toEqual(upTo(100));
+});
+
+test("an owner paused past its lease starts nothing more", () => {
+  const world = runBatch({}, (at) => {
+    at.pause(FIRST);
+    at.runFor(60_000);
+    at.resume(FIRST);
+  });
+  expect(indexesOf(world)).toEqual(upTo(3_000));
+});
+
+test("a resent job finds itself, another input is refused", () => {
+  const world = createWorld();
+  [FIRST, SECOND, THIRD].forEach((at) => {
+    offerBatch(world, { name: JOB, itemCount: 50, at });
+  });
+  offerBatch(world, { name: JOB, itemCount: 50, inputHash: "other" });
+  world.runFor(60_000);
+  const kinds = world.ledger.jobAnswers.map(({ answer }) => answer.kind);
+  expect(kinds.toSorted()).toEqual(
+    ["accepted", "accepted", "accepted"].concat("conflict"),
+  );
+  expect(world.ledger.runs.length).toBe(50);
+});
+
+test("a job offered while the store is down is refused", () => {
+  const world = createWorld();
+  world.store.setFaults({ isDown: true });
+  offerBatch(world, { name: JOB, itemCount: 50 });
+  world.runFor(10_000);
+  expect(world.ledger.jobAnswers[0]?.answer).toEqual({
+    kind: "unavailable",
+    run: "may have run",
+  });
+});
+
+test("lost answers of the store neither double nor lose an item", () => {
+  const world = createWorld();
+  world.store.setFaults({ loseAnswers: 20 });
+  offerBatch(world, { name: JOB, itemCount: 3_000 });
+  world.runFor(180_000);
+  expect(indexesOf(world)).toEqual(upTo(3_000));
+  expect(world.ledger.runs.length).toBe(3_000);
+});
+
+test("idempotent items go on while the store is down", () => {
+  const world = runBatch({}, (at) => {
+    at.store.setFaults({ isDown: true });
+    const before = at.ledger.runs.length;
+    at.runFor(30_000);
+    expect(at.ledger.runs.length).toBeGreaterThan(before + 200);
+    at.store.setFaults({ isDown: false });
+  });
+  expect(indexesOf(world)).toEqual(upTo(3_000));
+  expect(world.ledger.runs.length).toBe(3_000);
+});
+
+test("a cancelled job starts nothing after a few seconds", () => {
+  const world = runBatch({}, (at) => {
+    at.post(THIRD, {
+      kind: "job-cancel-asked",
+      jobId: JOB,
+      customer: "c1" as never,
+    });
+    at.runFor(2_000);
+  });
+  expect(runsAfter(world, 6_000)).toBe(0);
+  expect(phaseOf(world)).toBe("cancelled");
+  expect(indexesOf(world).length).toBeGreaterThan(50);
+});
+
+test("a cancelled job stops while the store is down", () => {
+  const world = runBatch({}, (at) => {
+    at.store.setFaults({ isDown: true });
+    at.post(THIRD, {
+      kind: "job-cancel-asked",
+      jobId: JOB,
+      customer: "c1" as never,
+    });
+    at.runFor(30_000);
+    expect(runsAfter(at, 6_000)).toBe(0);
+    at.store.setFaults({ isDown: false });
+  });
+  expect(phaseOf(world)).toBe("cancelled");
+});
+
+test("a lost disk leaves every result readable", () => {
+  const world = runBatch({}, (at) => {
+    at.kill(FIRST);
+    at.disks.lose(FIRST);
+  });
+  expect(indexesOf(world)).toEqual(upTo(3_000));
+});
+
+test("a non-idempotent item runs once, whatever is lost", () => {
+  const world = runBatch({ isIdempotent: false }, (at) => {
+    at.kill(FIRST);
+    at.pause(SECOND);
+    at.runFor(50_000);
+    at.resume(SECOND);
+  });
+  expect(indexesOf(world)).toEqual(upTo(3_000));
+  const items = world.ledger.runs.map(({ workId }) => workId);
+  expect(new Set(items).size).toBe(items.length);
+});
+
+test("a planned stop hands its segments back", () => {
+  const world = runBatch({}, (at) => {
+    at.post(FIRST, { kind: "stop-asked" });
+    at.runFor(3_000);
+    expect(at.stateOf(FIRST)?.jobs.owned).toEqual({});
+    at.kill(FIRST);
+  });
+  expect(indexesOf(world)).toEqual(upTo(3_000));
+});
--- a/packages/protocol/src/peers/peers_test.ts
+++ b/packages/protocol/src/peers/peers_test.ts
@@ -17,6 +17,7 @@
     revision: 3,
     isStopping: false,
     isWatchBroken: false,
+    hasDisk: false,
   },
 };
 
