Serve each listener over TLS, and instances mutually

Cause: listeners served in the clear on any address. Change: certificate files for each listener, read again when they change; mutual TLS between instances by the library's file-watching certificate provider; without TLS only loopback and private addresses may be bound unless allowInsecure is set. The library's retries are off for peer connections.

--- a/packages/daemon/src/peers/channel_options.ts
+++ b/packages/daemon/src/peers/channel_options.ts
@@ -8,7 +8,8 @@
 
 /**
  * Options of both ends. Keepalive pings find a connection that has gone
- * silent within `KEEPALIVE_MS + KEEPALIVE_TIMEOUT_MS` and replace it.
+ * silent within `KEEPALIVE_MS + KEEPALIVE_TIMEOUT_MS` and replace it. The
+ * library's retries are off: they would keep and resend outdated messages.
  */
 export const CHANNEL_OPTIONS: ChannelOptions = {
   "grpc.keepalive_time_ms": KEEPALIVE_MS,
@@ -20,4 +21,5 @@
   "grpc.max_send_message_length": MAX_MESSAGE_BYTES,
   "grpc.use_local_subchannel_pool": 1,
   "grpc.enable_http_proxy": 0,
+  "grpc.enable_retries": 0,
 };
--- a/packages/daemon/src/peers/peer_link.ts
+++ b/packages/daemon/src/peers/peer_link.ts
@@ -10,7 +10,7 @@
 import type { ClientWritableStream } from "@grpc/grpc-js";
 import { CHANNEL_OPTIONS } from "./channel_options.ts";
 import { PeerError } from "./peer_error.ts";
-import type { PeerCredentials } from "./types.ts";
+import type { PeerCounts, PeerCredentials } from "./types.ts";
 
 /** Messages that may wait for the socket before more are dropped. */
 const MAX_PENDING = 512;
@@ -20,6 +20,7 @@
   readonly call: ClientWritableStream<Envelope>;
   pending: number;
   sequence: number;
+  isEnded: boolean;
 };
 
 /** The connection to one peer: a message stream and single calls. */
@@ -28,14 +29,22 @@
   readonly client: PeerClient;
   usedMs = Date.now();
   readonly #sender: Pick<PeerDelivery, "from" | "incarnation">;
+  readonly #counts: PeerCounts;
   #stream: OpenStream | undefined;
   #reopenMs = 0;
 
   constructor(
     address: string,
     sender: Pick<PeerDelivery, "from" | "incarnation">,
-    { client, certificateName }: PeerCredentials,
+    {
+      credentials: { client, certificateName },
+      counts,
+    }: {
+      readonly credentials: PeerCredentials;
+      readonly counts: PeerCounts;
+    },
   ) {
+    this.#counts = counts;
     this.address = address;
     this.#sender = sender;
     const name =
@@ -46,21 +55,24 @@
     this.client = new PEER_SERVICE(address, client, options);
   }
 
-  /** Sends a message; false where it had to be dropped. */
-  send(message: PeerMessage): boolean {
+  /** Sends a message; one that can't be sent is dropped and counted. */
+  send(message: PeerMessage): void {
     this.usedMs = Date.now();
     const stream = this.#stream ?? this.#open();
     if (stream === undefined || stream.pending >= MAX_PENDING) {
-      return false;
+      this.#counts.droppedUnsent += 1;
+      return;
     }
     stream.pending += 1;
     stream.sequence += 1;
     const { sequence } = stream;
     const envelope = encodeMessage({ ...this.#sender, sequence, message });
     stream.call.write(envelope, () => {
-      stream.pending -= 1;
+      if (!stream.isEnded) {
+        stream.pending -= 1;
+        this.#counts.sent += 1;
+      }
     });
-    return true;
   }
 
   /** Asks the peer; rejects with a `PeerError` after `timeoutMs`. */
@@ -100,12 +112,19 @@
       return undefined;
     }
     const call = this.client.deliver(() => {
+      opened.isEnded = true;
+      this.#counts.droppedUnsent += opened.pending;
       if (this.#stream === opened) {
         this.#stream = undefined;
         this.#reopenMs = Date.now() + REOPEN_MS;
       }
     });
-    const opened: OpenStream = { call, pending: 0, sequence: 0 };
+    const opened: OpenStream = {
+      call,
+      pending: 0,
+      sequence: 0,
+      isEnded: false,
+    };
     call.on("error", () => undefined);
     this.#stream = opened;
     return opened;
--- a/packages/daemon/src/peers/peer_task.ts
+++ b/packages/daemon/src/peers/peer_task.ts
@@ -42,9 +42,7 @@
       counts.droppedUnknown += 1;
       return;
     }
-    const isSent = this.#link(address).send(message);
-    counts.sent += isSent ? 1 : 0;
-    counts.droppedUnsent += isSent ? 0 : 1;
+    this.#link(address).send(message);
   }
 
   /** The connection to an instance; throws where no address is known. */
@@ -107,8 +105,7 @@
     if (known !== undefined) {
       return known;
     }
-    const { sender, credentials } = this.#parts;
-    const link = new PeerLink(address, sender, credentials);
+    const link = new PeerLink(address, this.#parts.sender, this.#parts);
     this.#links.set(address, link);
     return link;
   }
--- a/packages/daemon/src/peers/types.ts
+++ b/packages/daemon/src/peers/types.ts
@@ -12,6 +12,7 @@
 
 /** Messages to and from peers since the process started. */
 export type PeerCounts = {
+  /** Handed to the connection; a connection that breaks may lose them. */
   sent: number;
   received: number;
   /** No address is known for the instance. */
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -1,4 +1,6 @@
 import { z } from "zod";
+import { isPrivateAddress } from "../tls/is_private_address.ts";
+import { TLS_SCHEMA } from "../tls/tls_schema.ts";
 
 const PORT = z.number().int().min(0).max(65_535);
 
@@ -13,6 +15,8 @@
   headersTimeoutMs: TIMEOUT_MS.default(10_000),
   /** Time for a whole request to arrive, milliseconds. */
   requestTimeoutMs: TIMEOUT_MS.default(60_000),
+  /** Absent serves without TLS. */
+  tls: TLS_SCHEMA.optional(),
 });
 
 const METRICS = z.strictObject({
@@ -28,6 +32,13 @@
   port: PORT.default(0),
   /** `IP:port` under which peers reach it, where that isn't what it binds. */
   advertise: ADDRESS.optional(),
+  /** Absent connects without TLS; both ends must have it or neither. */
+  tls: TLS_SCHEMA.extend({
+    /** PEM file with the authority that signs every instance. */
+    caFile: z.string().min(1),
+    /** DNS name that the certificate of every instance carries. */
+    name: z.string().min(1).default("gooseberryline"),
+  }).optional(),
 });
 
 const OPERATOR = z.strictObject({
@@ -37,8 +48,7 @@
   role: z.enum(["viewer", "operator"]),
 });
 
-/** Checks the settings file of an instance; unknown keys are refused. */
-export const SETTINGS_SCHEMA = z.strictObject({
+const SETTINGS = z.strictObject({
   instanceId: z.string().regex(/^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/),
   dataCentre: z.string().min(1),
   callerListener: LISTENER.prefault({}),
@@ -52,7 +62,28 @@
   dataFolder: z.string().optional(),
   /** Absent sends no metrics. */
   metrics: METRICS.optional(),
+  /** Lets listeners without TLS bind addresses that are not private. */
+  allowInsecure: z.boolean().default(false),
   operators: z.array(OPERATOR).default([]),
   /** Configuration that `--embedded` starts with. */
   embeddedConfig: z.unknown().optional(),
 });
+
+const LISTENERS = ["callerListener", "adminListener", "peerListener"] as const;
+
+/** Checks the settings file of an instance; unknown keys are refused. */
+export const SETTINGS_SCHEMA = SETTINGS.superRefine((settings, context) => {
+  LISTENERS.filter((name) => {
+    const { tls, host } = settings[name];
+    const isSafe = tls !== undefined || isPrivateAddress(host);
+    return !isSafe && !settings.allowInsecure;
+  }).forEach((name) => {
+    context.addIssue({
+      code: "custom",
+      path: [name, "host"],
+      message:
+        "without tls only loopback or private addresses may be bound " +
+        "(allowInsecure lifts this)",
+    });
+  });
+});
--- a/packages/daemon/src/settings/settings_test.ts
+++ b/packages/daemon/src/settings/settings_test.ts
@@ -81,3 +81,26 @@
   expect(await runMain(["--settings", "/no/such/file"], output)).toBe(1);
   expect(await runMain(["--help"], output)).toBe(0);
 });
+
+const textOf = (more: object) =>
+  JSON.stringify({ instanceId: "one", dataCentre: "a", ...more });
+
+test.each(["callerListener", "adminListener", "peerListener"])(
+  "%s without tls may not bind a public address",
+  (name) => {
+    const text = textOf({ [name]: { host: "203.0.113.5" } });
+    expect(faultOf(text)?.path).toBe(`${name}.host`);
+    expect(faultOf(textOf({ [name]: { host: "0.0.0.0" } }))).toBeDefined();
+    expect(faultOf(textOf({ [name]: { host: "::" } }))).toBeDefined();
+    expect(faultOf(textOf({ [name]: { host: "10.1.2.3" } }))).toBeUndefined();
+    expect(faultOf(textOf({ [name]: { host: "fd00::1" } }))).toBeUndefined();
+  },
+);
+
+test("tls or allowInsecure lifts the bound on addresses", () => {
+  const host = "203.0.113.5";
+  const tls = { certFile: "c.pem", keyFile: "k.pem" };
+  expect(faultOf(textOf({ callerListener: { host, tls } }))).toBeUndefined();
+  const insecure = { allowInsecure: true, callerListener: { host } };
+  expect(faultOf(textOf(insecure))).toBeUndefined();
+});
--- a/packages/daemon/src/settings/types.ts
+++ b/packages/daemon/src/settings/types.ts
@@ -4,6 +4,7 @@
 
 export type Settings = z.infer<typeof SETTINGS_SCHEMA>;
 export type ListenerSettings = Settings["callerListener"];
+export type TlsSettings = NonNullable<ListenerSettings["tls"]>;
 export type PeerListenerSettings = Settings["peerListener"];
 
 /** One fault of a settings file and where it stands. */
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -8,7 +8,6 @@
   ListedInstance,
 } from "@gooseberryline/core";
 import type { Platform } from "@gooseberryline/protocol";
-import { credentials as grpc, ServerCredentials } from "@grpc/grpc-js";
 import { createAdminApp } from "./admin/create_admin_app.ts";
 import { createFleetReports } from "./admin/create_fleet_reports.ts";
 import { createLocalReports } from "./admin/create_local_reports.ts";
@@ -39,6 +38,7 @@
 import { CoreTask } from "./tasks/core_task.ts";
 import { handleEffect } from "./tasks/handle_effect.ts";
 import { listen } from "./tasks/listen.ts";
+import { createPeerCredentials } from "./tls/create_peer_credentials.ts";
 
 const STOP_POLL_MS = 20;
 const STOP_LIMIT_MS = 120_000;
@@ -81,11 +81,7 @@
     buildBurn: () => burn.buildRows(),
   });
   const peering = await startPeering(settings, self, {
-    credentials: {
-      client: grpc.createInsecure(),
-      server: ServerCredentials.createInsecure(),
-      certificateName: undefined,
-    },
+    credentials: createPeerCredentials(settings.peerListener),
     log,
     post,
     readState,
@@ -161,8 +157,12 @@
     cancelJob: ({ jobId, customer }) => jobs.cancel(jobId, customer),
     log,
   });
-  const caller = await listen(callerApp.callback(), settings.callerListener);
-  const admin = await listen(adminApp.callback(), settings.adminListener);
+  const caller = await listen(
+    callerApp.callback(),
+    settings.callerListener,
+    log,
+  );
+  const admin = await listen(adminApp.callback(), settings.adminListener, log);
   log.info("listening", {
     caller: caller.address,
     admin: admin.address,
--- a/packages/daemon/src/tasks/listen.ts
+++ b/packages/daemon/src/tasks/listen.ts
@@ -1,6 +1,18 @@
-import { createServer, type RequestListener, type Server } from "node:http";
+import { readFileSync } from "node:fs";
+import {
+  createServer,
+  type RequestListener,
+  type Server,
+  type ServerOptions,
+} from "node:http";
+import {
+  createServer as createSecureServer,
+  type Server as TlsServer,
+} from "node:https";
 import type { AddressInfo } from "node:net";
-import type { ListenerSettings } from "../settings/types.ts";
+import type { Log } from "../logs/create_log.ts";
+import type { ListenerSettings, TlsSettings } from "../settings/types.ts";
+import { followCertificate } from "../tls/follow_certificate.ts";
 import { refuseBrokenRequest } from "./refuse_broken_request.ts";
 
 const MAX_HEADER_BYTES = 16_384;
@@ -9,7 +21,7 @@
 
 /** A bound listener. */
 export type Listener = {
-  readonly server: Server;
+  readonly server: Server | TlsServer;
   /** Address as `IP:port`. */
   readonly address: string;
 };
@@ -17,19 +29,21 @@
 /** Binds a listener; slow senders are cut off by the timeouts. */
 export async function listen(
   handler: RequestListener,
-  { host, port, headersTimeoutMs, requestTimeoutMs }: ListenerSettings,
+  { host, port, headersTimeoutMs, requestTimeoutMs, tls }: ListenerSettings,
+  log: Log,
 ): Promise<Listener> {
   const shortestMs = Math.min(headersTimeoutMs, requestTimeoutMs);
   const checkMs = Math.ceil(shortestMs / CHECKS_IN_TIMEOUT);
-  const server = createServer(
-    {
-      headersTimeout: Math.min(headersTimeoutMs, requestTimeoutMs),
-      requestTimeout: requestTimeoutMs,
-      connectionsCheckingInterval: Math.min(checkMs, MAX_CHECK_MS),
-      maxHeaderSize: MAX_HEADER_BYTES,
-    },
-    handler,
-  );
+  const options = {
+    headersTimeout: Math.min(headersTimeoutMs, requestTimeoutMs),
+    requestTimeout: requestTimeoutMs,
+    connectionsCheckingInterval: Math.min(checkMs, MAX_CHECK_MS),
+    maxHeaderSize: MAX_HEADER_BYTES,
+  };
+  const server =
+    tls === undefined
+      ? createServer(options, handler)
+      : createTlsServer(handler, { options, tls, log });
   server.on("clientError", refuseBrokenRequest);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
@@ -38,3 +52,29 @@
   const bound = server.address() as AddressInfo;
   return { server, address: `${bound.address}:${bound.port}` };
 }
+
+function createTlsServer(
+  handler: RequestListener,
+  {
+    options,
+    tls,
+    log,
+  }: {
+    readonly options: ServerOptions;
+    readonly tls: TlsSettings;
+    readonly log: Log;
+  },
+): TlsServer {
+  const server = createSecureServer(
+    {
+      ...options,
+      cert: readFileSync(tls.certFile),
+      key: readFileSync(tls.keyFile),
+      minVersion: "TLSv1.2",
+    },
+    handler,
+  );
+  const followed = followCertificate(server, tls, log);
+  server.once("close", () => followed.stop());
+  return server;
+}
--- /dev/null
+++ b/packages/daemon/src/tls/tls_schema.ts
@@ -0,0 +1,9 @@
+import { z } from "zod";
+
+/** Checks a listener's certificate files; they are reloaded on change. */
+export const TLS_SCHEMA = z.strictObject({
+  /** PEM file with the certificate and its chain. */
+  certFile: z.string().min(1),
+  /** PEM file with the private key. */
+  keyFile: z.string().min(1),
+});
