Pass chunks that end an event without looking further

Cause: each chunk was cut into what may go and what is held, also where nothing is held; and a line of one character before the last line end was taken for a blank line.

--- a/packages/daemon/src/tasks/answer_marks.ts
+++ b/packages/daemon/src/tasks/answer_marks.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from "node:http";
 
 const LINE_FEED = 10;
+const RETURN = 13;
 const EVENT_END = "\n\n";
 const EVENT_END_CRLF = "\r\n\r\n";
 const END_MARK = /(?:^|\n)data: ?\[DONE\]\s*$/;
@@ -33,8 +34,11 @@
     if (!this.isEventStream) {
       return chunk;
     }
-    const all =
-      this.#held.length === 0 ? chunk : Buffer.concat([this.#held, chunk]);
+    if (this.#held.length === 0 && hasEventEnd(chunk)) {
+      this.#noteEvents(chunk);
+      return chunk;
+    }
+    const all = Buffer.concat([this.#held, chunk]);
     const whole = all.subarray(0, findEventsEnd(all));
     this.#held = all.subarray(whole.length);
     this.#noteEvents(whole);
@@ -82,14 +86,19 @@
   return bytes.toString("latin1").split(/\r?\n\r?\n/).length - 1;
 }
 
+function hasEventEnd(bytes: Buffer): boolean {
+  const size = bytes.length;
+  const before = bytes[size - 2];
+  const isBlankLine =
+    before === LINE_FEED ||
+    (before === RETURN && bytes[size - 3] === LINE_FEED);
+  return isBlankLine && bytes[size - 1] === LINE_FEED;
+}
+
 /** Where the last whole event ends; everything once too much is held. */
 function findEventsEnd(bytes: Buffer): number {
-  const size = bytes.length;
-  const endsEvent =
-    bytes[size - 1] === LINE_FEED &&
-    (bytes[size - 2] === LINE_FEED || bytes[size - 3] === LINE_FEED);
-  if (endsEvent || size > MAX_HELD_BYTES) {
-    return size;
+  if (hasEventEnd(bytes) || bytes.length > MAX_HELD_BYTES) {
+    return bytes.length;
   }
   const plain = bytes.lastIndexOf(EVENT_END);
   const crlf = bytes.lastIndexOf(EVENT_END_CRLF);
