--- a/packages/measure/src/measures/relay_overhead.ts
+++ b/packages/measure/src/measures/relay_overhead.ts
@@ -10,6 +10,12 @@
 const STREAMS = 850;
 const REQUESTS_PER_SECOND = 29;
 const DURATION_MS = 3_000;
+const WARM_UP_MS = 1_500;
+const FULL_LOAD = {
+  streams: STREAMS,
+  tokenMs: undefined,
+  requestsPerSecond: 0,
+} as const;
 const US_PER_MS = 1_000;
 const MS_PER_SECOND = 1_000;
 const PERCENT = 100;
@@ -83,13 +89,17 @@
   target: Target,
   { seed, bare }: Seeded,
 ): Promise<readonly Named[]> {
+  await thread.run({
+    ...FULL_LOAD,
+    targetUrl: target.url,
+    durationMs: WARM_UP_MS,
+    seed,
+  });
   const once = await measurePaced(thread, target, { seed, times: 1 });
   const twice = await measurePaced(thread, target, { seed, times: 2 });
   const full = await thread.run({
+    ...FULL_LOAD,
     targetUrl: target.url,
-    streams: STREAMS,
-    tokenMs: undefined,
-    requestsPerSecond: 0,
     durationMs: DURATION_MS,
     seed: seed + 2,
   });
