Let open answers be read before a planned stop ends

Cause: stop() closed the listeners without waiting, and the process ended while answers were still on their way to slow readers.

--- /dev/null
+++ b/packages/daemon/src/tasks/close_listener.ts
@@ -0,0 +1,21 @@
+import type { Server } from "node:http";
+
+const POLL_MS = 20;
+
+/**
+ * Closes a listener once its open requests are answered and read; after
+ * `limitMs` those that are left are cut off. Connections without a request
+ * are closed at once.
+ */
+export async function closeListener(
+  server: Server,
+  limitMs: number,
+): Promise<void> {
+  const poll = setInterval(() => server.closeIdleConnections(), POLL_MS);
+  const limit = setTimeout(() => server.closeAllConnections(), limitMs);
+  await new Promise<void>((resolve) => {
+    server.close(() => resolve());
+  });
+  clearInterval(poll);
+  clearTimeout(limit);
+}
--- a/packages/fakes/src/engine/start_engine.ts
+++ b/packages/fakes/src/engine/start_engine.ts
@@ -25,7 +25,11 @@
   port = 0,
 ): Promise<FakeEngine> {
   const runs: EngineRun[] = [];
-  const control = { inFlight: 0, faults: {} as Partial<EngineFaults> };
+  const control = {
+    inFlight: 0,
+    stalled: 0,
+    faults: {} as Partial<EngineFaults>,
+  };
   const bootId = randomUUID();
   const app = new Koa();
   const router = new Router();
@@ -57,7 +61,10 @@
     const echoed = faults.isCrossed === true ? "another" : requestId;
     ctx.res.setHeader("x-request-id", echoed);
     ctx.res.setHeader("x-boot-id", bootId);
-    const answer = { body, res: ctx.res, options, faults };
+    const noteStall = (change: number): void => {
+      control.stalled += change;
+    };
+    const answer = { body, res: ctx.res, options, faults, noteStall };
     run.isFinished =
       body.stream === true
         ? await streamAnswer(answer)
@@ -69,6 +76,7 @@
     url: listening.url,
     runs,
     countInFlight: () => control.inFlight,
+    countStalled: () => control.stalled,
     setFaults: (faults) => {
       control.faults = { ...control.faults, ...faults };
     },
@@ -81,6 +89,7 @@
   readonly res: ServerResponse;
   readonly options: EngineOptions;
   readonly faults: Partial<EngineFaults>;
+  readonly noteStall: (change: number) => void;
 };
 
 function countTokens({ body, options }: Answer): number {
@@ -132,7 +141,7 @@
 }
 
 async function writeTokens(answer: Answer, last: number): Promise<void> {
-  const { res, body, options } = answer;
+  const { res, body, options, noteStall } = answer;
   const chunk = {
     id: "chatcmpl-fake",
     object: "chat.completion.chunk",
@@ -146,7 +155,9 @@
       return;
     }
     if (!res.write(line)) {
+      noteStall(1);
       await waitForRoom(res);
+      noteStall(-1);
     }
     await wait(options.tokenMs ?? 0);
   }
--- a/packages/fakes/src/engine/types.ts
+++ b/packages/fakes/src/engine/types.ts
@@ -34,6 +34,8 @@
   readonly url: string;
   readonly runs: readonly EngineRun[];
   readonly countInFlight: () => number;
+  /** Streams that wait for their reader to take more. */
+  readonly countStalled: () => number;
   readonly setFaults: (faults: Partial<EngineFaults>) => void;
   readonly close: () => Promise<void>;
 };
--- a/packages/measure/src/caller/start_door.ts
+++ b/packages/measure/src/caller/start_door.ts
@@ -7,7 +7,7 @@
 /**
  * Starts a system for tests of the caller interface: the model `demo-model`,
  * the plain services `stock` and `open` at one fake service, the profiles
- * `standard`, `small` and `once` (not idempotent), and a second customer with
+ * `standard`, `small`, `long` and `once` (not idempotent), and a second customer with
  * the key `other-key`.
  */
 export async function startDoor(
@@ -59,6 +59,7 @@
     profiles: {
       ...document.profiles,
       small: { ...standard, limits },
+      long: { ...standard, limits: { ...standard.limits, tokens: 100_000 } },
       once: { ...standard, idempotent: false },
     },
     customers: {
--- a/packages/measure/src/caller/stream_test.ts
+++ b/packages/measure/src/caller/stream_test.ts
@@ -1,4 +1,7 @@
+import { once } from "node:events";
+import { type IncomingMessage, request } from "node:http";
 import { afterAll, afterEach, beforeAll, expect, test } from "vitest";
+import { waitUntil } from "../support/wait_until.ts";
 import { startDoor } from "./start_door.ts";
 
 const CHAT = "v1/chat/completions";
@@ -17,6 +20,24 @@
 });
 afterAll(() => door.stop());
 
+const openStream = async (url: string, tokens: number) => {
+  const { hostname, port } = new URL(url);
+  const req = request({ hostname, port, path: `/${CHAT}`, method: "POST" });
+  req.setHeader("authorization", "Bearer demo-key");
+  req.setHeader("x-gooseberryline-profile", "long");
+  req.end(JSON.stringify({ ...chat, stream: true, max_tokens: tokens }));
+  const [res] = (await once(req, "response")) as [IncomingMessage];
+  return res;
+};
+
+const readText = async (res: IncomingMessage) => {
+  const parts: string[] = [];
+  res.on("data", (chunk: Buffer) => parts.push(chunk.toString()));
+  res.resume();
+  await once(res, "end");
+  return parts.join("");
+};
+
 test("a cut stream ends with an error and no end mark", async () => {
   door.engines[0]?.setFaults({ cutAfterTokens: 5 });
   const { body } = await door.api.post(CHAT, {
@@ -60,3 +81,28 @@
     "idempotency-key": "order-7",
   });
 });
+
+test("a slow reader gets the whole answer, a fast engine waits", async () => {
+  const tokens = 40_000;
+  const fast = await startDoor({ engine: { tokenMs: 0 } });
+  const res = await openStream(fast.callerUrl, tokens);
+  res.pause();
+  await waitUntil(() => fast.engines[0]?.countStalled() === 1);
+  const events = (await readText(res)).trim().split("\n\n");
+  await fast.stop();
+  expect(events).toHaveLength(tokens + 1);
+  expect(events.at(-1)).toBe("data: [DONE]");
+});
+
+test("a planned stop lets a slow reader finish", async () => {
+  const tokens = 40_000;
+  const fast = await startDoor({ engine: { tokenMs: 0 } });
+  const res = await openStream(fast.callerUrl, tokens);
+  res.pause();
+  await waitUntil(() => fast.engines[0]?.countStalled() === 1);
+  const stopped = fast.stop();
+  const text = await readText(res);
+  await stopped;
+  expect(text.trim().split("\n\n")).toHaveLength(tokens + 1);
+  expect(text).toContain("data: [DONE]");
+});
