--- a/packages/daemon/src/caller/add_completion_routes.ts
+++ b/packages/daemon/src/caller/add_completion_routes.ts
@@ -38,7 +38,7 @@
   const request = parseCompletion(body, ctx.path);
   const service = requireModel(document, request.model);
   const { requester, chosen } = known ?? door.admitAnyone(ctx, service);
-  const costTokens = countCostTokens(request.text, request.maxTokens);
+  const costTokens = countCostTokens(request.text, request.answerTokens);
   checkLimits(chosen, { model: service, costTokens });
   const order = buildOrder(requester, chosen, {
     service,
--- a/packages/daemon/src/caller/add_service_routes.ts
+++ b/packages/daemon/src/caller/add_service_routes.ts
@@ -2,7 +2,6 @@
 import type Router from "@koa/router";
 import type { Context } from "koa";
 import { buildOrder } from "./build_order.ts";
-import { countCostTokens } from "./count_cost_tokens.ts";
 import type { Door } from "./door.ts";
 import { HttpRefusal } from "./http_refusal.ts";
 import { locateCall } from "./locate_call.ts";
@@ -11,6 +10,9 @@
 import { readDeadline } from "./read_deadline.ts";
 import { readTenantKey } from "./read_tenant_key.ts";
 
+/** What a call counts for beside completions in the queues. */
+const CALL_COST_TOKENS = 256;
+
 /** Adds the route of plain services. */
 export function addServiceRoutes(router: Router, door: Door): void {
   router.all(/^\/services\//, (ctx) => answerCall(ctx, door));
@@ -27,7 +29,7 @@
   const order = buildOrder(requester, chosen, {
     service,
     text: "",
-    costTokens: countCostTokens("", undefined),
+    costTokens: CALL_COST_TOKENS,
     allowedMs: readDeadline(ctx, chosen.profile.deadlineMs),
     nowMs: Date.now(),
   });
--- a/packages/daemon/src/caller/count_cost_tokens.ts
+++ b/packages/daemon/src/caller/count_cost_tokens.ts
@@ -1,11 +1,6 @@
 const CHARS_PER_TOKEN = 4;
-const DEFAULT_ANSWER_TOKENS = 256;
 
 /** Estimates the work of a completion in tokens, prompt and answer. */
-export function countCostTokens(
-  text: string,
-  maxTokens: number | undefined,
-): number {
-  const promptTokens = Math.ceil(text.length / CHARS_PER_TOKEN);
-  return promptTokens + (maxTokens ?? DEFAULT_ANSWER_TOKENS);
+export function countCostTokens(text: string, answerTokens: number): number {
+  return Math.ceil(text.length / CHARS_PER_TOKEN) + answerTokens;
 }
--- a/packages/daemon/src/caller/create_caller_app.ts
+++ b/packages/daemon/src/caller/create_caller_app.ts
@@ -27,7 +27,9 @@
   const app = new Koa();
   const router = new Router();
   const door = new Door(parts);
-  app.on("error", () => undefined);
+  app.on("error", ({ message }: Error) => {
+    parts.log.info("caller-connection-failed", { message });
+  });
   app.use((ctx, next) => {
     nameRequest(ctx);
     return next();
--- a/packages/daemon/src/caller/parse_completion.ts
+++ b/packages/daemon/src/caller/parse_completion.ts
@@ -4,6 +4,7 @@
 import { parseJson } from "./parse_json.ts";
 
 const CHAT_PATH = "/v1/chat/completions";
+const DEFAULT_ANSWER_TOKENS = 256;
 
 /** A completion request as far as the system reads it. */
 export type Completion = {
@@ -12,7 +13,7 @@
   /** The prompt as text: what its length is estimated from. */
   readonly text: string;
   /** Tokens that the answer may have, over all of its choices. */
-  readonly maxTokens: number | undefined;
+  readonly answerTokens: number;
 };
 
 /** Parses and checks a completion request; a refusal names the field. */
@@ -31,15 +32,13 @@
     model: data.model,
     isStream: data.stream === true,
     text: JSON.stringify(data[field]),
-    maxTokens: countAnswerTokens(data),
+    answerTokens: countAnswerTokens(data),
   };
 }
 
-function countAnswerTokens(
-  data: z.infer<typeof COMPLETION_SCHEMA>,
-): number | undefined {
-  const each = data.max_completion_tokens ?? data.max_tokens ?? undefined;
-  return each === undefined ? undefined : each * (data.n ?? 1);
+function countAnswerTokens(data: z.infer<typeof COMPLETION_SCHEMA>): number {
+  const asked = data.max_completion_tokens ?? data.max_tokens;
+  return (asked ?? DEFAULT_ANSWER_TOKENS) * (data.n ?? 1);
 }
 
 function refuseField(field: string, message: string): HttpRefusal {
