--- a/packages/daemon/src/start/start_peering.ts
+++ b/packages/daemon/src/start/start_peering.ts
@@ -26,15 +26,15 @@
   parts: Pick<PeerServerParts, "log" | "post" | "answer"> & {
     readonly credentials: PeerCredentials;
     readonly readState: () => InstanceState;
+    /** Where peers' files are kept; undefined without a disk. */
+    readonly folder: string | undefined;
   },
 ): Promise<Peering> {
-  const { credentials, readState } = parts;
+  const { credentials, folder, readState } = parts;
   const counts = createPeerCounts();
-  const { dataFolder, peerListener } = settings;
+  const { peerListener } = settings;
   const blobs =
-    dataFolder === undefined
-      ? undefined
-      : new FolderBlobs(join(dataFolder, "blobs"));
+    folder === undefined ? undefined : new FolderBlobs(join(folder, "blobs"));
   const server = await startPeerServer(peerListener, {
     ...parts,
     counts,
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -84,6 +84,7 @@
     buildBurn: () => burn.buildRows(),
   });
   const peering = await startPeering(settings, self, {
+    folder: self.hasDisk ? folder : undefined,
     credentials: createPeerCredentials(settings.peerListener),
     log,
     post,
--- /dev/null
+++ b/packages/measure/src/jobs/fleet_batch_test.ts
@@ -0,0 +1,98 @@
+import { mkdtemp } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expect, test } from "vitest";
+import { BatchClient } from "../support/batch_client.ts";
+import { startFleet } from "../support/start_fleet.ts";
+import { waitUntil } from "../support/wait_until.ts";
+
+const BODY = { model: "demo-model", messages: [], max_tokens: 40 };
+const ITEMS = 1_000;
+const END_MS = 40_000;
+
+const startPlaces = async () => {
+  const places = await Promise.all(
+    ["one", "two", "three"].map(async (instanceId, at) => ({
+      instanceId,
+      dataCentre: at === 2 ? "b" : "a",
+      settings: { dataFolder: await mkdtemp(join(tmpdir(), "jobs-")) },
+    })),
+  );
+  const fleet = await startFleet({ places, engines: 2 });
+  await waitUntil(() =>
+    [...fleet.daemons.values()].every(
+      (daemon) =>
+        Object.values(daemon.readState().membership.members).filter(
+          ({ hasDisk }) => hasDisk,
+        ).length === 2,
+    ),
+  );
+  return { fleet, places };
+};
+
+const allIds = Array.from({ length: ITEMS }, (_, at) => `item-${at}`);
+
+test("a batch outlives its owner and is read anywhere", async () => {
+  const { fleet, places } = await startPlaces();
+  const client = (id: string) => new BatchClient(fleet.api(id));
+  const content = BatchClient.writeInput(ITEMS, BODY);
+  const fileId = await client("one").upload(content);
+  const { body: batch } = await client("two").create(fileId);
+  const owner = () =>
+    [...fleet.daemons.entries()].find(
+      ([, daemon]) => Object.keys(daemon.readState().jobs.owned).length > 0,
+    )?.[0];
+  await waitUntil(async () => {
+    const { request_counts: counts } = await client("one").get(batch.id);
+    return owner() !== undefined && counts.completed > 0;
+  }, END_MS);
+  const lost = places.find(({ instanceId }) => instanceId === owner());
+  if (lost === undefined) {
+    throw new Error("nobody owns the job");
+  }
+  await fleet.end(lost.instanceId, true);
+  await fleet.start(lost);
+  await waitUntil(
+    async () => (await client("three").get(batch.id)).status === "completed",
+    END_MS,
+  );
+  const ended = await client("three").get(batch.id);
+  expect(ended.request_counts).toEqual({
+    total: ITEMS,
+    completed: ITEMS,
+    failed: 0,
+  });
+  const read = await Promise.all(
+    places.map(({ instanceId }) =>
+      client(instanceId).readIds(ended.output_file_id),
+    ),
+  );
+  expect(read).toEqual(places.map(() => allIds.toSorted()));
+  await fleet.stop();
+});
+
+test("a batch cancelled elsewhere stops with what it has", async () => {
+  const { fleet } = await startPlaces();
+  const client = (id: string) => new BatchClient(fleet.api(id));
+  const slow = { ...BODY, max_tokens: 40 };
+  const fileId = await client("one").upload(
+    BatchClient.writeInput(2_000, slow),
+  );
+  const { body: batch } = await client("one").create(fileId);
+  await waitUntil(
+    async () =>
+      (await client("one").get(batch.id)).request_counts.completed > 0,
+    END_MS,
+  );
+  const asked = await client("three").cancel(batch.id);
+  expect(asked.status).toBe("cancelling");
+  await waitUntil(
+    async () => (await client("two").get(batch.id)).status === "cancelled",
+    END_MS,
+  );
+  const ended = await client("two").get(batch.id);
+  const ids = await client("two").readIds(ended.output_file_id);
+  expect(ids.length).toBe(ended.request_counts.completed);
+  expect(ids.length).toBeLessThan(2_000);
+  await fleet.stop();
+});
