Claim the key of a non-idempotent request before its first attempt

Cause: a resent non-idempotent request ran again at another instance. Change: a phase "claiming" before the queue. A lost answer is read back; a store without answer means a refusal, "not run"; a used key means 409, "may have run". A claim written for a request that was then refused is not taken back: its resend is told "may have run".

--- /dev/null
+++ b/packages/core/src/claims/handle_claims_answer.ts
@@ -0,0 +1,138 @@
+import { chainAll } from "../instance/chain_all.ts";
+import { chainStep } from "../instance/chain_step.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import type {
+  PendingCall,
+  PlatformAnswer,
+  PlatformRecord,
+} from "../platform/types.ts";
+import { createSharded } from "../sharded/create_sharded.ts";
+import { setSharded } from "../sharded/set_sharded.ts";
+import { answerClaim } from "./answer_claim.ts";
+import { CLAIMS } from "./constants.ts";
+import { driveGroup } from "./drive_group.ts";
+import { setGroup } from "./set_group.ts";
+import type {
+  ClaimGroup,
+  ClaimRecord,
+  ClaimVerdict,
+  PendingClaim,
+} from "./types.ts";
+
+/** Handles the platform's answer to a read or write of a group. */
+export function handleClaimsAnswer(
+  state: InstanceState,
+  {
+    asked,
+    answer,
+  }: { readonly asked: PendingCall; readonly answer: PlatformAnswer },
+  nowMs: number,
+): Step {
+  const { id } = asked.purpose;
+  const group = state.claims.groups[id];
+  if (group === undefined) {
+    return { state, effects: [] };
+  }
+  const idle = { ...group, isAsking: false, writing: [] };
+  const again = [...group.writing, ...group.pending];
+  const step = (next: ClaimGroup): Step => ({
+    state: setGroup(state, id, next),
+    effects: [],
+  });
+  switch (answer.kind) {
+    case "listed":
+      return chainStep(step(loadGroup(idle, answer.records)), (at) =>
+        driveGroup(at, id, nowMs),
+      );
+    case "granted":
+      return chainStep(step({ ...idle, leaseId: answer.leaseId }), (at) =>
+        driveGroup(at, id, nowMs),
+      );
+    case "written": {
+      const { writing } = group;
+      const { version } = answer;
+      const noted = step(noteWritten(idle, { asked, version, writing }));
+      return chainStep(noted, (at) => answerAll(at, writing, "granted"));
+    }
+    case "conflict":
+      return chainStep(
+        step({ ...idle, pending: again, isLoaded: false, leaseId: undefined }),
+        (at) => driveGroup(at, id, nowMs),
+      );
+    default: {
+      // What was written is read back; what was not is asked for again.
+      const nextFlushMs = nowMs + CLAIMS.FLUSH_MS;
+      return step({ ...idle, pending: again, isLoaded: false, nextFlushMs });
+    }
+  }
+}
+
+function answerAll(
+  state: InstanceState,
+  claims: readonly PendingClaim[],
+  verdict: ClaimVerdict,
+): Step {
+  return chainAll(state, claims, (at, claim) =>
+    answerClaim(at, claim, verdict),
+  );
+}
+
+/** Takes up all records of a group; claims go to the last, if it is open. */
+function loadGroup(
+  group: ClaimGroup,
+  records: readonly PlatformRecord[],
+): ClaimGroup {
+  const sorted = records
+    .toSorted((a, b) => (a.key < b.key ? -1 : 1))
+    .map(({ key, value, version }) => ({
+      number: Number(key.slice(key.lastIndexOf("/") + 1)),
+      version,
+      record: JSON.parse(value) as ClaimRecord,
+    }));
+  const known = sorted
+    .flatMap(({ record }) => Object.entries(record.claims))
+    .reduce(
+      (table, [claimKey, token]) => setSharded(table, claimKey, token),
+      createSharded<string>(),
+    );
+  const last = sorted.at(-1);
+  const isOpen = last !== undefined && !last.record.isClosed;
+  return {
+    ...group,
+    known,
+    isLoaded: true,
+    number: isOpen ? last.number : (last?.number ?? -1) + 1,
+    version: isOpen ? last.version : 0,
+    claims: isOpen ? last.record.claims : {},
+  };
+}
+
+function noteWritten(
+  group: ClaimGroup,
+  {
+    asked,
+    version,
+    writing,
+  }: {
+    readonly asked: PendingCall;
+    readonly version: number;
+    readonly writing: readonly PendingClaim[];
+  },
+): ClaimGroup {
+  const value = asked.call.kind === "cas" ? asked.call.value : "{}";
+  const record = JSON.parse(value) as ClaimRecord;
+  const known = writing.reduce(
+    (table, { claimKey, token }) => setSharded(table, claimKey, token),
+    group.known,
+  );
+  return record.isClosed
+    ? {
+        ...group,
+        known,
+        number: group.number + 1,
+        version: 0,
+        claims: {},
+        leaseId: undefined,
+      }
+    : { ...group, known, version, claims: record.claims };
+}
--- /dev/null
+++ b/packages/core/src/claims/settle_claim.ts
@@ -0,0 +1,64 @@
+import { chainStep } from "../instance/chain_step.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { checkInvariant } from "../invariants/check_invariant.ts";
+import { enqueueWork } from "../queue/enqueue_work.ts";
+import { getSharded } from "../sharded/get_sharded.ts";
+import { setSharded } from "../sharded/set_sharded.ts";
+import { dropEntry } from "../shared/drop_entry.ts";
+import { advancePhase } from "../work/advance_phase.ts";
+import { finishWork } from "../work/finish_work.ts";
+import type { Refusal, Work } from "../work/types.ts";
+import type { ClaimVerdict } from "./types.ts";
+
+/** Queues a request whose claim is durable, or refuses it. */
+export function settleClaim(
+  state: InstanceState,
+  {
+    token,
+    verdict,
+  }: { readonly token: string; readonly verdict: ClaimVerdict },
+): Step {
+  const wait = state.claims.waits[token];
+  const work = getSharded(state.works, token);
+  if (wait === undefined) {
+    return { state, effects: [] };
+  }
+  const waits = dropEntry(state.claims.waits, token);
+  const after = { ...state, claims: { ...state.claims, waits } };
+  if (work === undefined || work.phase !== "claiming") {
+    return { state: after, effects: [] };
+  }
+  checkInvariant(
+    "non-idempotent-runs-once",
+    work.attemptCount === 0,
+    () => `${token} ran before its claim`,
+  );
+  if (verdict === "granted") {
+    const queued = advancePhase(work, "CLAIMED");
+    const works = setSharded(after.works, token, queued);
+    return { state: enqueueWork({ ...after, works }, queued), effects: [] };
+  }
+  const refusal = describeRefusal(state, verdict);
+  return chainStep({ state: after, effects: [] }, (at) =>
+    finishWork(at, work as Work, { kind: "refused", refusal }),
+  );
+}
+
+function describeRefusal(
+  { self }: InstanceState,
+  verdict: "taken" | "unavailable",
+): Refusal {
+  const isTaken = verdict === "taken";
+  return {
+    fault: {
+      code: isTaken ? "key_used" : "store_unavailable",
+      step: "claim",
+      peer: isTaken ? self.instanceId : "platform",
+      message: isTaken
+        ? "a request with this idempotency key may have run"
+        : "the request could not be entered as started",
+    },
+    run: isTaken ? "may have run" : "not run",
+    retryAfterMs: undefined,
+  };
+}
--- /dev/null
+++ b/packages/core/src/claims/types.ts
@@ -0,0 +1,80 @@
+/**
+ * Claims: a non-idempotent request that comes with a key is entered in the
+ * platform's store before its first attempt, so that it runs at most once.
+ */
+import type { InstanceId, WorkId } from "../ids/types.ts";
+import type { ShardedTable } from "../sharded/types.ts";
+import type { Table } from "../shared/types.ts";
+
+/** One record of a group, `claims/<group>/<number>`. */
+export type ClaimRecord = {
+  /** No claim is added any more: the next record is the last one. */
+  readonly isClosed: boolean;
+  /** Who claimed each key. */
+  readonly claims: Table<string>;
+};
+
+/** A claim that is asked of a home instance. */
+export type PendingClaim = {
+  readonly claimKey: string;
+  /** Names the request, so that it is known when it asks again. */
+  readonly token: string;
+  readonly from: InstanceId;
+  /** When it was last asked, home's clock. */
+  readonly askedMs: number;
+};
+
+/** A group of keys as its home instance knows it. */
+export type ClaimGroup = {
+  /** Every claim of the group's records. */
+  readonly known: ShardedTable<string>;
+  /** The record that claims are added to. */
+  readonly number: number;
+  readonly version: number;
+  readonly claims: Table<string>;
+  readonly leaseId: string | undefined;
+  readonly isLoaded: boolean;
+  readonly isAsking: boolean;
+  readonly pending: readonly PendingClaim[];
+  /** Claims of the write that is on its way. */
+  readonly writing: readonly PendingClaim[];
+  readonly nextFlushMs: number;
+};
+
+/** A request that waits for its claim. */
+export type ClaimWait = {
+  readonly workId: WorkId;
+  readonly claimKey: string;
+  readonly startedMs: number;
+  readonly tries: number;
+  readonly retryMs: number;
+};
+
+export type ClaimsState = {
+  /** Requests of this instance that wait for their claim. */
+  readonly waits: Table<ClaimWait>;
+  /** Groups that were asked of this instance. */
+  readonly groups: Table<ClaimGroup>;
+};
+
+/** How a claim ended. */
+export type ClaimVerdict =
+  | "granted"
+  /** Another request has the key: it may have run. */
+  | "taken"
+  /** The store gave no answer. */
+  | "unavailable";
+
+/** Asks a home instance for a claim. */
+export type ClaimAsked = {
+  readonly kind: "claim-asked";
+  readonly claimKey: string;
+  readonly token: string;
+};
+
+/** Answers the instance that asked. */
+export type ClaimAnswered = {
+  readonly kind: "claim-answered";
+  readonly token: string;
+  readonly verdict: ClaimVerdict;
+};
--- a/packages/core/src/instance/create_instance.ts
+++ b/packages/core/src/instance/create_instance.ts
@@ -1,3 +1,4 @@
+import { createClaims } from "../claims/create_claims.ts";
 import { createJobs } from "../jobs/create_jobs.ts";
 import { createSharded } from "../sharded/create_sharded.ts";
 import type { InstanceSelf, InstanceState } from "./types.ts";
@@ -20,6 +21,7 @@
     timers: {},
     queues: { services: {}, tags: {} },
     jobs: createJobs(),
+    claims: createClaims(),
     membership: { members: {}, nextHeartbeatMs: 0, nextDelegateMs: 0 },
     spread: {
       startedMs: undefined,
--- a/packages/core/src/instance/handle_message.ts
+++ b/packages/core/src/instance/handle_message.ts
@@ -1,3 +1,5 @@
+import { offerClaim } from "../claims/offer_claim.ts";
+import { settleClaim } from "../claims/settle_claim.ts";
 import { answerConfig } from "../config/answer_config.ts";
 import { takeConfig } from "../config/take_config.ts";
 import type { InstanceId } from "../ids/types.ts";
@@ -18,6 +20,12 @@
   switch (message.kind) {
     case "heartbeat":
       return noteHeartbeat(state, from, { heartbeat: message, nowMs });
+    case "claim-asked": {
+      const { claimKey, token } = message;
+      return offerClaim(state, { claimKey, token, from }, nowMs);
+    }
+    case "claim-answered":
+      return settleClaim(state, message);
     case "job-cancelled":
       return stopJob(state, message.jobId, nowMs);
     case "config-asked":
--- a/packages/core/src/instance/peer_message_kinds.ts
+++ b/packages/core/src/instance/peer_message_kinds.ts
@@ -9,4 +9,6 @@
   "config-asked": true,
   "config-sent": true,
   "job-cancelled": true,
+  "claim-asked": true,
+  "claim-answered": true,
 };
--- a/packages/core/src/instance/step_instance.ts
+++ b/packages/core/src/instance/step_instance.ts
@@ -1,3 +1,4 @@
+import { stepClaims } from "../claims/step_claims.ts";
 import { noteWatch } from "../config/note_watch.ts";
 import { offerConfig } from "../config/offer_config.ts";
 import { stepSpread } from "../config/step_spread.ts";
@@ -89,6 +90,7 @@
           sendDelegateHeartbeats,
           stepSpread,
           stepJobs,
+          stepClaims,
         ],
         (at, stepBy) => stepBy(at, nowMs),
       );
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -1,4 +1,9 @@
 /** The instance as a value, and the messages it takes and gives. */
+import type {
+  ClaimAnswered,
+  ClaimAsked,
+  ClaimsState,
+} from "../claims/types.ts";
 import type {
   Config,
   ConfigAsked,
@@ -77,13 +82,20 @@
   readonly timers: Table<readonly Timer[]>;
   readonly queues: QueueState;
   readonly jobs: JobsState;
+  readonly claims: ClaimsState;
   readonly membership: MembershipState;
   readonly spread: SpreadState;
   readonly platform: PlatformState;
 };
 
 /** What instances say to each other. */
-export type PeerMessage = Heartbeat | ConfigAsked | ConfigSent | JobCancelled;
+export type PeerMessage =
+  | Heartbeat
+  | ConfigAsked
+  | ConfigSent
+  | JobCancelled
+  | ClaimAsked
+  | ClaimAnswered;
 
 /** What happened, as told by the daemon's tasks. */
 export type InstanceEvent =
--- a/packages/core/src/platform/handle_answer.ts
+++ b/packages/core/src/platform/handle_answer.ts
@@ -1,3 +1,4 @@
+import { handleClaimsAnswer } from "../claims/handle_claims_answer.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
 import { handleJobsAnswer } from "../jobs/handle_jobs_answer.ts";
 import { assertNever } from "../shared/assert_never.ts";
@@ -25,10 +26,11 @@
   };
   const after: InstanceState = { ...state, platform };
   switch (asked.purpose.feature) {
+    case "claims":
+      return handleClaimsAnswer(after, { asked, answer }, nowMs);
     case "jobs":
       return handleJobsAnswer(after, { asked, answer }, nowMs);
     case "shares":
-    case "claims":
     case "membership":
       return { state: after, effects: [] };
     default:
--- a/packages/core/src/work/accept_request.ts
+++ b/packages/core/src/work/accept_request.ts
@@ -1,3 +1,4 @@
+import { startClaim } from "../claims/start_claim.ts";
 import { holdsKey } from "../config/holds_key.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
 import { takeTokens } from "../limits/take_tokens.ts";
@@ -53,13 +54,15 @@
   nowMs: number,
 ): Step {
   const { workId, deadlineMs: dueMs } = order;
-  const work = createWork(order, { nowMs });
+  const isClaimed = order.claimKey !== undefined && !order.isIdempotent;
+  const created = createWork(order, { nowMs });
+  const work = isClaimed ? { ...created, phase: "claiming" } : created;
   const works = setSharded(state.works, workId, work);
-  const queued = enqueueWork({ ...state, works }, work);
-  return {
-    state: setTimer(queued, { kind: "deadline", dueMs, workId }),
-    effects: [],
-  };
+  const timer = { kind: "deadline", dueMs, workId } as const;
+  const timed = setTimer({ ...state, works }, timer);
+  return isClaimed
+    ? startClaim(timed, work, nowMs)
+    : { state: enqueueWork(timed, work), effects: [] };
 }
 
 function refuseOrder(
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -24,6 +24,7 @@
   | "authenticate"
   | "check"
   | "admit"
+  | "claim"
   | "queue"
   | "connect"
   | "send"
@@ -59,6 +60,7 @@
   | "stopping"
   | "unknown_service"
   | "store_unavailable"
+  | "key_used"
   | "yielded";
 
 /** A refusal or failure as the caller learns of it. */
@@ -104,6 +106,8 @@
   readonly profile: ProfileName;
   readonly service: ServiceName;
   readonly isIdempotent: boolean;
+  /** Hash of customer and idempotency key of a call that may run once. */
+  readonly claimKey?: string;
   /** Expected work in tokens, prompt and answer together. */
   readonly costTokens: number;
   /** Hash of the prompt's start, for prefix affinity; 0 for none. */
--- a/packages/daemon/src/caller/add_completion_routes.ts
+++ b/packages/daemon/src/caller/add_completion_routes.ts
@@ -40,14 +40,15 @@
   const { requester, chosen } = known ?? door.admitAnyone(ctx, service);
   const costTokens = countCostTokens(request.text, request.answerTokens);
   checkLimits(chosen, { model: service, costTokens });
+  const key = ctx.get("idempotency-key");
   const order = buildOrder(requester, chosen, {
     service,
     text: request.text,
     costTokens,
     allowedMs: readDeadline(ctx, chosen.profile.deadlineMs),
     nowMs: Date.now(),
+    idempotencyKey: key,
   });
-  const key = ctx.get("idempotency-key");
   const isIdempotent = chosen.profile.idempotent;
   const passesKey = !isIdempotent && key !== "";
   ctx.respond = false;
--- a/packages/daemon/src/caller/add_service_routes.ts
+++ b/packages/daemon/src/caller/add_service_routes.ts
@@ -32,6 +32,7 @@
     costTokens: CALL_COST_TOKENS,
     allowedMs: readDeadline(ctx, chosen.profile.deadlineMs),
     nowMs: Date.now(),
+    idempotencyKey: ctx.get("idempotency-key"),
   });
   ctx.respond = false;
   await door.calls.answer(order, ctx.res, {
--- a/packages/daemon/src/caller/build_order.ts
+++ b/packages/daemon/src/caller/build_order.ts
@@ -1,4 +1,4 @@
-import { randomUUID } from "node:crypto";
+import { createHash, randomUUID } from "node:crypto";
 import {
   hashText,
   LANES,
@@ -9,6 +9,7 @@
 import type { ChosenProfile, Requester } from "./types.ts";
 
 const PREFIX_CHARS = 256;
+const CLAIM_CHARS = 32;
 
 /** Builds the core's order for an online request. */
 export function buildOrder(
@@ -22,6 +23,8 @@
     /** Time for the whole answer, milliseconds. */
     readonly allowedMs: number;
     readonly nowMs: number;
+    /** The caller's idempotency key; empty for none. */
+    readonly idempotencyKey?: string;
   },
 ): WorkOrder {
   const prefix = request.text.slice(0, PREFIX_CHARS);
@@ -34,8 +37,20 @@
     profile: name,
     service: request.service as ServiceName,
     isIdempotent: profile.idempotent,
+    ...buildClaim(requester, request.idempotencyKey ?? ""),
     costTokens: request.costTokens,
     prefixHash: prefix === "" ? 0 : hashText(prefix),
     deadlineMs: request.nowMs + request.allowedMs,
   };
 }
+
+function buildClaim(
+  { customerId }: Requester,
+  key: string,
+): { readonly claimKey?: string } {
+  if (key === "") {
+    return {};
+  }
+  const hash = createHash("sha256").update(`${customerId}\n${key}`);
+  return { claimKey: hash.digest("hex").slice(0, CLAIM_CHARS) };
+}
--- a/packages/daemon/src/caller/http_refusal.ts
+++ b/packages/daemon/src/caller/http_refusal.ts
@@ -16,6 +16,7 @@
   stopping: 503,
   store_unavailable: 503,
   unknown_service: 404,
+  key_used: 409,
 };
 
 const TYPE_OF_STATUS: Readonly<Record<number, string>> = {
--- /dev/null
+++ b/packages/measure/src/jobs/claims_test.ts
@@ -0,0 +1,202 @@
+import {
+  type CustomerId,
+  type DataCentreId,
+  INVARIANTS,
+  type InstanceId,
+  type KeyId,
+  LANES,
+  type ProfileName,
+  type ServiceName,
+  type WorkId,
+} from "@gooseberryline/core";
+import { World } from "@gooseberryline/fakes";
+import fc from "fast-check";
+import { beforeAll, expect, test } from "vitest";
+import { buildWorldConfig } from "../world/world_config.ts";
+
+const INSTANCES = ["a-0", "a-1", "b-0"] as [InstanceId, InstanceId, InstanceId];
+
+const createWorld = (seed = 1) => {
+  const world = new World({
+    seed,
+    document: buildWorldConfig({
+      dataCentres: ["a", "b"],
+      upstreamsEach: 2,
+      customers: ["c1"],
+      rate: 1_000,
+      burst: 1_000,
+    }),
+    instances: { a: 2, b: 1 },
+    engine: { slots: 1_000, firstTokenMs: 100, tokenMs: 2 },
+  });
+  world.runFor(1_500);
+  return world;
+};
+
+const send = (world: World, at: number, claimKey: string, name: string) => {
+  const id = INSTANCES[at % INSTANCES.length];
+  if (id !== undefined && world.instanceIds.includes(id)) {
+    world.arrive(id, {
+      workId: name as WorkId,
+      origin: { kind: "request" },
+      lane: LANES.ONLINE,
+      customer: "c1" as CustomerId,
+      keyId: "c1-key" as KeyId,
+      profile: "charge" as ProfileName,
+      service: "letterdesk-llm" as ServiceName,
+      isIdempotent: false,
+      claimKey,
+      costTokens: 50,
+      prefixHash: 0,
+      deadlineMs: world.nowMs + 8_000,
+    });
+  }
+};
+
+const endOf = (world: World, name: string) =>
+  world.ledger.findCall(name as WorkId)?.end;
+const runsOf = (world: World, claimKey: string) =>
+  world.ledger.runs.filter(({ order }) => order?.claimKey === claimKey).length;
+
+const upTo = (count: number) => Array.from({ length: count }, (_, at) => at);
+
+beforeAll(() => {
+  INVARIANTS.shouldThrow = true;
+});
+
+test("a resent key runs once, wherever it arrives", () => {
+  const world = createWorld();
+  send(world, 0, "k", "first");
+  send(world, 2, "k", "second");
+  world.runFor(3_000);
+  send(world, 1, "k", "third");
+  world.runFor(5_000);
+  expect(runsOf(world, "k")).toBe(1);
+  expect(endOf(world, "third")).toMatchObject({
+    kind: "refused",
+    refusal: { run: "may have run", fault: { code: "key_used" } },
+  });
+});
+
+test("nothing runs under a key while the store is down", () => {
+  const world = createWorld();
+  world.store.setFaults({ isDown: true });
+  send(world, 0, "k", "first");
+  world.runFor(6_000);
+  expect(endOf(world, "first")).toMatchObject({
+    kind: "refused",
+    refusal: { run: "not run", fault: { code: "store_unavailable" } },
+  });
+  expect(runsOf(world, "k")).toBe(0);
+});
+
+test("a write whose answer is lost still counts as the request's own", () => {
+  const world = createWorld();
+  world.store.setFaults({ loseAnswers: 2 });
+  send(world, 0, "k", "first");
+  world.runFor(6_000);
+  expect(endOf(world, "first")).toEqual({ kind: "answered" });
+});
+
+test("writes follow groups, not requests", () => {
+  const world = createWorld();
+  const before = world.store.meter.readCalls()["/kv/cas"] ?? 0;
+  upTo(1_000).forEach((at) => {
+    world.queue.schedule(at, () => send(world, at, `k${at}`, `w${at}`));
+  });
+  world.runFor(8_000);
+  const answered = world.ledger.calls.filter(
+    ({ end }) => end?.kind === "answered",
+  );
+  expect(answered.length).toBe(1_000);
+  const conflicts = 16;
+  const writes = (world.store.meter.readCalls()["/kv/cas"] ?? 0) - before;
+  // A second of arrivals, a flush every 200 ms, and one for the rest.
+  expect(writes).toBeLessThanOrEqual(16 * 6 + conflicts);
+});
+
+const action = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("send"),
+      at: fc.nat(2),
+      key: fc.nat(5),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant("wait"),
+      at: fc.nat(1_500),
+      key: fc.nat(0),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constantFrom(
+        "kill",
+        "pause",
+        "down",
+        "up",
+        "lose",
+        "slow",
+        "cut",
+        "heal",
+      ),
+      at: fc.nat(2),
+      key: fc.nat(3),
+    }),
+  },
+);
+
+type Act = { readonly kind: string; readonly at: number; readonly key: number };
+
+const FAULTS: Readonly<
+  Record<string, (world: World, id: InstanceId, size: number) => void>
+> = {
+  kill: (world, id) => {
+    world.kill(id);
+    world.start(id, id.slice(0, 1) as DataCentreId);
+  },
+  pause: (world, id, size) => {
+    world.pause(id);
+    world.queue.schedule(2_000 * size, () => world.resume(id));
+  },
+  cut: (world, id, size) => world.network.cut(id, INSTANCES[size % 3] ?? id),
+  heal: (world) => world.network.healAll(),
+  slow: (world, _, size) => world.store.setFaults({ delayMs: 2 + 400 * size }),
+  lose: (world, _, size) => world.store.setFaults({ loseAnswers: size }),
+  down: (world) => world.store.setFaults({ isDown: true }),
+  up: (world) => world.store.setFaults({ isDown: false }),
+};
+
+const act = (world: World, { kind, at, key }: Act, step: number): void => {
+  if (kind === "send") {
+    send(world, at, `k${key}`, `w${step}`);
+  } else if (kind === "wait") {
+    world.runFor(at);
+  } else {
+    FAULTS[kind]?.(world, INSTANCES[at] ?? INSTANCES[0], key);
+  }
+};
+
+test("under any faults no key runs twice and every request ends", () => {
+  fc.assert(
+    fc.property(fc.array(action, { maxLength: 60 }), (acts) => {
+      const world = createWorld();
+      acts.forEach((one, step) => {
+        act(world, one, step);
+      });
+      world.network.healAll();
+      world.store.setFaults({ isDown: false, delayMs: 2, loseAnswers: 0 });
+      world.runFor(15_000);
+      const runs = upTo(6).map((key) => runsOf(world, `k${key}`));
+      expect(Math.max(...runs)).toBeLessThanOrEqual(1);
+      const open = world.ledger.calls.filter(({ end }) => end === undefined);
+      expect(open).toEqual([]);
+    }),
+    { seed: 4, numRuns: 40 },
+  );
+});
--- a/packages/measure/src/matrix/subjects/build_request_subject.ts
+++ b/packages/measure/src/matrix/subjects/build_request_subject.ts
@@ -92,6 +92,7 @@
     profile: profile as string as ProfileName,
     service: "letterdesk-llm" as ServiceName,
     isIdempotent: profile === "counter",
+    ...(profile === "counter" ? {} : { claimKey: "probe-key" }),
     costTokens: 50,
     prefixHash: 0,
     deadlineMs: world.nowMs + deadlineMs,
