--- a/packages/core/src/instance/create_instance.ts
+++ b/packages/core/src/instance/create_instance.ts
@@ -13,6 +13,7 @@
     seed,
     attemptCount: 0,
     isStopping: false,
+    refuseFromMs: 0,
     config: undefined,
     buckets: {},
     upstreams: {},
--- a/packages/core/src/instance/step_instance.ts
+++ b/packages/core/src/instance/step_instance.ts
@@ -14,6 +14,8 @@
 import { sendHeartbeats } from "../membership/send_heartbeats.ts";
 import { handleAnswer } from "../platform/handle_answer.ts";
 import { assertNever } from "../shared/assert_never.ts";
+import { askStop } from "../stops/ask_stop.ts";
+import { endStop } from "../stops/end_stop.ts";
 import { abandonRequest } from "../work/abandon_request.ts";
 import { acceptRequest } from "../work/accept_request.ts";
 import { dispatchWork } from "../work/dispatch_work.ts";
@@ -74,7 +76,12 @@
     case "output-built":
       return noteOutput(state, event, nowMs);
     case "stop-asked":
-      return { state: { ...state, isStopping: true }, effects: [] };
+      return {
+        state: askStop(state, event.noticeMs ?? 0, nowMs),
+        effects: [],
+      };
+    case "stop-ended":
+      return { state: endStop(state), effects: [] };
     case "peer-message":
       return handleMessage(state, event, nowMs);
     case "platform-answered":
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -72,6 +72,8 @@
   readonly seed: number;
   readonly attemptCount: number;
   readonly isStopping: boolean;
+  /** From when a stopping instance refuses new requests. */
+  readonly refuseFromMs: number;
   readonly config: Config | undefined;
   readonly buckets: Table<Bucket>;
   readonly upstreams: Table<Upstream>;
@@ -167,7 +169,10 @@
       readonly kind: "instances-listed";
       readonly instances: readonly ListedInstance[];
     }
-  | { readonly kind: "stop-asked" }
+  /** A planned stop begins; requests are accepted for `noticeMs` yet. */
+  | { readonly kind: "stop-asked"; readonly noticeMs?: number }
+  /** The process is about to end after a planned stop. */
+  | { readonly kind: "stop-ended" }
   | { readonly kind: "tick" };
 
 /** What the daemon's tasks have to do. */
--- a/packages/core/src/work/accept_request.ts
+++ b/packages/core/src/work/accept_request.ts
@@ -18,7 +18,7 @@
   order: WorkOrder,
   nowMs: number,
 ): Step {
-  if (state.isStopping) {
+  if (state.isStopping && nowMs >= state.refuseFromMs) {
     return refuseOrder(state, order, {
       code: "stopping",
       message: "this instance is stopping",
--- a/packages/daemon/src/run_main.ts
+++ b/packages/daemon/src/run_main.ts
@@ -105,7 +105,7 @@
   const url = embedded?.store.url ?? settings.platform?.url ?? "";
   const daemon = await startDaemon(settings, connectPlatform(url), { log });
   const stop = async (): Promise<void> => {
-    await daemon.stop();
+    await daemon.stop(isEmbedded ? 0 : settings.stopNoticeMs);
     await embedded?.close();
     process.exit(EXIT_CODES.DONE);
   };
--- a/packages/daemon/src/settings/settings_schema.ts
+++ b/packages/daemon/src/settings/settings_schema.ts
@@ -62,6 +62,8 @@
   dataFolder: z.string().optional(),
   /** Absent sends no metrics. */
   metrics: METRICS.optional(),
+  /** How long a stopping instance goes on accepting, for the balancer. */
+  stopNoticeMs: z.number().int().nonnegative().default(2_000),
   /** Lets listeners without TLS bind addresses that are not private. */
   allowInsecure: z.boolean().default(false),
   operators: z.array(OPERATOR).default([]),
--- a/packages/daemon/src/start/types.ts
+++ b/packages/daemon/src/start/types.ts
@@ -13,8 +13,11 @@
   readonly readState: () => InstanceState;
   readonly peerCounts: PeerCounts;
   readonly platformCounts: PlatformCounts;
-  /** Stops gracefully: finishes what was accepted, then ends. */
-  readonly stop: () => Promise<void>;
+  /**
+   * Stops gracefully: accepts for `noticeMs` yet, finishes what was accepted,
+   * hands back what it holds, then ends.
+   */
+  readonly stop: (noticeMs?: number) => Promise<void>;
   /** Stops at once, as a lost process does: nothing is finished. */
   readonly kill: () => void;
 };
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -31,20 +31,16 @@
 import type { Settings } from "./settings/types.ts";
 import { createAnswers } from "./start/create_answers.ts";
 import { describeSelf } from "./start/describe_self.ts";
-import { findLongestDeadline } from "./start/find_longest_deadline.ts";
+import { drainInstance } from "./start/drain_instance.ts";
 import { logRun } from "./start/log_run.ts";
 import { startPeering } from "./start/start_peering.ts";
 import type { Daemon, DaemonOptions } from "./start/types.ts";
 import { AttemptTask } from "./tasks/attempt_task.ts";
-import { closeListener } from "./tasks/close_listener.ts";
 import { CoreTask } from "./tasks/core_task.ts";
 import { handleEffect } from "./tasks/handle_effect.ts";
 import { listen } from "./tasks/listen.ts";
 import { createPeerCredentials } from "./tls/create_peer_credentials.ts";
 
-const STOP_POLL_MS = 20;
-const STOP_LIMIT_MS = 120_000;
-const ADMIN_CLOSE_MS = 1_000;
 const SEED_LIMIT = 2 ** 32;
 
 /** Starts an instance: its tasks, and then its listeners. */
@@ -182,27 +178,17 @@
     peers.stop();
     peering.server.close();
   };
-  const stop = async (): Promise<void> => {
-    core.post({ kind: "stop-asked" });
-    const hasWork = (): boolean =>
-      core.state.works.count > 0 ||
-      Object.keys(core.state.jobs.owned).length > 0;
-    const lastMs = Date.now() + STOP_LIMIT_MS;
-    while (hasWork() && Date.now() < lastMs) {
-      await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
-    }
-    const limitMs = findLongestDeadline(readConfig());
-    await closeListener(caller.server, limitMs);
-    await closeListener(admin.server, ADMIN_CLOSE_MS);
+  const listeners = [caller, admin];
+  const stop = async (noticeMs = 0): Promise<void> => {
+    await drainInstance({ post, readState, listeners, log }, noticeMs);
     closeTasks();
     await configFile?.settle();
     log.info("stopped");
   };
   const kill = (): void => {
     closeTasks();
-    [caller, admin].forEach(({ server }) => {
-      server.close();
-      server.closeAllConnections();
+    listeners.forEach((listener) => {
+      void listener.close(0);
     });
   };
   return {
--- a/packages/daemon/src/tasks/listen.ts
+++ b/packages/daemon/src/tasks/listen.ts
@@ -2,7 +2,6 @@
 import {
   createServer,
   type RequestListener,
-  type Server,
   type ServerOptions,
 } from "node:http";
 import {
@@ -13,6 +12,7 @@
 import type { Log } from "../logs/create_log.ts";
 import type { ListenerSettings, TlsSettings } from "../settings/types.ts";
 import { followCertificate } from "../tls/follow_certificate.ts";
+import { followRequests } from "./follow_requests.ts";
 import { refuseBrokenRequest } from "./refuse_broken_request.ts";
 
 const MAX_HEADER_BYTES = 16_384;
@@ -21,9 +21,14 @@
 
 /** A bound listener. */
 export type Listener = {
-  readonly server: Server | TlsServer;
   /** Address as `IP:port`. */
   readonly address: string;
+  /** From now on each answer ends its connection. */
+  readonly startDrain: () => void;
+  /** Requests whose answers have not ended. */
+  readonly countOpen: () => number;
+  /** Stops listening; resolves when open answers ended, or at the limit. */
+  readonly close: (limitMs: number) => Promise<void>;
 };
 
 /** Binds a listener; slow senders are cut off by the timeouts. */
@@ -45,12 +50,13 @@
       ? createServer(options, handler)
       : createTlsServer(handler, { options, tls, log });
   server.on("clientError", refuseBrokenRequest);
+  const followed = followRequests(server);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, host, resolve);
   });
   const bound = server.address() as AddressInfo;
-  return { server, address: `${bound.address}:${bound.port}` };
+  return { address: `${bound.address}:${bound.port}`, ...followed };
 }
 
 function createTlsServer(
--- a/packages/fakes/src/world/world.ts
+++ b/packages/fakes/src/world/world.ts
@@ -6,6 +6,7 @@
   type InstanceEvent,
   type InstanceId,
   type InstanceState,
+  isDrained,
   type ListedInstance,
   stepInstance,
   type UpstreamId,
@@ -140,6 +141,27 @@
     this.#tick(node);
   }
 
+  /** Stops an instance as planned; its process ends once it is drained. */
+  stop(id: InstanceId, noticeMs: number): void {
+    const node = this.#nodes.get(id);
+    if (node !== undefined) {
+      this.post(id, { kind: "stop-asked", noticeMs });
+      this.#endDrained(node);
+    }
+  }
+
+  #endDrained(node: WorldNode): void {
+    if (!node.isAlive) {
+      return;
+    }
+    if (isDrained(node.state, this.nowMs)) {
+      this.post(node.id, { kind: "stop-ended" });
+      this.kill(node.id);
+      return;
+    }
+    this.queue.schedule(TICK_MS, () => this.#endDrained(node));
+  }
+
   /** Kills an instance hard: its state and open requests are lost. */
   kill(id: InstanceId): void {
     const node = this.#nodes.get(id);
--- /dev/null
+++ b/packages/measure/src/world/stop_test.ts
@@ -0,0 +1,81 @@
+import { INVARIANTS, type InstanceId } from "@gooseberryline/core";
+import { World } from "@gooseberryline/fakes";
+import { beforeAll, expect, test } from "vitest";
+import { driveArrivals } from "./drive_arrivals.ts";
+import { buildWorldConfig } from "./world_config.ts";
+
+const SEEDS = [1, 2, 3, 4, 5, 6];
+const NOTICE_MS = 2_000;
+const STOPPED = "a-0" as InstanceId;
+
+const createWorld = (seed: number) =>
+  new World({
+    seed,
+    document: buildWorldConfig({
+      dataCentres: ["a", "b"],
+      upstreamsEach: 2,
+      customers: ["c1", "c2"],
+    }),
+    instances: { a: 2, b: 2 },
+  });
+
+/** Loads the world for 20 s and stops one instance after 5 s. */
+const runStop = (seed: number, isNoticed: boolean) => {
+  const world = createWorld(seed);
+  const noticed = { isOut: false };
+  const pick = (value: number) => {
+    const ids = world.instanceIds.filter(
+      (id) => !noticed.isOut || id !== STOPPED,
+    );
+    return ids[Math.floor(value * ids.length)];
+  };
+  ["c1", "c2"].forEach((customer, at) => {
+    const arrivals = { seed: seed * 2 + at, rate: 12, untilMs: 20_000, pick };
+    driveArrivals(world, { ...arrivals, customer });
+  });
+  world.runFor(5_000);
+  const openAtStop = world.ledger.calls.filter(
+    ({ end, instanceId }) => end === undefined && instanceId === STOPPED,
+  ).length;
+  world.stop(STOPPED, NOTICE_MS);
+  if (isNoticed) {
+    world.queue.schedule(NOTICE_MS / 2, () => {
+      noticed.isOut = true;
+    });
+  }
+  world.runFor(40_000);
+  return { world, openAtStop };
+};
+
+const endsOf = (world: World) =>
+  world.ledger.calls
+    .filter(({ instanceId }) => instanceId === STOPPED)
+    .map(({ end }) =>
+      end?.kind === "refused" ? end.refusal.fault.code : end?.kind,
+    );
+
+beforeAll(() => {
+  INVARIANTS.shouldThrow = true;
+});
+
+test.each(SEEDS)("a planned stop answers all, seed %i", (seed) => {
+  const { world, openAtStop } = runStop(seed, true);
+  expect(openAtStop).toBeGreaterThan(0);
+  expect(world.instanceIds).not.toContain(STOPPED);
+  const kinds = new Set(endsOf(world));
+  expect([...kinds].filter((kind) => kind !== "rate_limited")).toEqual([
+    "answered",
+  ]);
+});
+
+test.each(SEEDS)("who still sends is refused, not run, seed %i", (seed) => {
+  const { world } = runStop(seed, false);
+  const ran = new Set(world.ledger.runs.map(({ workId }) => workId));
+  const refused = world.ledger.calls.filter(
+    ({ end }) =>
+      end?.kind === "refused" && end.refusal.fault.code === "stopping",
+  );
+  expect(endsOf(world)).not.toContain("lost");
+  expect(endsOf(world)).not.toContain(undefined);
+  expect(refused.filter(({ order }) => ran.has(order.workId))).toEqual([]);
+});
