Wait for open work before the stop in the test under load

Cause: the check that work is open looked at one moment, when 12 clients in step had all been answered. Change: the test waits for that state; it is as strict, since the stop begins only with open work.

--- a/packages/measure/src/system/stop_test.ts
+++ b/packages/measure/src/system/stop_test.ts
@@ -87,8 +87,9 @@
     }
   };
   const running = [probe(), ...Array.from({ length: CLIENTS }, load)];
-  await waitUntil(() => ends.length > CLIENTS);
-  expect(one.readState().works.count).toBeGreaterThan(0);
+  await waitUntil(
+    () => ends.length > CLIENTS && one.readState().works.count > 0,
+  );
   const stopped = one.stop(NOTICE_MS);
   await waitUntil(async () => !(await isReady(one.admin)));
   await stopped;
