--- a/packages/daemon/src/caller/exchange.ts
+++ b/packages/daemon/src/caller/exchange.ts
@@ -9,6 +9,8 @@
 import { ChunkWriter } from "./chunk_writer.ts";
 import { HttpRefusal } from "./http_refusal.ts";
 
+const LINGER_MS = 60_000;
+
 /**
  * One caller's request: what to send upstream, and where the answer goes. The
  * first attempt that writes is the one whose answer the caller gets.
@@ -54,6 +56,7 @@
   }
 
   complete(): void {
+    this.#linger();
     const announced = this.#announcedBytes;
     checkInvariant(
       "whole-answer-to-own-request",
@@ -71,6 +74,7 @@
    * broken off, so that it can't pass for a whole one.
    */
   refuse(refusal: Refusal): void {
+    this.#linger();
     const { status, headers, body } = HttpRefusal.from(refusal);
     if (!this.#res.headersSent) {
       const type = { "content-type": "application/json" };
@@ -84,6 +88,13 @@
     this.#end();
   }
 
+  /** Cuts off a caller that does not read the end of its answer. */
+  #linger(): void {
+    const timer = setTimeout(() => this.#res.destroy(), LINGER_MS);
+    timer.unref();
+    this.#res.once("close", () => clearTimeout(timer));
+  }
+
   /** Ends the exchange of a caller that is gone. */
   drop(): void {
     this.#end();
--- a/packages/daemon/src/tasks/answer_marks.ts
+++ b/packages/daemon/src/tasks/answer_marks.ts
@@ -1,10 +1,11 @@
 import type { IncomingMessage } from "node:http";
+import type { AttemptCall } from "./types.ts";
 
 const LINE_FEED = 10;
 const RETURN = 13;
 const EVENT_END = "\n\n";
 const EVENT_END_CRLF = "\r\n\r\n";
-const END_MARK = /(?:^|\n)data: ?\[DONE\]\s*$/;
+const END_MARK = /\ndata: ?\[DONE\]\s*$/;
 const TAIL_BYTES = 64;
 const MAX_HELD_BYTES = 262_144;
 const NO_BYTES: Buffer = Buffer.alloc(0);
@@ -17,16 +18,18 @@
 export class AnswerMarks {
   readonly isEventStream: boolean;
   readonly #needsEndMark: boolean;
+  readonly #isHead: boolean;
   readonly #answer: IncomingMessage;
   #tokens = 0;
   #last: Buffer = NO_BYTES;
   #held: Buffer = NO_BYTES;
 
-  constructor(answer: IncomingMessage, isPlain: boolean) {
+  constructor(answer: IncomingMessage, { method, isPlain }: AttemptCall) {
     const type = answer.headers["content-type"] ?? "";
     this.#answer = answer;
     this.isEventStream = type.startsWith("text/event-stream");
-    this.#needsEndMark = this.isEventStream && !isPlain;
+    this.#isHead = method === "HEAD";
+    this.#needsEndMark = this.isEventStream && isPlain !== true;
   }
 
   /** Takes a chunk; returns the bytes that may be passed on. */
@@ -45,26 +48,27 @@
     return whole;
   }
 
-  /** Bytes held back because their event has not ended. */
+  /** Bytes that were held back; once an answer is whole they may go on. */
   get held(): Buffer {
     return this.#held;
   }
 
   /** Whether the end mark was seen: nothing is missing from here on. */
   hasEndMark(): boolean {
-    const tail = this.#last.subarray(-TAIL_BYTES).toString("latin1");
-    return this.#needsEndMark && END_MARK.test(tail);
+    return this.#needsEndMark && isEndMark(this.#last);
   }
 
   /**
-   * Whether all of the answer arrived. Its length or last chunk has to show
-   * it; a closed connection alone does not tell an end from a loss.
+   * Whether all of the answer arrived, once it has ended. Its end mark, its
+   * length or its last chunk has to show it; a closed connection alone does
+   * not tell an end from a loss.
    */
   isWhole(): boolean {
     if (this.#needsEndMark) {
-      return this.hasEndMark() && this.#held.length === 0;
+      return isEndMark(this.#held.length > 0 ? this.#held : this.#last);
     }
-    return this.#answer.complete && hasKnownEnd(this.#answer);
+    const isKnown = this.#isHead || hasKnownEnd(this.#answer);
+    return this.#answer.complete && isKnown;
   }
 
   /** Events of a streamed answer. */
@@ -108,13 +112,14 @@
   );
 }
 
-function hasKnownEnd({
-  headers,
-  statusCode,
-  method,
-}: IncomingMessage): boolean {
-  const isBodiless =
-    statusCode === 204 || statusCode === 304 || method === "HEAD";
+function isEndMark(bytes: Buffer): boolean {
+  const tail = bytes.subarray(-TAIL_BYTES).toString("latin1");
+  const isAll = bytes.length <= TAIL_BYTES;
+  return END_MARK.test(isAll ? `\n${tail}` : tail);
+}
+
+function hasKnownEnd({ headers, statusCode }: IncomingMessage): boolean {
+  const isBodiless = statusCode === 204 || statusCode === 304;
   return (
     isBodiless ||
     headers["content-length"] !== undefined ||
--- a/packages/daemon/src/tasks/attempt_test.ts
+++ b/packages/daemon/src/tasks/attempt_test.ts
@@ -252,6 +252,41 @@
   expect(taken.text).toBe(text);
 });
 
+test.each([
+  ["a model's end mark", 'data: {"a":1}\n\ndata: [DONE]\n', false],
+  ["a plain service's event", "data: a\n\ndata: b", true],
+])("%s needs no blank line", async (_name, text, isPlain) => {
+  const { start, end } = createTask();
+  const raw = await startRaw((socket) =>
+    socket.write(`${STREAM}${chunk(text)}0\r\n\r\n`),
+  );
+  const { attemptId, taken } = start(raw.url, { isStream: true, isPlain });
+  expect((await end(attemptId)).kind).toBe("completed");
+  expect(taken.text).toBe(text);
+});
+
+test("an answer to HEAD ends with its head", async () => {
+  const { start, end } = createTask();
+  const raw = await startRaw((socket) =>
+    socket.write("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"),
+  );
+  const call = { method: "HEAD", isPlain: true, body: Buffer.alloc(0) };
+  const { attemptId, taken } = start(raw.url, call);
+  expect((await end(attemptId)).kind).toBe("completed");
+  expect(taken.head).toBe(200);
+});
+
+test("an overloaded upstream's refusal is not the answer", async () => {
+  const { start, end } = createTask();
+  const raw = await startRaw((socket) =>
+    socket.write("HTTP/1.1 429 Busy\r\ncontent-length: 0\r\n\r\n"),
+  );
+  expect(await end(start(raw.url).attemptId)).toMatchObject({
+    kind: "failed",
+    fault: { message: "the upstream answered 429" },
+  });
+});
+
 test("a full sink holds back the upstream", async () => {
   const { start, control } = createTask();
   control.hasRoom = false;
--- a/packages/daemon/src/tasks/upstream_attempt.ts
+++ b/packages/daemon/src/tasks/upstream_attempt.ts
@@ -12,7 +12,9 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_KEPT_BYTES = 262_144;
+const TOO_MANY_REQUESTS = 429;
 const SERVER_ERROR = 500;
+const NO_BYTES: Buffer = Buffer.alloc(0);
 /** Header by which an upstream names its present start. */
 const BOOT_HEADER = "x-boot-id";
 
@@ -105,11 +107,11 @@
       this.#fail("answer_mismatch", "the answer names another request");
       return;
     }
-    if (status >= SERVER_ERROR && !shouldRelayError(order)) {
+    if (isUpstreamError(status) && !shouldRelayError(order)) {
       this.#refuseStatus(status, answer.headers["x-run"] === "not run");
       return;
     }
-    const marks = new AnswerMarks(answer, order.call.isPlain === true);
+    const marks = new AnswerMarks(answer, order.call);
     this.#marks = marks;
     this.#head = describeHead(answer, marks.isEventStream);
     answer.on("data", (chunk: Buffer) => this.#takeChunk(answer, chunk));
@@ -177,6 +179,7 @@
   #complete(): void {
     this.#begin();
     this.#relay(undefined, this.#takeKept());
+    this.#relay(undefined, this.#marks?.held ?? NO_BYTES);
     this.#end({
       kind: "completed",
       status: this.#head?.status ?? 0,
@@ -230,6 +233,10 @@
   }
 }
 
+function isUpstreamError(status: number): boolean {
+  return status >= SERVER_ERROR || status === TOO_MANY_REQUESTS;
+}
+
 function shouldRelayError({ call }: AttemptOrder): boolean {
   return call.isPlain === true && call.isIdempotent === false;
 }
