--- a/packages/measure/src/caller/door_test.ts
+++ b/packages/measure/src/caller/door_test.ts
@@ -105,14 +105,21 @@
   expect(made.headers["x-request-id"]).toMatch(/^[0-9a-f-]{36}$/);
 });
 
-test("another customer's file is not found", async () => {
+test("another customer's files and batches are not found", async () => {
   const form = new FormData();
   form.set("purpose", "batch");
-  form.set("file", new Blob(["{}"]), "input.jsonl");
+  const line = { custom_id: "1", method: "POST", url: `/${CHAT}`, body };
+  form.set("file", new Blob([JSON.stringify(line)]), "input.jsonl");
   const uploaded = await door.api.post("v1/files", { body: form });
   const { id } = JSON.parse(uploaded.body) as { id: string };
   const other = { authorization: "Bearer other-key" };
-  const paths = [`v1/files/${id}`, `v1/files/${id}/content`];
+  const json = { input_file_id: id, endpoint: `/${CHAT}` };
+  const batch = await door.api.post("v1/batches", { json });
+  const paths = [
+    `v1/files/${id}`,
+    `v1/files/${id}/content`,
+    `v1/batches/${(JSON.parse(batch.body) as { id: string }).id}`,
+  ];
   const answers = await Promise.all(
     paths.flatMap((path) => [
       door.api.get(path),
@@ -120,7 +127,7 @@
     ]),
   );
   const statuses = answers.map(({ statusCode }) => statusCode);
-  expect(statuses).toEqual([200, 404, 200, 404]);
+  expect(statuses).toEqual([200, 404, 200, 404, 200, 404]);
 });
 
 test("a withdrawn key is refused as an unknown one", async () => {
