--- a/packages/measure/src/caller/raw_test.ts
+++ b/packages/measure/src/caller/raw_test.ts
@@ -99,3 +99,28 @@
   socket.destroy();
   await waitUntil(() => door.engines[0]?.countInFlight() === 0);
 });
+
+const countSockets = () =>
+  process.getActiveResourcesInfo().filter((name) => name === "TCPSocketWrap")
+    .length;
+
+test("callers that misbehave leave no open connection", async () => {
+  const before = countSockets();
+  const body = JSON_BODY.replace("[]", '[],"max_tokens":2000');
+  const stream = `${HEAD}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+  const started = Array.from({ length: 8 }, () => send(stream));
+  await waitUntil(() => started.every(({ got }) => got.text.includes("data")));
+  started.forEach(({ socket }) => {
+    socket.resetAndDestroy();
+  });
+  const broken = [
+    "GET",
+    `${HEAD}\r\ncontent-length: 9\r\n\r\n{`,
+    "\0\0\0\r\n\r\n",
+  ];
+  broken.map(send).forEach(({ socket }) => {
+    socket.end();
+  });
+  await waitUntil(() => countSockets() <= before);
+  expect(door.engines[0]?.countInFlight()).toBe(0);
+});
