--- /dev/null
+++ b/packages/daemon/src/tasks/attempt_answer_test.ts
@@ -0,0 +1,127 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { AttemptFixture } from "./attempt_fixture.ts";
+
+let fixture: AttemptFixture;
+beforeEach(() => {
+  fixture = new AttemptFixture();
+});
+afterEach(() => fixture.close());
+
+const STREAM =
+  "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+test.each([
+  ["short of its length", "content-length: 10\r\n\r\n{}"],
+  [
+    "without its last chunk",
+    `transfer-encoding: chunked\r\n\r\n${chunk("{}")}`,
+  ],
+  ["with no known end", "\r\n{}"],
+])("an answer %s is cut off", async (_name, rest) => {
+  const raw = await fixture.startRaw((socket) =>
+    socket.end(`HTTP/1.1 200 OK\r\n${rest}`),
+  );
+  const { attemptId, taken } = fixture.start(raw.url);
+  expect(await fixture.end(attemptId)).toMatchObject({
+    kind: "failed",
+    isRelayed: false,
+    fault: { code: "answer_cut_off" },
+  });
+  expect(taken.text).toBe("");
+});
+
+test("a cut stream ends after a whole event", async () => {
+  const raw = await fixture.startRaw((socket) => {
+    socket.write(STREAM);
+    socket.end(chunk('data: {"a":1}\n\ndata: {"b'));
+  });
+  const { attemptId, taken } = fixture.start(raw.url, { isStream: true });
+  expect(await fixture.end(attemptId)).toMatchObject({
+    kind: "failed",
+    isRelayed: true,
+    fault: { code: "answer_cut_off" },
+  });
+  expect(taken.text).toBe('data: {"a":1}\n\n');
+});
+
+test("an end mark quoted in a token ends nothing", async () => {
+  const raw = await fixture.startRaw((socket) =>
+    socket.end(`${STREAM}${chunk('data: {"c":"data: [DONE]"}\n\n')}0\r\n\r\n`),
+  );
+  const { attemptId } = fixture.start(raw.url, { isStream: true });
+  expect((await fixture.end(attemptId)).kind).toBe("failed");
+});
+
+test("a stream in odd pieces arrives whole", async () => {
+  const text = 'data: {"a":1}\n\ndata: {"b":2}\n\ndata: [DONE]\n\n';
+  const raw = await fixture.startRaw((socket) =>
+    socket.write(`${STREAM}${Array.from(text, chunk).join("")}0\r\n\r\n`),
+  );
+  const { attemptId, taken } = fixture.start(raw.url, { isStream: true });
+  expect(await fixture.end(attemptId)).toMatchObject({
+    kind: "completed",
+    tokens: 3,
+  });
+  expect(taken.text).toBe(text);
+});
+
+test.each([
+  ["a model's end mark", 'data: {"a":1}\n\ndata: [DONE]\n', false],
+  ["a plain service's event", "data: a\n\ndata: b", true],
+])("%s needs no blank line", async (_name, text, isPlain) => {
+  const raw = await fixture.startRaw((socket) =>
+    socket.write(`${STREAM}${chunk(text)}0\r\n\r\n`),
+  );
+  const { attemptId, taken } = fixture.start(raw.url, {
+    isStream: true,
+    isPlain,
+  });
+  expect((await fixture.end(attemptId)).kind).toBe("completed");
+  expect(taken.text).toBe(text);
+});
+
+test("an answer to HEAD ends with its head", async () => {
+  const raw = await fixture.startRaw((socket) =>
+    socket.write("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"),
+  );
+  const call = { method: "HEAD", isPlain: true, body: Buffer.alloc(0) };
+  const { attemptId, taken } = fixture.start(raw.url, call);
+  expect((await fixture.end(attemptId)).kind).toBe("completed");
+  expect(taken.head).toBe(200);
+});
+
+test("an overloaded upstream's refusal is not the answer", async () => {
+  const raw = await fixture.startRaw((socket) =>
+    socket.write("HTTP/1.1 429 Busy\r\ncontent-length: 0\r\n\r\n"),
+  );
+  expect(await fixture.end(fixture.start(raw.url).attemptId)).toMatchObject({
+    kind: "failed",
+    fault: { message: "the upstream answered 429" },
+  });
+});
+
+test("a full sink holds back the upstream", async () => {
+  fixture.hasRoom = false;
+  const event = chunk(`data: ${"x".repeat(60_000)}\n\n`);
+  const raw = await fixture.startRaw((socket) => {
+    socket.write(STREAM);
+    Array.from({ length: 400 }).forEach(() => {
+      socket.write(event);
+    });
+  });
+  const { taken } = fixture.start(raw.url, { isStream: true });
+  await vi.waitUntil(() => taken.text.length > 0);
+  const unsent = () => raw.sockets.at(0)?.writableLength ?? 0;
+  const seen = { before: -1 };
+  await vi.waitUntil(
+    () => {
+      const isStill = seen.before === unsent();
+      seen.before = unsent();
+      return isStill;
+    },
+    { timeout: 5_000, interval: 200 },
+  );
+  expect(unsent()).toBeGreaterThan(1_000_000);
+  expect(taken.text.length).toBeLessThan(300_000);
+});
