Keep run records on disk, or at a peer that has one

Cause: run records were kept in memory only and lost with their instance. Change: JSON lines in the data folder, in files of 8 MiB of which 64 are kept; an instance without a disk hands batches to a peer with one and holds 10,000 at most while none takes them, counting what it drops. Queries go by customer, work and time, over memory and files, each attempt once.

--- a/packages/daemon/src/admin/add_report_routes.ts
+++ b/packages/daemon/src/admin/add_report_routes.ts
@@ -2,6 +2,7 @@
 import type Router from "@koa/router";
 import type { Context } from "koa";
 import type { JobView } from "../jobs/types.ts";
+import { uniteRuns } from "../runs/unite_runs.ts";
 import { AdminRefusal } from "./admin_refusal.ts";
 import type { AdminParts, OperatorRole } from "./types.ts";
 
@@ -25,14 +26,14 @@
     const { answers, missing } = await reports.gatherRuns({
       customer: readText(ctx, "customer"),
       workId: readText(ctx, "work"),
+      fromMs: readMoment(ctx, "from"),
+      untilMs: readMoment(ctx, "until"),
       limit,
     });
-    const runs = answers
-      .flatMap(({ instanceId, body }) =>
-        body.map((run) => ({ ...run, instanceId })),
-      )
-      .toSorted((a, b) => b.endedMs - a.endedMs)
-      .slice(0, limit);
+    const found = answers.flatMap(({ instanceId, body }) =>
+      body.map((run) => ({ ...run, instanceId })),
+    );
+    const runs = uniteRuns(found, limit);
     ctx.body = { runs, missing };
   });
   router.get("/admin/v1/jobs", async (ctx) => {
@@ -97,6 +98,23 @@
   return limit;
 }
 
+/** A moment as milliseconds since the epoch, or as an ISO date. */
+function readMoment(ctx: Context, name: string): number | undefined {
+  const text = readText(ctx, name);
+  if (text === undefined) {
+    return undefined;
+  }
+  const ms = /^\d+$/.test(text) ? Number(text) : Date.parse(text);
+  if (Number.isNaN(ms)) {
+    throw new AdminRefusal(
+      400,
+      `invalid_${name}`,
+      `${name} must be milliseconds or an ISO date`,
+    );
+  }
+  return ms;
+}
+
 function readText(ctx: Context, name: string): string | undefined {
   const value = ctx.query[name];
   return typeof value === "string" && value !== "" ? value : undefined;
--- a/packages/daemon/src/admin/create_local_reports.ts
+++ b/packages/daemon/src/admin/create_local_reports.ts
@@ -6,7 +6,7 @@
 /** Where one instance finds its own part of each report. */
 export type ReportSources = {
   readonly readState: () => InstanceState;
-  readonly listRuns: (query: RunQuery) => readonly RunRecord[];
+  readonly listRuns: (query: RunQuery) => Promise<readonly RunRecord[]>;
   readonly listJobs: () => Promise<readonly JobView[]>;
   readonly buildBurn: () => readonly BurnRow[];
 };
@@ -19,7 +19,7 @@
   };
   return {
     gatherStatus: () => gather(describeStatus(sources.readState(), Date.now())),
-    gatherRuns: (query) => gather(sources.listRuns(query)),
+    gatherRuns: async (query) => gather(await sources.listRuns(query)),
     gatherJobs: async () => gather(await sources.listJobs()),
     gatherBurn: () => gather(sources.buildBurn()),
   };
--- a/packages/daemon/src/admin/types.ts
+++ b/packages/daemon/src/admin/types.ts
@@ -29,6 +29,9 @@
 export type RunQuery = {
   readonly customer: string | undefined;
   readonly workId: string | undefined;
+  /** Bounds of the moment when the attempt ended, both included. */
+  readonly fromMs?: number | undefined;
+  readonly untilMs?: number | undefined;
   readonly limit: number;
 };
 
--- a/packages/daemon/src/runs/run_ring.ts
+++ b/packages/daemon/src/runs/run_ring.ts
@@ -1,5 +1,6 @@
 import type { RunRecord } from "@gooseberryline/core";
 import type { RunQuery } from "../admin/types.ts";
+import { isFitting } from "./is_fitting.ts";
 
 const KEPT_RUNS = 10_000;
 
@@ -15,11 +16,10 @@
   }
 
   /** The latest records that fit the query, newest first. */
-  list({ customer, workId, limit }: RunQuery): readonly RunRecord[] {
+  list(query: RunQuery): readonly RunRecord[] {
     return this.#runs
-      .filter((run) => customer === undefined || run.customer === customer)
-      .filter((run) => workId === undefined || run.workId === workId)
-      .slice(-limit)
+      .filter((run) => isFitting(run, query))
+      .slice(-query.limit)
       .reverse();
   }
 }
--- /dev/null
+++ b/packages/daemon/src/runs/unite_runs.ts
@@ -0,0 +1,14 @@
+import type { RunRecord } from "@gooseberryline/core";
+
+/** Unites records, each attempt once, the latest `limit` of them first. */
+export function uniteRuns<Run extends RunRecord>(
+  runs: readonly Run[],
+  limit: number,
+): readonly Run[] {
+  const byAttempt = new Map(
+    runs.toReversed().map((run) => [run.attemptId, run]),
+  );
+  return [...byAttempt.values()]
+    .toSorted((a, b) => b.endedMs - a.endedMs)
+    .slice(0, limit);
+}
--- a/packages/daemon/src/start/create_answers.ts
+++ b/packages/daemon/src/start/create_answers.ts
@@ -1,4 +1,8 @@
-import { assertNever, type InstanceState } from "@gooseberryline/core";
+import {
+  assertNever,
+  type InstanceState,
+  type RunRecord,
+} from "@gooseberryline/core";
 import type { Reports, RunQuery } from "../admin/types.ts";
 import { listMembers } from "../peers/list_members.ts";
 import type { AnswerQuestion } from "../peers/types.ts";
@@ -7,12 +11,15 @@
 export type AnswerParts = {
   readonly readState: () => InstanceState;
   readonly reports: Reports;
+  /** Keeps run records of a peer without a disk. */
+  readonly keepRuns: (runs: readonly RunRecord[]) => Promise<void>;
 };
 
 /** Creates the answers to what peers and reports ask this instance. */
 export function createAnswers({
   readState,
   reports,
+  keepRuns,
 }: AnswerParts): AnswerQuestion {
   const readOwn = async (
     gathered: ReturnType<Reports[keyof Reports]>,
@@ -27,6 +34,8 @@
         return readOwn(reports.gatherStatus());
       case "runs":
         return readOwn(reports.gatherRuns(params as RunQuery));
+      case "keep-runs":
+        return keepRuns((params as { readonly runs: RunRecord[] }).runs);
       case "jobs":
         return readOwn(reports.gatherJobs());
       case "burn":
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -27,7 +27,9 @@
 import { countCalls, type PlatformCounts } from "./platform/count_calls.ts";
 import { PlatformTask } from "./platform/platform_task.ts";
 import { pollInstances } from "./platform/poll_instances.ts";
-import { RunRing } from "./runs/run_ring.ts";
+import { RunFiles } from "./runs/run_files.ts";
+import { RunTask } from "./runs/run_task.ts";
+import { sendRuns } from "./runs/send_runs.ts";
 import type { Settings } from "./settings/types.ts";
 import { createAnswers } from "./start/create_answers.ts";
 import { describeSelf } from "./start/describe_self.ts";
@@ -68,14 +70,21 @@
       : new ConfigFile(settings.dataFolder, log);
   const kept = await configFile?.read();
   const burn = new BurnTask(readConfig);
-  const ring = new RunRing();
+  const runs = new RunTask({
+    files:
+      settings.dataFolder === undefined
+        ? undefined
+        : new RunFiles(join(settings.dataFolder, "runs")),
+    sendToPeer: (batch) => sendRuns(batch, { peers, readState }),
+    log,
+  });
   const metrics = createMetrics(settings.metrics, {
     instance: settings.instanceId,
     data_centre: settings.dataCentre,
   });
   const localReports = createLocalReports({
     readState,
-    listRuns: (query) => ring.list(query),
+    listRuns: (query) => runs.list(query),
     listJobs: () => jobs.directory.listViews(),
     buildBurn: () => burn.buildRows(),
   });
@@ -85,7 +94,11 @@
     log,
     post,
     readState,
-    answer: createAnswers({ readState, reports: localReports }),
+    answer: createAnswers({
+      readState,
+      reports: localReports,
+      keepRuns: (batch) => runs.keepForPeer(batch),
+    }),
   });
   // Nothing may wait from here until the core stands: peers send already.
   const { peers, address } = peering;
@@ -125,7 +138,7 @@
         readConfig,
         keepRun: (run) => {
           logRun(run, { log, metrics });
-          ring.keep(run);
+          runs.keep(run);
           onRun?.(run);
         },
       });
@@ -181,6 +194,7 @@
   const listeners = [caller, admin];
   const stop = async (noticeMs = 0): Promise<void> => {
     await drainInstance({ post, readState, listeners, log }, noticeMs);
+    await runs.stop();
     closeTasks();
     await configFile?.settle();
     log.info("stopped");
--- a/packages/measure/src/system/fleet_test.ts
+++ b/packages/measure/src/system/fleet_test.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import { mkdtemp } from "node:fs/promises";
+import { mkdtemp, readdir } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { INVARIANTS } from "@gooseberryline/core";
@@ -134,6 +134,26 @@
   expect((await answer.json()) as object).toHaveProperty("choices");
 });
 
+test("runs of a lost instance without a disk are found at a peer", async () => {
+  const dataFolder = await mkdtemp(join(tmpdir(), "fleet-"));
+  const fleet = await startFleet({
+    places: [place("one"), place("two", { dataFolder, operators })],
+  });
+  started.push(fleet);
+  await waitForMembers(fleet, "one", ["two"]);
+  await waitUntil(() => revisionOf(fleet, "one") === 1);
+  const json = { model: "demo-model", messages: [] };
+  await fleet.api("one").post("v1/chat/completions", { json });
+  const readRuns = () =>
+    got(`http://${fleet.daemons.get("two")?.admin}/admin/v1/runs`, {
+      headers: { authorization: `Bearer ${TOKEN}` },
+    }).json<{ readonly runs: readonly { readonly outcome: string }[] }>();
+  await waitUntil(async () => (await readdir(dataFolder)).includes("runs"));
+  await fleet.end("one", true);
+  await waitUntil(async () => (await readRuns()).runs.length > 0);
+  expect((await readRuns()).runs).toMatchObject([{ outcome: "completed" }]);
+});
+
 test("a disk keeps the revision over a restart with the store down", async () => {
   const dataFolder = await mkdtemp(join(tmpdir(), "fleet-"));
   const fleet = await startFleet({ places: [place("one", { dataFolder })] });
--- a/packages/protocol/src/peers/types.ts
+++ b/packages/protocol/src/peers/types.ts
@@ -23,5 +23,6 @@
   | "config"
   | "status"
   | "runs"
+  | "keep-runs"
   | "jobs"
   | "burn";
