Copy lost files again, try jobs at random, and measure their writes

Cause: a second lost disk would have taken results with it; faults were tried one at a time; the platform writes of batch work were not measured.

--- a/packages/daemon/src/jobs/data_folder.ts
+++ b/packages/daemon/src/jobs/data_folder.ts
@@ -71,6 +71,12 @@
       .map((name) => `${folder}/${name}`);
   }
 
+  /** Names of all files whose name begins with `prefix`. */
+  async list(prefix: string): Promise<readonly string[]> {
+    const found = await this.#blobs.list(prefix);
+    return found.map(({ name }) => name);
+  }
+
   async remove(name: string): Promise<void> {
     await rm(join(this.#root, name), { force: true, recursive: true });
   }
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -16,6 +16,7 @@
 import { createCallerApp } from "./caller/create_caller_app.ts";
 import { ConfigFile } from "./config/config_file.ts";
 import { ConfigWatch } from "./config/config_watch.ts";
+import { CopyTask } from "./jobs/copy_task.ts";
 import { DataFolder } from "./jobs/data_folder.ts";
 import { JobDirectory } from "./jobs/job_directory.ts";
 import { JobTask } from "./jobs/job_task.ts";
@@ -106,12 +107,10 @@
   const calls = new CallerTask(post, (report) =>
     reportRequest(report, { log, metrics }),
   );
-  const blobs = new SharedBlobs({
-    folder: dataFolder,
-    peers: new BlobClient(peers),
-    readState,
-    log,
-  });
+  const blobPeers = new BlobClient(peers);
+  const shared = { peers: blobPeers, readState, log };
+  const blobs = new SharedBlobs({ ...shared, folder: dataFolder });
+  const copies = new CopyTask({ ...shared, blobs });
   const directory = new JobDirectory(platform, readState);
   const jobs = new JobTask({ blobs, directory, readState, post, log });
   const platformTask = new PlatformTask(platform, post);
@@ -185,6 +184,7 @@
     watch.stop();
     poll.stop();
     core.stop();
+    copies.stop();
     gauges.stop();
     metrics.close();
     attempts.stop();
--- /dev/null
+++ b/packages/measure/src/jobs/job_faults.ts
@@ -0,0 +1,68 @@
+import type { DataCentreId, InstanceId, JobId } from "@gooseberryline/core";
+import type { World } from "@gooseberryline/fakes";
+
+/** One thing that happens to a fleet with batch jobs. */
+export type JobAction = {
+  readonly kind: string;
+  /** Which instance. */
+  readonly at: number;
+  /** How long, how many, or which other instance. */
+  readonly size: number;
+};
+
+type Apply = (world: World, id: InstanceId, action: JobAction) => void;
+
+const PAUSE_MS = 5_000;
+const CUSTOMER = "c1" as never;
+
+const dataCentreOf = (id: InstanceId): DataCentreId =>
+  id.split("-")[0] as DataCentreId;
+
+const restart = (world: World, id: InstanceId): void => {
+  world.kill(id);
+  world.start(id, dataCentreOf(id));
+};
+
+/** Faults of a fleet with batch jobs, by name. */
+export const JOB_FAULTS: Readonly<Record<string, Apply>> = {
+  wait: (world, _, { size }) => world.runFor(size * 1_000),
+  kill: (world, id) => restart(world, id),
+  "kill for long": (world, id) => {
+    world.kill(id);
+    world.queue.schedule(PAUSE_MS, () => world.start(id, dataCentreOf(id)));
+  },
+  "lose disk": (world, id) => {
+    world.disks.lose(id);
+    restart(world, id);
+  },
+  pause: (world, id, { size }) => {
+    world.pause(id);
+    world.queue.schedule(size * PAUSE_MS, () => world.resume(id));
+  },
+  "cut from store": (world, id) => world.network.cut(id, "platform"),
+  "cut from peers": (world, id) => {
+    world.instanceIds
+      .filter((other) => other !== id)
+      .forEach((other) => {
+        world.network.cut(id, other);
+      });
+  },
+  heal: (world) => world.network.healAll(),
+  "store down": (world) => world.store.setFaults({ isDown: true }),
+  "store up": (world) => world.store.setFaults({ isDown: false, delayMs: 2 }),
+  "store slow": (world, _, { size }) =>
+    world.store.setFaults({ delayMs: 300 * size }),
+  "lost answers": (world, _, { size }) =>
+    world.store.setFaults({ loseAnswers: size }),
+  "engine cold": (world, _, { size }) => {
+    [...world.engines.values()][size % world.engines.size]?.turnCold();
+  },
+  stop: (world, id) => {
+    world.post(id, { kind: "stop-asked" });
+    world.queue.schedule(PAUSE_MS, () => restart(world, id));
+  },
+  cancel: (world, id, { size }) => {
+    const jobId = `job-${size % 3}` as JobId;
+    world.post(id, { kind: "job-cancel-asked", jobId, customer: CUSTOMER });
+  },
+};
--- /dev/null
+++ b/packages/measure/src/measures/job_writes.ts
@@ -0,0 +1,118 @@
+import { World } from "@gooseberryline/fakes";
+import { offerBatch } from "../jobs/offer_batch.ts";
+import { buildWorldConfig } from "../world/world_config.ts";
+import type { Measure, MeasureRow } from "./types.ts";
+
+const MEASURE = "job-writes";
+const DATA_CENTRES = ["a", "b", "c"];
+const INSTANCES_EACH = 2;
+const FLEET_INSTANCES = 450;
+const ITEMS = 40_000;
+/** An item of four seconds: 16 items a second at each instance. */
+const ENGINE = { slots: 10_000, firstTokenMs: 500, tokenMs: 70 };
+const WARM_UP_MS = 20_000;
+const DURATION_MS = 240_000;
+const SECOND_MS = 1_000;
+const PER_ITEMS = 1_000;
+
+type Counts = {
+  readonly items: number;
+  readonly writes: number;
+  readonly reads: number;
+  /** Owned segments, summed over the seconds of the run. */
+  readonly segmentSeconds: number;
+};
+
+/**
+ * Measures the platform calls of batch work at the rate of a node of the
+ * fleet to design for: 16 items a second at each instance.
+ */
+export const JOB_WRITES: Measure = {
+  name: MEASURE,
+  target: "product <= 200 writes/s over 450 instances",
+  run: async (seed) => {
+    const counts = runFleet(seed);
+    return [
+      ...describe("product", counts.writes, counts, seed),
+      ...describe("write-each-second", counts.segmentSeconds, counts, seed),
+      ...describe("write-per-result", counts.items, counts, seed),
+      {
+        measure: MEASURE,
+        policy: "product",
+        value: toFleet(counts.reads),
+        unit: "reads/s over 450 instances",
+        seed,
+      },
+    ];
+  },
+};
+
+function runFleet(seed: number): Counts {
+  const world = new World({
+    seed,
+    document: buildWorldConfig({
+      dataCentres: DATA_CENTRES,
+      upstreamsEach: 2,
+      customers: ["c1", "c2"],
+      concurrency: 11,
+    }),
+    instances: Object.fromEntries(
+      DATA_CENTRES.map((id) => [id, INSTANCES_EACH]),
+    ),
+    engine: ENGINE,
+  });
+  ["c1", "c2"].forEach((customer) => {
+    const name = `job-${customer}`;
+    offerBatch(world, { name, itemCount: ITEMS, customer });
+  });
+  world.runFor(WARM_UP_MS);
+  const before = readCounts(world);
+  const segmentSeconds = Array.from({
+    length: DURATION_MS / SECOND_MS,
+  }).reduce<number>((sum) => {
+    world.runFor(SECOND_MS);
+    return sum + countOwned(world);
+  }, 0);
+  const after = readCounts(world);
+  return {
+    items: after.items - before.items,
+    writes: after.writes - before.writes,
+    reads: after.reads - before.reads,
+    segmentSeconds,
+  };
+}
+
+function readCounts(world: World): Omit<Counts, "segmentSeconds"> {
+  const calls = world.store.meter.readCalls();
+  return {
+    items: world.ledger.runs.filter(({ isWhole }) => isWhole).length,
+    writes: calls["/kv/cas"] ?? 0,
+    reads: (calls["/kv/get"] ?? 0) + (calls["/kv/list"] ?? 0),
+  };
+}
+
+function countOwned(world: World): number {
+  return world.instanceIds.reduce(
+    (sum, id) => sum + Object.keys(world.stateOf(id)?.jobs.owned ?? {}).length,
+    0,
+  );
+}
+
+function toFleet(calls: number): number {
+  const instances = DATA_CENTRES.length * INSTANCES_EACH;
+  return (calls * SECOND_MS * FLEET_INSTANCES) / DURATION_MS / instances;
+}
+
+function describe(
+  policy: string,
+  writes: number,
+  { items }: Counts,
+  seed: number,
+): readonly MeasureRow[] {
+  const shared = { measure: MEASURE, policy, seed };
+  const perItems = (writes * PER_ITEMS) / items;
+  return [
+    { ...shared, value: perItems, unit: "writes/1000 items" },
+    { ...shared, value: toFleet(writes), unit: "writes/s over 450 instances" },
+  ];
+}
