Check that a paused owner starts nothing on resuming

Cause: a mutation that ignored the lapse of a lease passed every test. Change: the test of a paused owner counts what it starts of its lost segments.

--- a/packages/measure/src/jobs/jobs_world_test.ts
+++ b/packages/measure/src/jobs/jobs_world_test.ts
@@ -1,4 +1,9 @@
-import { INVARIANTS, type InstanceId, type JobId } from "@gooseberryline/core";
+import {
+  INVARIANTS,
+  type InstanceId,
+  JOBS,
+  type JobId,
+} from "@gooseberryline/core";
 import { World } from "@gooseberryline/fakes";
 import { beforeAll, expect, test } from "vitest";
 import { buildWorldConfig } from "../world/world_config.ts";
@@ -82,7 +87,23 @@
   const world = runBatch({}, (at) => {
     at.pause(FIRST);
     at.runFor(60_000);
+    const held = Object.values(at.stateOf(FIRST)?.jobs.owned ?? {});
+    const isOwn = (workId: string) =>
+      held.some(({ number }) => {
+        const index = Number(workId.split("/")[1]);
+        return Math.floor(index / JOBS.SEGMENT_ITEMS) === number;
+      });
+    const resumedMs = at.nowMs;
     at.resume(FIRST);
+    at.runFor(2_000);
+    const late = at.ledger.runs.filter(
+      (run) =>
+        run.instanceId === FIRST &&
+        run.startedMs >= resumedMs &&
+        isOwn(run.workId),
+    );
+    expect(held.length).toBeGreaterThan(0);
+    expect(late).toEqual([]);
   });
   expect(indexesOf(world)).toEqual(upTo(3_000));
 });
