--- a/packages/measure/src/caller/door_test.ts
+++ b/packages/measure/src/caller/door_test.ts
@@ -1,6 +1,7 @@
-import { connectPlatform } from "@gooseberryline/protocol";
 import { afterAll, beforeAll, expect, test } from "vitest";
+import { putConfig } from "../support/put_config.ts";
 import { waitUntil } from "../support/wait_until.ts";
+import { dropKeys } from "./drop_keys.ts";
 import { startDoor } from "./start_door.ts";
 
 const CHAT = "v1/chat/completions";
@@ -133,20 +134,18 @@
 test("a withdrawn key is refused as an unknown one", async () => {
   const headers = { authorization: "Bearer other-key" };
   expect((await post(body, headers)).statusCode).toBe(200);
-  const platform = connectPlatform(door.store.url);
-  const record = await platform.get("config/current");
-  const config = JSON.parse(record?.value ?? "") as {
-    revision: number;
-    document: { customers: { other: { keys: unknown[] } } };
-  };
-  config.document.customers.other.keys = [];
-  const value = JSON.stringify({ ...config, revision: config.revision + 1 });
-  await platform.cas({
-    key: "config/current",
-    value,
-    expect: record?.version ?? 0,
-  });
+  await putConfig(door.store, (document) => dropKeys(document, "other"));
   await waitUntil(async () => (await post(body, headers)).statusCode === 401);
   const unknown = await post(body, { authorization: "Bearer nobody" });
   expect((await post(body, headers)).body).toEqual(unknown.body);
 });
+
+test("a prompt is completed as a chat is", async () => {
+  const json = { model: "demo-model", prompt: "Is hide glue" };
+  const answer = await door.api.post("v1/completions", { json });
+  const unasked = await door.api.post("v1/completions", { json: body });
+  expect(answer.statusCode).toBe(200);
+  expect(door.engines[0]?.runs.at(-1)?.prompt).toContain("Is hide glue");
+  expect(unasked.statusCode).toBe(400);
+  expect(unasked.body).toContain("prompt: is needed");
+});
--- a/packages/measure/src/caller/stream_test.ts
+++ b/packages/measure/src/caller/stream_test.ts
@@ -1,7 +1,9 @@
 import { once } from "node:events";
 import { type IncomingMessage, request } from "node:http";
 import { afterAll, afterEach, beforeAll, expect, test } from "vitest";
+import { putConfig } from "../support/put_config.ts";
 import { waitUntil } from "../support/wait_until.ts";
+import { dropKeys } from "./drop_keys.ts";
 import { startDoor } from "./start_door.ts";
 
 const CHAT = "v1/chat/completions";
@@ -106,3 +108,16 @@
   expect(text.trim().split("\n\n")).toHaveLength(tokens + 1);
   expect(text).toContain("data: [DONE]");
 });
+
+test("a withdrawn key ends its open stream", async () => {
+  const own = await startDoor({ engine: { tokenMs: 5 } });
+  const res = await openStream(own.callerUrl, 20_000);
+  const text = readText(res);
+  await putConfig(own.store, (document) => dropKeys(document, "demo"));
+  const events = (await text).trim().split("\n\n");
+  expect(events.length).toBeLessThan(20_000);
+  expect(events.at(-1)).toContain("event: error");
+  expect(events.at(-1)).toContain("key_withdrawn");
+  await waitUntil(() => own.engines[0]?.countInFlight() === 0);
+  await own.stop();
+});
