--- a/packages/daemon/src/settings/settings_test.ts
+++ b/packages/daemon/src/settings/settings_test.ts
@@ -1,9 +1,11 @@
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { expect, test } from "vitest";
+import { z } from "zod";
 import { runMain } from "../run_main.ts";
 import { parseSettings } from "./parse_settings.ts";
+import { SETTINGS_SCHEMA } from "./settings_schema.ts";
 
 const faultOf = (text: string) => {
   const parsed = parseSettings(text);
@@ -104,3 +106,25 @@
   const insecure = { allowInsecure: true, callerListener: { host } };
   expect(faultOf(textOf(insecure))).toBeUndefined();
 });
+
+type JsonSchema = {
+  readonly properties?: Readonly<Record<string, JsonSchema>>;
+  readonly items?: JsonSchema;
+};
+
+const listKeys = ({ properties, items }: JsonSchema): readonly string[] => [
+  ...Object.entries(properties ?? {}).flatMap(([key, inner]) => [
+    key,
+    ...listKeys(inner),
+  ]),
+  ...(items === undefined ? [] : listKeys(items)),
+];
+
+test("the operators' page has every key", async () => {
+  const schema = z.toJSONSchema(SETTINGS_SCHEMA, { io: "input" });
+  const keys = listKeys(schema as JsonSchema);
+  const place = "../../../../docs/operators/settings.md";
+  const page = await readFile(new URL(place, import.meta.url), "utf8");
+  expect(keys.length).toBeGreaterThan(20);
+  expect(keys.filter((key) => !page.includes(key))).toEqual([]);
+});
