--- a/packages/daemon/src/caller/add_file_routes.ts
+++ b/packages/daemon/src/caller/add_file_routes.ts
@@ -5,6 +5,7 @@
 import type { FileMeta } from "../jobs/types.ts";
 import { HttpRefusal } from "./http_refusal.ts";
 import { readUpload } from "./read_upload.ts";
+import { refuseStorage } from "./refuse_storage.ts";
 import type { Caller } from "./types.ts";
 
 type FileParts = {
@@ -56,10 +57,3 @@
     status: "processed",
   };
 }
-
-function refuseStorage(): never {
-  throw new HttpRefusal(503, "no disk in reach can take or give the file", {
-    code: "store_unavailable",
-    step: "store",
-  });
-}
--- a/packages/daemon/src/caller/create_batch.ts
+++ b/packages/daemon/src/caller/create_batch.ts
@@ -16,6 +16,7 @@
 import { HttpRefusal } from "./http_refusal.ts";
 import { parseJson } from "./parse_json.ts";
 import { readBody } from "./read_body.ts";
+import { refuseStorage } from "./refuse_storage.ts";
 import type { Caller, ChosenProfile } from "./types.ts";
 
 const BATCH_BODY_BYTES = 65_536;
@@ -124,7 +125,7 @@
     chosen,
   }: { readonly request: BatchRequest; readonly chosen: ChosenProfile },
 ): Promise<ValidInput> {
-  await jobs.files.read(meta.id);
+  await jobs.files.read(meta.id).catch(() => refuseStorage());
   const { limits } = chosen.profile;
   const input = await checkInput(
     () => jobs.blobs.folder.read(`files/${meta.id}.data`),
@@ -171,8 +172,10 @@
 ): Promise<JobSpec["inputDisks"]> {
   const name = InputReader.nameIndex(meta.id);
   const content = InputReader.encodeOffsets(offsets, meta.bytes);
-  await jobs.blobs.folder.write(name, content);
-  return jobs.blobs.replicate([name, `files/${meta.id}.data`]);
+  await jobs.blobs.folder.write(name, content).catch(() => refuseStorage());
+  return jobs.blobs
+    .replicate([name, `files/${meta.id}.data`])
+    .catch(() => refuseStorage());
 }
 
 function describeOrder(
--- a/packages/measure/src/measures/job_writes.ts
+++ b/packages/measure/src/measures/job_writes.ts
@@ -1,3 +1,4 @@
+import { drawRandom } from "@gooseberryline/core";
 import { World } from "@gooseberryline/fakes";
 import { offerBatch } from "../jobs/offer_batch.ts";
 import { buildWorldConfig } from "../world/world_config.ts";
@@ -8,6 +9,9 @@
 const INSTANCES_EACH = 2;
 const FLEET_INSTANCES = 450;
 const ITEMS = 40_000;
+/** Jobs differ by seed in size and in when they are offered. */
+const EXTRA_ITEMS = 20_000;
+const OFFER_MS = 10_000;
 /** An item of four seconds: 16 items a second at each instance. */
 const ENGINE = { slots: 10_000, firstTokenMs: 500, tokenMs: 70 };
 const WARM_UP_MS = 20_000;
@@ -61,9 +65,13 @@
     ),
     engine: ENGINE,
   });
-  ["c1", "c2"].forEach((customer) => {
+  ["c1", "c2"].forEach((customer, at) => {
+    const { value } = drawRandom(seed + at);
     const name = `job-${customer}`;
-    offerBatch(world, { name, itemCount: ITEMS, customer });
+    const itemCount = ITEMS + Math.floor(value * EXTRA_ITEMS);
+    world.queue.schedule(value * OFFER_MS, () => {
+      offerBatch(world, { name, itemCount, customer });
+    });
   });
   world.runFor(WARM_UP_MS);
   const before = readCounts(world);
