--- a/packages/core/src/claims/ask_claim.ts
+++ b/packages/core/src/claims/ask_claim.ts
@@ -1,10 +1,7 @@
-import type { InstanceId } from "../ids/types.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
-import { listLive } from "../membership/list_live.ts";
-import { rankByRendezvous } from "../shared/rank_by_rendezvous.ts";
 import { setEntry } from "../shared/set_entry.ts";
+import { chooseHome } from "./choose_home.ts";
 import { CLAIMS } from "./constants.ts";
-import { locateGroup } from "./locate_group.ts";
 import { offerClaim } from "./offer_claim.ts";
 
 /** Asks the home of a waiting request's key, or the next one after it. */
@@ -25,7 +22,11 @@
   const home = chooseHome(state, { claimKey, tries }, nowMs);
   const { instanceId } = state.self;
   return home === instanceId
-    ? offerClaim(after, { claimKey, token: workId, from: home }, nowMs)
+    ? offerClaim(
+        after,
+        { claimKey, token: workId, from: home, isRelease: false },
+        nowMs,
+      )
     : {
         state: after,
         effects: [
@@ -37,27 +38,3 @@
         ],
       };
 }
-
-/**
- * One home for the whole fleet first, so that few instances write a group;
- * after that the own data centre's, which may be cut off from the others.
- */
-function chooseHome(
-  state: InstanceState,
-  { claimKey, tries }: { readonly claimKey: string; readonly tries: number },
-  nowMs: number,
-): InstanceId {
-  const { self, membership } = state;
-  const near = listLive(state, nowMs);
-  const far = Object.values(membership.members).filter(
-    ({ dataCentre }) => dataCentre !== self.dataCentre,
-  );
-  const members = tries === 0 ? [...near, ...far] : near;
-  const ids = members
-    .filter(({ isStopping }) => !isStopping)
-    .map(({ instanceId }) => instanceId);
-  const key = `claims|${locateGroup(claimKey)}`;
-  const ranked = rankByRendezvous(key, [self.instanceId, ...ids]);
-  const turn = Math.max(0, tries - 1) % ranked.length;
-  return ranked[turn] ?? self.instanceId;
-}
--- a/packages/core/src/claims/constants.ts
+++ b/packages/core/src/claims/constants.ts
@@ -12,6 +12,8 @@
   RETRY_MS: 500,
   /** A home forgets a claim that was not asked again for so long. */
   PENDING_MS: 1_200,
+  /** A home tries for so long to take a claim back. */
+  RELEASE_MS: 60_000,
   /** An asker without an answer refuses the request after this. */
   GIVE_UP_MS: 3_000,
   /** Digits of a record's number in its key. */
--- a/packages/core/src/claims/drive_group.ts
+++ b/packages/core/src/claims/drive_group.ts
@@ -21,7 +21,8 @@
     return { state, effects: [] };
   }
   const pending = held.pending.filter(
-    ({ askedMs }) => nowMs - askedMs < CLAIMS.PENDING_MS,
+    ({ askedMs, isRelease }) =>
+      nowMs - askedMs < (isRelease ? CLAIMS.RELEASE_MS : CLAIMS.PENDING_MS),
   );
   const group = { ...held, pending };
   if (pending.length === 0 || nowMs < group.nextFlushMs) {
@@ -39,17 +40,21 @@
 function answerKnown(state: InstanceState, id: string): Step {
   const group = state.claims.groups[id];
   const pending = group?.pending ?? [];
-  const known = pending.filter(
-    ({ claimKey }) =>
-      group !== undefined && getSharded(group.known, claimKey) !== undefined,
-  );
-  if (group === undefined || known.length === 0) {
+  if (group === undefined) {
     return { state, effects: [] };
   }
+  const readOwner = ({ claimKey }: PendingClaim): string =>
+    getSharded(group.known, claimKey) ?? "";
+  const known = pending.filter((claim) =>
+    claim.isRelease
+      ? readOwner(claim) !== claim.token
+      : readOwner(claim) !== "",
+  );
   const rest = pending.filter((claim) => !known.includes(claim));
+  const asked = known.filter(({ isRelease }) => !isRelease);
   const left = setGroup(state, id, { ...group, pending: rest });
-  return chainAll(left, known, (at, claim) => {
-    const isOwn = getSharded(group.known, claim.claimKey) === claim.token;
+  return chainAll(left, asked, (at, claim) => {
+    const isOwn = readOwner(claim) === claim.token;
     return answerClaim(at, claim, isOwn ? "granted" : "taken");
   });
 }
@@ -84,7 +89,10 @@
   { number, version, claims, writing }: ClaimGroup,
   leaseId: string,
 ): PlatformCall {
-  const added = writing.map(({ claimKey, token }) => [claimKey, token]);
+  const added = writing.map(({ claimKey, token, isRelease }) => [
+    claimKey,
+    isRelease ? "" : token,
+  ]);
   const all = { ...claims, ...Object.fromEntries(added) };
   const isClosed = Object.keys(all).length >= CLAIMS.RECORD_CLAIMS;
   const record: ClaimRecord = { isClosed, claims: all };
--- a/packages/core/src/claims/handle_claims_answer.ts
+++ b/packages/core/src/claims/handle_claims_answer.ts
@@ -72,9 +72,8 @@
   claims: readonly PendingClaim[],
   verdict: ClaimVerdict,
 ): Step {
-  return chainAll(state, claims, (at, claim) =>
-    answerClaim(at, claim, verdict),
-  );
+  const asked = claims.filter(({ isRelease }) => !isRelease);
+  return chainAll(state, asked, (at, claim) => answerClaim(at, claim, verdict));
 }
 
 /** Takes up all records of a group; claims go to the last, if it is open. */
@@ -122,7 +121,8 @@
   const value = asked.call.kind === "cas" ? asked.call.value : "{}";
   const record = JSON.parse(value) as ClaimRecord;
   const known = writing.reduce(
-    (table, { claimKey, token }) => setSharded(table, claimKey, token),
+    (table, { claimKey, token, isRelease }) =>
+      setSharded(table, claimKey, isRelease ? "" : token),
     group.known,
   );
   return record.isClosed
--- /dev/null
+++ b/packages/core/src/claims/release_claim.ts
@@ -0,0 +1,25 @@
+import { chainAll } from "../instance/chain_all.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { chooseHome } from "./choose_home.ts";
+import { offerClaim } from "./offer_claim.ts";
+
+/**
+ * Takes back the claim of a request that surely did not run, so that the
+ * same key may be sent again. A lost message leaves the key claimed.
+ */
+export function releaseClaim(
+  state: InstanceState,
+  { claimKey, token }: { readonly claimKey: string; readonly token: string },
+): Step {
+  const nowMs = state.jobs.tickMs;
+  const homes = [0, 1].map((tries) =>
+    chooseHome(state, { claimKey, tries }, nowMs),
+  );
+  return chainAll(state, [...new Set(homes)], (at, home) => {
+    const claim = { claimKey, token, from: home, isRelease: true };
+    const message = { kind: "claim-dropped", claimKey, token } as const;
+    return home === at.self.instanceId
+      ? offerClaim(at, claim, nowMs)
+      : { state: at, effects: [{ kind: "send-peer", to: home, message }] };
+  });
+}
--- a/packages/core/src/claims/settle_claim.ts
+++ b/packages/core/src/claims/settle_claim.ts
@@ -8,6 +8,7 @@
 import { advancePhase } from "../work/advance_phase.ts";
 import { finishWork } from "../work/finish_work.ts";
 import type { Refusal, Work } from "../work/types.ts";
+import { releaseClaim } from "./release_claim.ts";
 import type { ClaimVerdict } from "./types.ts";
 
 /** Queues a request whose claim is durable, or refuses it. */
@@ -25,7 +26,11 @@
   }
   const waits = dropEntry(state.claims.waits, token);
   const after = { ...state, claims: { ...state.claims, waits } };
-  if (work === undefined || work.phase !== "claiming") {
+  if (work === undefined) {
+    const { claimKey } = wait;
+    return releaseClaim(after, { claimKey, token });
+  }
+  if (work.phase !== "claiming") {
     return { state: after, effects: [] };
   }
   checkInvariant(
--- a/packages/core/src/claims/types.ts
+++ b/packages/core/src/claims/types.ts
@@ -10,7 +10,7 @@
 export type ClaimRecord = {
   /** No claim is added any more: the next record is the last one. */
   readonly isClosed: boolean;
-  /** Who claimed each key. */
+  /** Who claimed each key; empty once it was taken back. */
   readonly claims: Table<string>;
 };
 
@@ -20,6 +20,8 @@
   /** Names the request, so that it is known when it asks again. */
   readonly token: string;
   readonly from: InstanceId;
+  /** Takes back the claim of a request that surely did not run. */
+  readonly isRelease: boolean;
   /** When it was last asked, home's clock. */
   readonly askedMs: number;
 };
@@ -72,6 +74,13 @@
   readonly token: string;
 };
 
+/** Takes a claim back: its request ended without having run. */
+export type ClaimDropped = {
+  readonly kind: "claim-dropped";
+  readonly claimKey: string;
+  readonly token: string;
+};
+
 /** Answers the instance that asked. */
 export type ClaimAnswered = {
   readonly kind: "claim-answered";
--- a/packages/core/src/instance/handle_message.ts
+++ b/packages/core/src/instance/handle_message.ts
@@ -22,7 +22,13 @@
       return noteHeartbeat(state, from, { heartbeat: message, nowMs });
     case "claim-asked": {
       const { claimKey, token } = message;
-      return offerClaim(state, { claimKey, token, from }, nowMs);
+      const claim = { claimKey, token, from, isRelease: false };
+      return offerClaim(state, claim, nowMs);
+    }
+    case "claim-dropped": {
+      const { claimKey, token } = message;
+      const claim = { claimKey, token, from, isRelease: true };
+      return offerClaim(state, claim, nowMs);
     }
     case "claim-answered":
       return settleClaim(state, message);
--- a/packages/core/src/instance/peer_message_kinds.ts
+++ b/packages/core/src/instance/peer_message_kinds.ts
@@ -11,4 +11,5 @@
   "job-cancelled": true,
   "claim-asked": true,
   "claim-answered": true,
+  "claim-dropped": true,
 };
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -2,6 +2,7 @@
 import type {
   ClaimAnswered,
   ClaimAsked,
+  ClaimDropped,
   ClaimsState,
 } from "../claims/types.ts";
 import type {
@@ -97,7 +98,8 @@
   | ConfigSent
   | JobCancelled
   | ClaimAsked
-  | ClaimAnswered;
+  | ClaimAnswered
+  | ClaimDropped;
 
 /** What happened, as told by the daemon's tasks. */
 export type InstanceEvent =
--- a/packages/core/src/work/finish_work.ts
+++ b/packages/core/src/work/finish_work.ts
@@ -1,3 +1,5 @@
+import { releaseClaim } from "../claims/release_claim.ts";
+import { chainStep } from "../instance/chain_step.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
 import { finishItem } from "../jobs/finish_item.ts";
 import { dropWork } from "./drop_work.ts";
@@ -24,10 +26,23 @@
   }
   return end.kind === "answered"
     ? { state: after, effects: [{ kind: "complete-request", workId }] }
-    : {
-        state: after,
-        effects: [{ kind: "refuse-request", workId, refusal: end.refusal }],
-      };
+    : refuseRequest(after, work, end.refusal);
+}
+
+/** Tells the caller; a key whose request did not run may be used again. */
+function refuseRequest(
+  state: InstanceState,
+  { order: { workId, claimKey, isIdempotent } }: Work,
+  refusal: Refusal,
+): Step {
+  const refused: Step = {
+    state,
+    effects: [{ kind: "refuse-request", workId, refusal }],
+  };
+  const isUnrun = refusal.run === "not run" && !isIdempotent;
+  return claimKey !== undefined && isUnrun
+    ? chainStep(refused, (at) => releaseClaim(at, { claimKey, token: workId }))
+    : refused;
 }
 
 function nameEvent(end: WorkEnd): "COMPLETE" | "REFUSE" | "FAIL" {
--- a/packages/measure/src/jobs/claims_test.ts
+++ b/packages/measure/src/jobs/claims_test.ts
@@ -90,6 +90,32 @@
   expect(runsOf(world, "k")).toBe(0);
 });
 
+test("a key whose request did not run may be sent again", () => {
+  const world = createWorld();
+  world.store.setFaults({ delayMs: 7_000 });
+  send(world, 0, "k", "slow");
+  world.runFor(6_000);
+  expect(endOf(world, "slow")).toMatchObject({ refusal: { run: "not run" } });
+  world.store.setFaults({ delayMs: 2 });
+  world.runFor(15_000);
+  world.engines.forEach((engine) => {
+    engine.setFault({ isDown: true });
+  });
+  send(world, 1, "k", "unreached");
+  world.runFor(10_000);
+  expect(endOf(world, "unreached")).toMatchObject({
+    refusal: { run: "not run" },
+  });
+  world.engines.forEach((engine) => {
+    engine.setFault({ isDown: false });
+  });
+  world.runFor(10_000);
+  send(world, 2, "k", "last");
+  world.runFor(5_000);
+  expect(endOf(world, "last")).toEqual({ kind: "answered" });
+  expect(runsOf(world, "k")).toBe(1);
+});
+
 test("a write whose answer is lost still counts as the request's own", () => {
   const world = createWorld();
   world.store.setFaults({ loseAnswers: 2 });
