Drop members that are gone, and ask for runs by time

Cause: every replaced instance stayed a member for good and was sent heartbeats; the query of runs by time had no option in gooseberryctl. Tests: a gone and silent member is dropped after the time, an unlisted one in contact stays.

--- a/packages/cli/src/commands/runs_command.ts
+++ b/packages/cli/src/commands/runs_command.ts
@@ -17,6 +17,8 @@
   });
   readonly customer = Option.String("--customer");
   readonly work = Option.String("--work");
+  readonly from = Option.String("--from");
+  readonly until = Option.String("--until");
   readonly limit = Option.String("--limit", "100");
 
   protected override run(): Promise<unknown> {
@@ -27,6 +29,12 @@
     if (this.work !== undefined) {
       query.set("work", this.work);
     }
+    if (this.from !== undefined) {
+      query.set("from", this.from);
+    }
+    if (this.until !== undefined) {
+      query.set("until", this.until);
+    }
     return this.client.get<Runs>(`runs?${query}`);
   }
 
--- a/packages/core/src/instance/step_instance.ts
+++ b/packages/core/src/instance/step_instance.ts
@@ -87,7 +87,7 @@
     case "platform-answered":
       return handleAnswer(state, event, nowMs);
     case "instances-listed":
-      return noteList(state, event.instances);
+      return noteList(state, event, nowMs);
     case "tick":
       return chainAll(
         state,
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -170,6 +170,8 @@
   | {
       readonly kind: "instances-listed";
       readonly instances: readonly ListedInstance[];
+      /** Set where the platform gave it; a peer lists whom it knows. */
+      readonly isWhole?: boolean;
     }
   /** A planned stop begins; requests are accepted for `noticeMs` yet. */
   | { readonly kind: "stop-asked"; readonly noticeMs?: number }
--- a/packages/core/src/membership/constants.ts
+++ b/packages/core/src/membership/constants.ts
@@ -8,4 +8,6 @@
   DELEGATE_MS: 1_000,
   /** A delegate heard of within this time is preferred by the other side. */
   DELEGATE_LIVE_MS: 5_000,
+  /** A silent member that the platform no longer lists is dropped then. */
+  FORGET_MS: 60_000,
 } as const;
--- a/packages/core/src/membership/note_list.ts
+++ b/packages/core/src/membership/note_list.ts
@@ -1,13 +1,25 @@
 import type { DataCentreId, InstanceId } from "../ids/types.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
+import { MEMBERSHIP } from "./constants.ts";
 import type { ListedInstance, Member } from "./types.ts";
 
-/** Takes up instances that the platform lists and that are not known yet. */
+/**
+ * Takes up listed instances that are not known yet. A whole list, as the
+ * platform gives it, also drops those that it lacks and that were silent for
+ * long; peers in contact stay, whatever the list says.
+ */
 export function noteList(
   state: InstanceState,
-  listed: readonly ListedInstance[],
+  {
+    instances,
+    isWhole,
+  }: {
+    readonly instances: readonly ListedInstance[];
+    readonly isWhole?: boolean;
+  },
+  nowMs: number,
 ): Step {
-  const fresh = listed
+  const fresh = instances
     .filter(({ instanceId }) => instanceId !== state.self.instanceId)
     .filter(
       ({ instanceId }) => state.membership.members[instanceId] === undefined,
@@ -26,10 +38,14 @@
         hasDisk: false,
       },
     ]);
-  const members = {
-    ...state.membership.members,
-    ...Object.fromEntries(fresh),
-  };
+  const listedIds = new Set(instances.map(({ instanceId }) => instanceId));
+  const kept = Object.entries(state.membership.members).filter(
+    ([id, { heardMs }]) =>
+      isWhole !== true ||
+      listedIds.has(id) ||
+      nowMs - heardMs < MEMBERSHIP.FORGET_MS,
+  );
+  const members = Object.fromEntries([...kept, ...fresh]);
   const membership = { ...state.membership, members };
   return { state: { ...state, membership }, effects: [] };
 }
--- a/packages/daemon/src/platform/poll_instances.ts
+++ b/packages/daemon/src/platform/poll_instances.ts
@@ -5,13 +5,19 @@
 const FIRST_POLLS_MS = 500;
 const FIRST_POLLS = 10;
 
+/** A list of instances; whole where the platform gave it. */
+export type InstanceList = {
+  readonly instances: readonly ListedInstance[];
+  readonly isWhole: boolean;
+};
+
 /** What the poll needs of the rest of the daemon. */
 export type PollParts = {
   readonly platform: Platform;
   /** Addresses of peers to ask while the platform gives no list. */
   readonly seeds: readonly string[];
   readonly askMembers: (address: string) => Promise<readonly ListedInstance[]>;
-  readonly offer: (instances: readonly ListedInstance[]) => void;
+  readonly offer: (list: InstanceList) => void;
 };
 
 /** A running poll. */
@@ -32,7 +38,7 @@
     if (control.count < 0) {
       return;
     }
-    if (found.length > 0) {
+    if (found.instances.length > 0) {
       parts.offer(found);
     }
     control.count += 1;
@@ -53,11 +59,12 @@
   platform,
   seeds,
   askMembers,
-}: PollParts): Promise<readonly ListedInstance[]> {
+}: PollParts): Promise<InstanceList> {
   const listed = await platform.listInstances().catch(() => []);
   if (listed.length > 0) {
-    return listed;
+    return { instances: listed, isWhole: true };
   }
   const asked = seeds.map((address) => askMembers(address).catch(() => []));
-  return (await Promise.all(asked)).flat();
+  const instances = (await Promise.all(asked)).flat();
+  return { instances, isWhole: false };
 }
--- a/packages/daemon/src/start_daemon.ts
+++ b/packages/daemon/src/start_daemon.ts
@@ -151,7 +151,7 @@
     seeds: settings.peers,
     askMembers: (seed) =>
       peers.askAddress<readonly ListedInstance[]>(seed, "members"),
-    offer: (instances) => core.post({ kind: "instances-listed", instances }),
+    offer: (list) => core.post({ kind: "instances-listed", ...list }),
   });
   const gauges = watchInstance(readState, metrics);
   const callerApp = createCallerApp({
--- a/packages/fakes/src/world/world.ts
+++ b/packages/fakes/src/world/world.ts
@@ -279,7 +279,11 @@
     const isReached = !this.network.isCut(place, PLATFORM_PLACE);
     if (isReached && !this.store.faults.isDown) {
       const instances = [...this.#listed.values()];
-      this.#postTo(node, { kind: "instances-listed", instances });
+      this.#postTo(node, {
+        kind: "instances-listed",
+        instances,
+        isWhole: true,
+      });
     }
     this.queue.schedule(LIST_MS, () => this.#offerList(node));
   }
--- a/packages/measure/src/world/world_test.ts
+++ b/packages/measure/src/world/world_test.ts
@@ -77,3 +77,20 @@
   );
   expect(new Set(speakers).size).toBe(4);
 });
+
+test("a member that is gone for long is dropped, one in contact stays", () => {
+  const world = createWorld(3);
+  const knows = (id: string) =>
+    Object.keys(
+      world.stateOf("a-0" as InstanceId)?.membership.members ?? {},
+    ).includes(id);
+  world.runFor(2_000);
+  world.setListed("a-1" as InstanceId, "gone");
+  world.setListed("b-1" as InstanceId, "gone");
+  world.kill("b-1" as InstanceId);
+  world.runFor(30_000);
+  expect(knows("b-1")).toBe(true);
+  world.runFor(60_000);
+  expect(knows("b-1")).toBe(false);
+  expect(knows("a-1")).toBe(true);
+});
