Bound the bodies in hand, and check a key again once its body is there

Cause: each body was bounded, all of them together were not; and a key was checked only before its body was read, so that a request whose key was withdrawn while a slow body arrived still ran. An open model now runs for no customer also when a key is shown, as plain services do.

--- a/packages/daemon/src/caller/add_completion_routes.ts
+++ b/packages/daemon/src/caller/add_completion_routes.ts
@@ -7,7 +7,6 @@
 import type { Door } from "./door.ts";
 import { HttpRefusal } from "./http_refusal.ts";
 import { parseCompletion } from "./parse_completion.ts";
-import { readBody } from "./read_body.ts";
 import { readDeadline } from "./read_deadline.ts";
 import { readTenantKey } from "./read_tenant_key.ts";
 
@@ -30,14 +29,24 @@
 async function answerCompletion(ctx: Context, door: Door): Promise<void> {
   const { document } = door.requireConfig();
   const mayBeOpen = hasOpenModel(document) && readTenantKey(ctx) === undefined;
-  const known = mayBeOpen ? undefined : door.admitCustomer(ctx);
-  const body = await readBody(
-    ctx.req,
-    known?.chosen.profile.limits.bodyBytes ?? findOpenBodyBytes(document),
+  const limitBytes = mayBeOpen
+    ? findOpenBodyBytes(document)
+    : door.admitCustomer(ctx).chosen.profile.limits.bodyBytes;
+  await door.bodies.hold(ctx.req, limitBytes, (body) =>
+    answerBody(ctx, door, body),
   );
+}
+
+/** Answers once the body is there; the key may have been withdrawn since. */
+async function answerBody(
+  ctx: Context,
+  door: Door,
+  body: Buffer,
+): Promise<void> {
+  const { document } = door.requireConfig();
   const request = parseCompletion(body, ctx.path);
   const service = requireModel(document, request.model);
-  const { requester, chosen } = known ?? door.admitAnyone(ctx, service);
+  const { requester, chosen } = door.admitAnyone(ctx, service);
   const costTokens = countCostTokens(request.text, request.answerTokens);
   checkLimits(chosen, { model: service, costTokens });
   const key = ctx.get("idempotency-key");
--- a/packages/daemon/src/caller/add_service_routes.ts
+++ b/packages/daemon/src/caller/add_service_routes.ts
@@ -4,15 +4,19 @@
 import { buildOrder } from "./build_order.ts";
 import type { Door } from "./door.ts";
 import { HttpRefusal } from "./http_refusal.ts";
-import { locateCall } from "./locate_call.ts";
+import { type LocatedCall, locateCall } from "./locate_call.ts";
 import { pickHeaders } from "./pick_headers.ts";
-import { readBody } from "./read_body.ts";
 import { readDeadline } from "./read_deadline.ts";
 import { readTenantKey } from "./read_tenant_key.ts";
 
 /** What a call counts for beside completions in the queues. */
 const CALL_COST_TOKENS = 256;
 
+type PlainCall = LocatedCall & {
+  readonly key: string | undefined;
+  readonly body: Buffer;
+};
+
 /** Adds the route of plain services. */
 export function addServiceRoutes(router: Router, door: Door): void {
   router.all(/^\/services\//, (ctx) => answerCall(ctx, door));
@@ -21,11 +25,22 @@
 async function answerCall(ctx: Context, door: Door): Promise<void> {
   const { document } = door.requireConfig();
   const { service, path } = locateCall(ctx.req.url ?? "");
-  const { requester, chosen } = door.admitAnyone(ctx, service);
   const key = readTenantKey(ctx);
+  const limitBytes = door.findBodyLimit(ctx, service);
   requirePlain(document, service);
   checkKeyStays(path, key);
-  const body = await readBody(ctx.req, chosen.profile.limits.bodyBytes);
+  await door.bodies.hold(ctx.req, limitBytes, (body) =>
+    answerBody(ctx, door, { service, path, key, body }),
+  );
+}
+
+/** Answers once the body is there; the key may have been withdrawn since. */
+async function answerBody(
+  ctx: Context,
+  door: Door,
+  { service, path, key, body }: PlainCall,
+): Promise<void> {
+  const { requester, chosen } = door.admitAnyone(ctx, service);
   const order = buildOrder(requester, chosen, {
     service,
     text: "",
--- a/packages/daemon/src/caller/door.ts
+++ b/packages/daemon/src/caller/door.ts
@@ -1,6 +1,7 @@
 import type { Config, CustomerId, ServiceConfig } from "@gooseberryline/core";
 import type { Context } from "koa";
 import { authenticateCaller } from "./authenticate_caller.ts";
+import { BodyBudget } from "./body_budget.ts";
 import type { CallerTask } from "./caller_task.ts";
 import { chooseProfile } from "./choose_profile.ts";
 import { HttpRefusal } from "./http_refusal.ts";
@@ -25,6 +26,7 @@
 /** Decides who may call, and under which profile a call runs. */
 export class Door {
   readonly calls: CallerTask;
+  readonly bodies = new BodyBudget();
   readonly #readConfig: () => Config | undefined;
   readonly #keys = new KeyIndex();
   readonly #openRates = new OpenRates();
@@ -56,6 +58,17 @@
     return { requester, chosen };
   }
 
+  /** Largest body that the caller may send to a service, bytes. */
+  findBodyLimit(ctx: Context, service: string): number {
+    const { document } = this.requireConfig();
+    const config = document.services[service];
+    const { chosen } =
+      config?.openToAll === true
+        ? { chosen: chooseProfile(document, config.openProfile ?? "") }
+        : this.admitCustomer(ctx);
+    return chosen.profile.limits.bodyBytes;
+  }
+
   /** Admits anyone to a service that is open to all, within its rate. */
   admitAnyone(ctx: Context, service: string): Admitted {
     const { document } = this.requireConfig();
--- a/packages/fakes/src/engine/start_engine.ts
+++ b/packages/fakes/src/engine/start_engine.ts
@@ -165,8 +165,13 @@
 
 function waitForRoom(res: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
-    res.once("drain", resolve);
-    res.once("close", resolve);
+    const settle = (): void => {
+      res.off("drain", settle);
+      res.off("close", settle);
+      resolve();
+    };
+    res.on("drain", settle);
+    res.on("close", settle);
   });
 }
 
--- a/packages/measure/src/caller/raw_test.ts
+++ b/packages/measure/src/caller/raw_test.ts
@@ -1,6 +1,8 @@
 import { connect, type Socket } from "node:net";
 import { afterAll, beforeAll, expect, test } from "vitest";
+import { putConfig } from "../support/put_config.ts";
 import { waitUntil } from "../support/wait_until.ts";
+import { dropKeys } from "./drop_keys.ts";
 import { startDoor } from "./start_door.ts";
 
 const JSON_BODY = '{"model":"demo-model","stream":true,"messages":[]}';
@@ -98,6 +100,21 @@
   await waitUntil(() => door.engines[0]?.countInFlight() === 0);
 });
 
+test("a key withdrawn while a body arrives runs nothing", async () => {
+  const own = await startDoor();
+  const head = `${HEAD}\r\ncontent-length: ${JSON_BODY.length}\r\n\r\n`;
+  const { socket, got } = send(head + JSON_BODY.slice(0, 9), own.callerUrl);
+  await putConfig(own.store, (document) => dropKeys(document, "demo"));
+  await waitUntil(
+    async () => (await own.api.get("v1/models")).statusCode === 401,
+  );
+  socket.write(JSON_BODY.slice(9));
+  await waitUntil(() => got.text.includes("\r\n\r\n"));
+  expect(got.text).toMatch(/^HTTP\/1.1 401 /);
+  expect(own.engines[0]?.runs).toEqual([]);
+  await own.stop();
+});
+
 const countSockets = () =>
   process.getActiveResourcesInfo().filter((name) => name === "TCPSocketWrap")
     .length;
