--- a/packages/core/src/instance/create_instance.ts
+++ b/packages/core/src/instance/create_instance.ts
@@ -1,6 +1,8 @@
 import { createClaims } from "../claims/create_claims.ts";
 import { createJobs } from "../jobs/create_jobs.ts";
 import { createSharded } from "../sharded/create_sharded.ts";
+import { createSlots } from "../slots/create_slots.ts";
+import { RETRY_BOUNDS } from "../work/constants.ts";
 import type { InstanceSelf, InstanceState } from "./types.ts";
 
 /** Creates an instance that knows nothing yet; `seed` feeds its choices. */
@@ -19,11 +21,16 @@
     upstreams: {},
     works: createSharded(),
     attempts: createSharded(),
-    timers: {},
+    timers: [],
     queues: { services: {}, tags: {} },
     jobs: createJobs(),
     claims: createClaims(),
-    membership: { members: {}, nextHeartbeatMs: 0, nextDelegateMs: 0 },
+    membership: {
+      members: {},
+      nextHeartbeatMs: 0,
+      nextDelegateMs: 0,
+      hasList: false,
+    },
     spread: {
       startedMs: undefined,
       offered: undefined,
@@ -33,6 +40,9 @@
       brokenUntilMs: 0,
       nextCheckMs: 0,
     },
+    slots: createSlots(),
+    retryBudget: RETRY_BOUNDS.MAX_RETRY_BUDGET,
+    arrivals: {},
     platform: { callCount: 0, pending: {}, heardMs: 0 },
   };
 }
--- a/packages/core/src/instance/handle_message.ts
+++ b/packages/core/src/instance/handle_message.ts
@@ -6,6 +6,8 @@
 import { stopJob } from "../jobs/stop_job.ts";
 import { noteHeartbeat } from "../membership/note_heartbeat.ts";
 import { assertNever } from "../shared/assert_never.ts";
+import { adoptGrants } from "../slots/adopt_grants.ts";
+import { noteReport } from "../slots/note_report.ts";
 import type { InstanceState, PeerMessage, Step } from "./types.ts";
 
 /** Hands a peer's message to the feature that it belongs to. */
@@ -38,6 +40,10 @@
       return answerConfig(state, from, message.have);
     case "config-sent":
       return takeConfig(state, message.content, nowMs);
+    case "slot-report":
+      return noteReport(state, from, { report: message, nowMs });
+    case "slot-grants":
+      return adoptGrants(state, from, { message, nowMs });
     default:
       return assertNever(message);
   }
--- a/packages/core/src/instance/peer_message_kinds.ts
+++ b/packages/core/src/instance/peer_message_kinds.ts
@@ -12,4 +12,6 @@
   "claim-asked": true,
   "claim-answered": true,
   "claim-dropped": true,
+  "slot-report": true,
+  "slot-grants": true,
 };
--- a/packages/core/src/instance/step_instance.ts
+++ b/packages/core/src/instance/step_instance.ts
@@ -66,7 +66,7 @@
     case "job-cancel-asked":
       return cancelJob(state, event, nowMs);
     case "attempt-first-token":
-      return noteFirstToken(state, event.attemptId);
+      return noteFirstToken(state, event, nowMs);
     case "attempt-ended":
       return endAttempt(state, event, nowMs);
     case "result-stored":
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -41,10 +41,11 @@
   PlatformCall,
   PlatformState,
 } from "../platform/types.ts";
-import type { QueueState } from "../queue/types.ts";
+import type { ArrivalRate, QueueState } from "../queue/types.ts";
 import type { ShardedTable } from "../sharded/types.ts";
 import type { Table } from "../shared/types.ts";
-import type { Timer } from "../timers/types.ts";
+import type { SlotGrants, SlotReport, SlotState } from "../slots/types.ts";
+import type { TimerGroup } from "../timers/types.ts";
 import type { Upstream } from "../upstreams/types.ts";
 import type {
   AttemptOutcome,
@@ -81,11 +82,16 @@
   readonly works: ShardedTable<Work>;
   /** Which work a running attempt belongs to. */
   readonly attempts: ShardedTable<WorkId>;
-  /** Timers by group of `TIMER_GROUP_MS`. */
-  readonly timers: Table<readonly Timer[]>;
+  /** Timers in groups, earliest first. */
+  readonly timers: readonly TimerGroup[];
   readonly queues: QueueState;
   readonly jobs: JobsState;
   readonly claims: ClaimsState;
+  readonly slots: SlotState;
+  /** Retries that may still be made; grows with accepted requests. */
+  readonly retryBudget: number;
+  /** Recent online arrivals by service. */
+  readonly arrivals: Table<ArrivalRate>;
   readonly membership: MembershipState;
   readonly spread: SpreadState;
   readonly platform: PlatformState;
@@ -99,7 +105,9 @@
   | JobCancelled
   | ClaimAsked
   | ClaimAnswered
-  | ClaimDropped;
+  | ClaimDropped
+  | SlotReport
+  | SlotGrants;
 
 /** What happened, as told by the daemon's tasks. */
 export type InstanceEvent =
--- /dev/null
+++ b/packages/core/src/jobs/choose_item.ts
@@ -0,0 +1,48 @@
+import type { ServiceName } from "../ids/types.ts";
+import type { InstanceState } from "../instance/types.ts";
+import { readTag } from "../queue/read_tag.ts";
+import { findStartableItem } from "./find_startable_item.ts";
+import { nameBatchQueue } from "./name_batch_queue.ts";
+import type { JobSpec, Segment } from "./types.ts";
+
+/** The item that is to start next. */
+export type ItemChoice = {
+  readonly spec: JobSpec;
+  readonly segment: Segment;
+  /** Index in the job. */
+  readonly index: number;
+};
+
+/**
+ * Chooses the item that is to start next: of the customer furthest behind
+ * its fair part, one of the job that is due first.
+ */
+export function chooseItem(
+  state: InstanceState,
+  service: ServiceName,
+  {
+    nowMs,
+    isFixedAllowed,
+  }: { readonly nowMs: number; readonly isFixedAllowed: boolean },
+): ItemChoice | undefined {
+  const tags = state.queues.tags[nameBatchQueue(service)];
+  const candidates = Object.values(state.jobs.owned)
+    .flatMap((segment) => {
+      const spec = state.jobs.known[segment.jobId]?.record.spec;
+      return spec === undefined ? [] : [{ spec, segment }];
+    })
+    .filter(({ spec }) => spec.service === service)
+    .filter(({ spec }) => isFixedAllowed || spec.isIdempotent)
+    .map((one) => ({ ...one, tag: readTag(tags, one.spec.customer) }))
+    .sort((a, b) => a.tag - b.tag || a.spec.dueMs - b.spec.dueMs);
+  const first = candidates.find(
+    ({ segment }) => findStartableItem(state, segment, nowMs) !== undefined,
+  );
+  const index =
+    first === undefined
+      ? undefined
+      : findStartableItem(state, first.segment, nowMs);
+  return first === undefined || index === undefined
+    ? undefined
+    : { spec: first.spec, segment: first.segment, index };
+}
--- a/packages/core/src/jobs/start_items.ts
+++ b/packages/core/src/jobs/start_items.ts
@@ -1,55 +1,67 @@
-import type { WorkId } from "../ids/types.ts";
+import type { ServiceName, WorkId } from "../ids/types.ts";
 import { chainStep } from "../instance/chain_step.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
+import { addCharge } from "../queue/add_charge.ts";
 import { setSharded } from "../sharded/set_sharded.ts";
-import { chooseUpstream } from "../upstreams/choose_upstream.ts";
+import type { Upstream } from "../upstreams/types.ts";
 import { createWork } from "../work/create_work.ts";
 import { startAttempt } from "../work/start_attempt.ts";
 import { LANES, type Work, type WorkOrder } from "../work/types.ts";
-import { findStartableItem } from "./find_startable_item.ts";
+import { chooseItem, type ItemChoice } from "./choose_item.ts";
+import { chooseSpare } from "./choose_spare.ts";
+import { listServices } from "./list_services.ts";
+import { measureUrgency } from "./measure_urgency.ts";
+import { nameBatchQueue } from "./name_batch_queue.ts";
 import { noteItemStarted } from "./note_item_started.ts";
-import type { JobSpec, Segment } from "./types.ts";
 
-/** Starts batch items, earliest due job first, while places are free. */
+/** Starts batch items while slots are spare above the online reserve. */
 export function startItems(state: InstanceState, nowMs: number): Step {
-  if (state.isStopping || Object.keys(state.queues.services).length > 0) {
-    return { state, effects: [] };
-  }
-  const names = Object.entries(state.jobs.owned)
-    .map(([name, { jobId }]) => ({
-      name,
-      dueMs: state.jobs.known[jobId]?.record.spec.dueMs ?? 0,
-    }))
-    .sort((a, b) => a.dueMs - b.dueMs)
-    .map(({ name }) => name);
   const start: Step = { state, effects: [] };
-  return names.reduce((step, name) => fillFrom(step, name, nowMs), start);
+  return state.isStopping
+    ? start
+    : listServices(state)
+        .filter((service) => state.queues.services[service] === undefined)
+        .reduce((step, service) => fillService(step, service, nowMs), start);
 }
 
-function fillFrom(step: Step, name: string, nowMs: number): Step {
-  const segment = step.state.jobs.owned[name];
-  const spec = step.state.jobs.known[segment?.jobId ?? ""]?.record.spec;
-  if (segment === undefined || spec === undefined) {
+function fillService(step: Step, service: ServiceName, nowMs: number): Step {
+  const spare = chooseSpare(step.state, service, nowMs);
+  if (spare.any === undefined) {
     return step;
   }
-  const index = findStartableItem(step.state, segment, nowMs);
-  const upstream = chooseUpstream(step.state.upstreams, spec.service);
-  if (index === undefined || upstream === undefined) {
+  const isFixedAllowed = spare.forFixed !== undefined;
+  const choice = chooseItem(step.state, service, { nowMs, isFixedAllowed });
+  const upstream =
+    choice?.spec.isIdempotent === false ? spare.forFixed : spare.any;
+  if (choice === undefined || upstream === undefined) {
     return step;
   }
-  const next = chainStep(step, (state) => {
-    const work = buildItemWork(spec, segment, { index, nowMs });
-    const marked = noteItemStarted(state, segment, index);
-    const works = setSharded(marked.works, work.order.workId, work);
-    return startAttempt({ ...marked, works }, work, { upstream, nowMs });
+  const next = chainStep(step, (state) =>
+    startItem(state, choice, { upstream, nowMs }),
+  );
+  return fillService(next, service, nowMs);
+}
+
+function startItem(
+  state: InstanceState,
+  choice: ItemChoice,
+  { upstream, nowMs }: { readonly upstream: Upstream; readonly nowMs: number },
+): Step {
+  const work = buildItemWork(choice, nowMs);
+  const { customer, service, costTokens } = work.order;
+  const marked = noteItemStarted(state, choice.segment, choice.index);
+  const charged = addCharge(marked, {
+    queue: nameBatchQueue(service),
+    customer,
+    costTokens: costTokens / measureUrgency(choice.spec, nowMs),
   });
-  return fillFrom(next, name, nowMs);
+  const works = setSharded(charged.works, work.order.workId, work);
+  return startAttempt({ ...charged, works }, work, { upstream, nowMs });
 }
 
 function buildItemWork(
-  spec: JobSpec,
-  { first, tries }: Segment,
-  { index, nowMs }: { readonly index: number; readonly nowMs: number },
+  { spec, segment, index }: ItemChoice,
+  nowMs: number,
 ): Work {
   const order: WorkOrder = {
     workId: `${spec.jobId}/${index}` as WorkId,
@@ -64,5 +76,6 @@
     prefixHash: 0,
     deadlineMs: Number.POSITIVE_INFINITY,
   };
-  return createWork(order, { nowMs, attemptCount: tries[index - first] ?? 0 });
+  const attemptCount = segment.tries[index - segment.first] ?? 0;
+  return createWork(order, { nowMs, attemptCount });
 }
--- a/packages/core/src/membership/note_list.ts
+++ b/packages/core/src/membership/note_list.ts
@@ -45,7 +45,9 @@
       listedIds.has(id) ||
       nowMs - heardMs < MEMBERSHIP.FORGET_MS,
   );
+  const hasList =
+    state.membership.hasList || listedIds.has(state.self.instanceId);
   const members = Object.fromEntries([...kept, ...fresh]);
-  const membership = { ...state.membership, members };
+  const membership = { ...state.membership, members, hasList };
   return { state: { ...state, membership }, effects: [] };
 }
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -25,6 +25,8 @@
   readonly nextHeartbeatMs: number;
   /** When a delegate next speaks to the other data centres. */
   readonly nextDelegateMs: number;
+  /** Set once a list was seen that names this instance. */
+  readonly hasList: boolean;
 };
 
 /** What an instance says of itself, several times a second. */
--- /dev/null
+++ b/packages/core/src/queue/find_queue_fault.ts
@@ -0,0 +1,53 @@
+import type { InstanceState } from "../instance/types.ts";
+import type { Fault, WorkOrder } from "../work/types.ts";
+import { QUEUE_BOUNDS } from "./constants.ts";
+
+/** Why an order can't be queued. */
+export type QueueFault = Pick<Fault, "code" | "message"> & {
+  readonly retryAfterMs?: number;
+};
+
+/** Finds why an order has to be refused at once, if it has to. */
+export function findQueueFault(
+  state: InstanceState,
+  order: WorkOrder,
+  nowMs: number,
+): QueueFault | undefined {
+  const queue = state.queues.services[order.service];
+  const own = queue?.customers[order.customer];
+  if (queue === undefined || own === undefined) {
+    return undefined;
+  }
+  if (own.count >= QUEUE_BOUNDS.MAX_QUEUED) {
+    return { code: "no_capacity", message: "the customer's queue is full" };
+  }
+  const waitMs = measureWait(state, order, own.count);
+  return nowMs + waitMs > order.deadlineMs
+    ? {
+        code: "deadline_exceeded",
+        message: "the deadline can't be met",
+        retryAfterMs: Math.ceil(waitMs),
+      }
+    : undefined;
+}
+
+/** Time until the answer, at an equal part of the slots for each customer. */
+function measureWait(
+  state: InstanceState,
+  { service }: WorkOrder,
+  ahead: number,
+): number {
+  const known = Object.values(state.upstreams).filter(
+    (upstream) => upstream.service === service && upstream.run.count > 0,
+  );
+  const slots = known.reduce((sum, { allowance }) => sum + allowance, 0);
+  if (slots === 0) {
+    return 0;
+  }
+  const runMs =
+    known.reduce((sum, { run }) => sum + run.meanMs, 0) / known.length;
+  const customers = Object.keys(
+    state.queues.services[service]?.customers ?? {},
+  ).length;
+  return runMs + (ahead * customers * runMs) / slots;
+}
--- /dev/null
+++ b/packages/core/src/queue/measure_arrivals.ts
@@ -0,0 +1,14 @@
+import { QUEUE_BOUNDS } from "./constants.ts";
+import type { ArrivalRate } from "./types.ts";
+
+/** Measures the recent rate of arrivals, requests a second. */
+export function measureArrivals(
+  rate: ArrivalRate | undefined,
+  nowMs: number,
+): number {
+  if (rate === undefined) {
+    return 0;
+  }
+  const ageMs = Math.max(0, nowMs - rate.atMs);
+  return rate.perSecond * Math.exp(-ageMs / QUEUE_BOUNDS.ARRIVAL_DECAY_MS);
+}
--- /dev/null
+++ b/packages/core/src/queue/note_arrival.ts
@@ -0,0 +1,23 @@
+import type { InstanceState } from "../instance/types.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import type { WorkOrder } from "../work/types.ts";
+import { QUEUE_BOUNDS } from "./constants.ts";
+import { measureArrivals } from "./measure_arrivals.ts";
+
+const MS_PER_SECOND = 1_000;
+
+/** Notes one online arrival in the recent rate of its service. */
+export function noteArrival(
+  state: InstanceState,
+  { service }: WorkOrder,
+  nowMs: number,
+): InstanceState {
+  const perSecond =
+    measureArrivals(state.arrivals[service], nowMs) +
+    MS_PER_SECOND / QUEUE_BOUNDS.ARRIVAL_DECAY_MS;
+  const arrivals = setEntry(state.arrivals, service, {
+    perSecond,
+    atMs: nowMs,
+  });
+  return { ...state, arrivals };
+}
--- a/packages/core/src/queue/types.ts
+++ b/packages/core/src/queue/types.ts
@@ -37,3 +37,9 @@
   readonly services: Table<ServiceQueue>;
   readonly tags: Table<FairTags>;
 };
+
+/** A rate of arrivals that decays with time. */
+export type ArrivalRate = {
+  readonly perSecond: number;
+  readonly atMs: number;
+};
--- /dev/null
+++ b/packages/core/src/slots/adopt_grants.ts
@@ -0,0 +1,66 @@
+import type { InstanceId } from "../ids/types.ts";
+import { chainAll } from "../instance/chain_all.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import { requeueBatch } from "../work/requeue_batch.ts";
+import { SLOT_TIMES } from "./constants.ts";
+import type { SlotGrant, SlotGrants } from "./types.ts";
+
+/** Adopts grants of the present slot owner; yields batch work above them. */
+export function adoptGrants(
+  state: InstanceState,
+  from: InstanceId,
+  { message, nowMs }: { readonly message: SlotGrants; readonly nowMs: number },
+): Step {
+  const found = Object.entries(state.slots.links).find(
+    ([, { ownerId }]) => ownerId === from,
+  );
+  if (found === undefined || message.sentMs < found[1].echoMs) {
+    return { state, effects: [] };
+  }
+  const [dataCentre, before] = found;
+  const { term, sentMs: echoMs } = message;
+  const link = { ...before, term, echoMs, heardMs: nowMs };
+  const links = setEntry(state.slots.links, dataCentre, link);
+  const linked = { ...state, slots: { ...state.slots, links } };
+  return chainAll(linked, message.grants, (at, grant) =>
+    adoptGrant(at, grant, { message, nowMs }),
+  );
+}
+
+function adoptGrant(
+  state: InstanceState,
+  grant: SlotGrant,
+  { message, nowMs }: { readonly message: SlotGrants; readonly nowMs: number },
+): Step {
+  const upstream = state.upstreams[grant.upstreamId];
+  const isOlder =
+    upstream?.grantTerm === message.term && grant.number < upstream.grantNumber;
+  // The owner did not know of a failure when it answered an older report.
+  if (
+    upstream === undefined ||
+    isOlder ||
+    message.reportMs < upstream.erredMs
+  ) {
+    return { state, effects: [] };
+  }
+  // The owner can use a smaller grant only once it hears of its adoption.
+  const isAckDue = grant.slots < upstream.allowance || upstream.isAckDue;
+  const upstreams = setEntry(state.upstreams, grant.upstreamId, {
+    ...upstream,
+    allowance: grant.slots,
+    allowanceUntilMs: message.reportMs + SLOT_TIMES.GRANT_MS,
+    grantTerm: message.term,
+    grantNumber: grant.number,
+    knownAllowance: grant.allowance,
+    isAckDue,
+  });
+  const isReportDue = state.slots.isReportDue || isAckDue;
+  const adopted = {
+    ...state,
+    upstreams,
+    slots: { ...state.slots, isReportDue },
+  };
+  const excess = upstream.inFlight - grant.slots;
+  return requeueBatch(adopted, grant.upstreamId, { count: excess, nowMs });
+}
--- /dev/null
+++ b/packages/core/src/slots/build_use.ts
@@ -0,0 +1,38 @@
+import type { InstanceState } from "../instance/types.ts";
+import { listServices } from "../jobs/list_services.ts";
+import type { Upstream } from "../upstreams/types.ts";
+import type { SlotUse } from "./types.ts";
+
+const NEVER = -1;
+
+/** Describes this instance's use of an upstream for its slot owner. */
+export function buildUse(
+  state: InstanceState,
+  upstream: Upstream,
+  { nowMs, term }: { readonly nowMs: number; readonly term: string },
+): SlotUse {
+  const { inFlight, batchInFlight, service, answeredMs } = upstream;
+  const queued = state.queues.services[service]?.count ?? 0;
+  const isGranted = nowMs < upstream.allowanceUntilMs;
+  return {
+    upstreamId: upstream.upstreamId,
+    inFlight,
+    fixed: inFlight - upstream.batchRuns.length,
+    slots: isGranted ? upstream.allowance : 0,
+    onlineWant: inFlight - batchInFlight + queued,
+    batchWant: hasBatch(state, upstream)
+      ? upstream.maxConcurrency
+      : batchInFlight,
+    grantNumber: upstream.grantTerm === term ? upstream.grantNumber : 0,
+    successCount: upstream.successCount,
+    coldCount: upstream.coldCount,
+    errorCount: upstream.errorCount,
+    bootId: upstream.bootId,
+    knownAllowance: upstream.knownAllowance,
+    answerAgeMs: answeredMs < 0 ? NEVER : nowMs - answeredMs,
+  };
+}
+
+function hasBatch(state: InstanceState, upstream: Upstream): boolean {
+  return listServices(state).includes(upstream.service);
+}
--- /dev/null
+++ b/packages/core/src/slots/choose_link.ts
@@ -0,0 +1,37 @@
+import type { DataCentreId } from "../ids/types.ts";
+import type { InstanceState } from "../instance/types.ts";
+import { SLOT_TIMES } from "./constants.ts";
+import { findOwner } from "./find_owner.ts";
+import type { OwnerLink } from "./types.ts";
+
+/**
+ * Chooses whom to report to. Within the data centre a report is a vote, so a
+ * change waits until the former vote has lapsed; undefined means to wait.
+ */
+export function chooseLink(
+  state: InstanceState,
+  dataCentre: DataCentreId,
+  nowMs: number,
+): OwnerLink | undefined {
+  const before = state.slots.links[dataCentre];
+  const isLocal = dataCentre === state.self.dataCentre;
+  if (before !== undefined && !isLocal && isAnswering(before, nowMs)) {
+    return before;
+  }
+  const skip = isLocal || before === undefined ? 0 : before.skip + 1;
+  const ownerId = findOwner(state, dataCentre, { nowMs, skip });
+  if (ownerId === undefined) {
+    return undefined;
+  }
+  if (before?.ownerId === ownerId && isLocal) {
+    return before;
+  }
+  if (isLocal && nowMs < state.slots.lockedUntilMs) {
+    return undefined;
+  }
+  return { ownerId, sinceMs: nowMs, skip, term: "", heardMs: 0, echoMs: 0 };
+}
+
+function isAnswering(link: OwnerLink, nowMs: number): boolean {
+  return nowMs - Math.max(link.sinceMs, link.heardMs) < SLOT_TIMES.CONTACT_MS;
+}
--- /dev/null
+++ b/packages/core/src/slots/count_ramp.ts
@@ -0,0 +1,15 @@
+import type { Upstream } from "../upstreams/types.ts";
+import { SLOT_TIMES } from "./constants.ts";
+import type { SlotLedger } from "./types.ts";
+
+/** Counts the slots that the ramp of an upstream has reached. */
+export function countRamp(ledger: SlotLedger, upstream: Upstream): number {
+  if (upstream.isLeaving) {
+    return 0;
+  }
+  const raised = Math.floor(ledger.successes / SLOT_TIMES.SUCCESSES_PER_SLOT);
+  return Math.min(
+    upstream.maxConcurrency,
+    Math.max(1, ledger.rampStart) + raised,
+  );
+}
--- /dev/null
+++ b/packages/core/src/slots/count_slots.ts
@@ -0,0 +1,32 @@
+import type { InstanceState } from "../instance/types.ts";
+import type { Upstream } from "../upstreams/types.ts";
+import { SLOT_TIMES } from "./constants.ts";
+import { listRoster } from "./list_roster.ts";
+
+/**
+ * Counts the slots that this instance may use at an upstream: those granted,
+ * or without its owner the base share of an upstream that answers here.
+ */
+export function countSlots(
+  state: InstanceState,
+  upstream: Upstream,
+  nowMs: number,
+): number {
+  if (upstream.isLeaving || nowMs < upstream.suspectUntilMs) {
+    return 0;
+  }
+  if (nowMs < upstream.allowanceUntilMs) {
+    return upstream.allowance;
+  }
+  const isLocal = upstream.dataCentre === state.self.dataCentre;
+  const isWarm =
+    upstream.knownAllowance >= upstream.maxConcurrency &&
+    upstream.errorStreak === 0 &&
+    upstream.answeredMs >= 0 &&
+    nowMs - upstream.answeredMs < SLOT_TIMES.EVIDENCE_MS;
+  return isLocal && isWarm
+    ? Math.floor(
+        upstream.maxConcurrency / listRoster(state, upstream.dataCentre).length,
+      )
+    : 0;
+}
--- /dev/null
+++ b/packages/core/src/slots/find_owner.ts
@@ -0,0 +1,36 @@
+import type { DataCentreId, InstanceId } from "../ids/types.ts";
+import type { InstanceState } from "../instance/types.ts";
+import { rankByRendezvous } from "../shared/rank_by_rendezvous.ts";
+import { SLOT_TIMES } from "./constants.ts";
+import { listRoster } from "./list_roster.ts";
+
+/**
+ * Finds the instance that ought to own the slots of a data centre: the first
+ * by rendezvous hashing that is heard. Of another data centre the first that
+ * is listed, as its instances are not heard from here; `skip` passes over
+ * those that did not answer.
+ */
+export function findOwner(
+  state: InstanceState,
+  dataCentre: DataCentreId,
+  { nowMs, skip = 0 }: { readonly nowMs: number; readonly skip?: number },
+): InstanceId | undefined {
+  const roster = listRoster(state, dataCentre);
+  const ranked = rankByRendezvous(`slots|${dataCentre}`, roster);
+  if (dataCentre !== state.self.dataCentre) {
+    return ranked[ranked.length === 0 ? 0 : skip % ranked.length];
+  }
+  return ranked.find((id) => isInContact(state, id, nowMs));
+}
+
+function isInContact(
+  state: InstanceState,
+  id: InstanceId,
+  nowMs: number,
+): boolean {
+  if (id === state.self.instanceId) {
+    return true;
+  }
+  const member = state.membership.members[id];
+  return member !== undefined && nowMs - member.heardMs < SLOT_TIMES.CONTACT_MS;
+}
--- /dev/null
+++ b/packages/core/src/slots/is_owner.ts
@@ -0,0 +1,28 @@
+import type { InstanceState } from "../instance/types.ts";
+import { rankByRendezvous } from "../shared/rank_by_rendezvous.ts";
+import { SLOT_TIMES } from "./constants.ts";
+import { listRoster } from "./list_roster.ts";
+
+/**
+ * Whether this instance owns the slots of its data centre: more than half of
+ * the known instances vote for it, or half with the first by rank among
+ * them. Two instances can't both have that, as each votes for one at a time.
+ */
+export function isOwner(state: InstanceState, nowMs: number): boolean {
+  const { instanceId, dataCentre } = state.self;
+  if (state.slots.links[dataCentre]?.ownerId !== instanceId) {
+    return false;
+  }
+  const roster = listRoster(state, dataCentre);
+  const voters = roster.filter(
+    (id) =>
+      id === instanceId ||
+      nowMs - (state.slots.votes[id] ?? -SLOT_TIMES.VOTE_MS) <
+        SLOT_TIMES.VOTE_MS,
+  );
+  if (voters.length * 2 === roster.length) {
+    const [first] = rankByRendezvous(`slots|${dataCentre}`, roster);
+    return first !== undefined && voters.includes(first);
+  }
+  return voters.length * 2 > roster.length;
+}
--- /dev/null
+++ b/packages/core/src/slots/note_report.ts
@@ -0,0 +1,126 @@
+import type { InstanceId } from "../ids/types.ts";
+import type { Effect, InstanceState, Step } from "../instance/types.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import { adoptGrants } from "./adopt_grants.ts";
+import { SLOT_TIMES } from "./constants.ts";
+import { grantSlots } from "./grant_slots.ts";
+import { isAlone } from "./is_alone.ts";
+import { isOwner } from "./is_owner.ts";
+import { nameTerm } from "./name_term.ts";
+import type { HolderGrant, SlotGrants, SlotReport } from "./types.ts";
+import { updateLedger } from "./update_ledger.ts";
+
+/** Takes a report as the slot owner, and answers it with grants. */
+export function noteReport(
+  state: InstanceState,
+  from: InstanceId,
+  { report, nowMs }: { readonly report: SlotReport; readonly nowMs: number },
+): Step {
+  const voted = noteVote(state, from, report);
+  if (!isOwner(voted, nowMs)) {
+    const resigned = endTerm(voted);
+    const isCandidate =
+      resigned.slots.links[state.self.dataCentre]?.ownerId ===
+      state.self.instanceId;
+    return isCandidate && from !== state.self.instanceId
+      ? sendGrants(resigned, { report, to: from, granted: [], nowMs })
+      : { state: resigned, effects: [] };
+  }
+  const owner = startTerm(voted, nowMs);
+  const noted = report.uses.reduce(
+    (at, use) => updateLedger(at, { from, report, use, nowMs }),
+    owner,
+  );
+  return answerReport(noted, from, { report, nowMs });
+}
+
+function answerReport(
+  state: InstanceState,
+  from: InstanceId,
+  { report, nowMs }: { readonly report: SlotReport; readonly nowMs: number },
+): Step {
+  const start: { state: InstanceState; grants: readonly HolderGrant[] } = {
+    state,
+    grants: [],
+  };
+  const allotted = report.uses.reduce((at, { upstreamId }) => {
+    const next = grantSlots(at.state, upstreamId, nowMs);
+    return { state: next.state, grants: [...at.grants, ...next.grants] };
+  }, start);
+  const isFor = (to: InstanceId) => (grant: HolderGrant) => grant.to === to;
+  const changed = allotted.grants.filter(
+    (grant) => grant.isChanged || grant.to === from,
+  );
+  const receivers = [...new Set([from, ...changed.map(({ to }) => to)])];
+  return receivers.reduce<Step>(
+    (step, to) => {
+      const granted = changed.filter(isFor(to));
+      const sent = sendGrants(step.state, { report, to, granted, nowMs });
+      return { state: sent.state, effects: [...step.effects, ...sent.effects] };
+    },
+    { state: allotted.state, effects: [] },
+  );
+}
+
+function sendGrants(
+  state: InstanceState,
+  {
+    report,
+    to,
+    granted,
+    nowMs,
+  }: {
+    readonly report: SlotReport;
+    readonly to: InstanceId;
+    readonly granted: readonly HolderGrant[];
+    readonly nowMs: number;
+  },
+): Step {
+  const message: SlotGrants = {
+    kind: "slot-grants",
+    reportMs: granted[0]?.reportMs ?? report.sentMs,
+    sentMs: nowMs,
+    term: nameTerm(state),
+    grants: granted.map(({ grant }) => grant),
+  };
+  if (to === state.self.instanceId) {
+    return adoptGrants(state, to, { message, nowMs });
+  }
+  const effect: Effect = { kind: "send-peer", to, message };
+  return { state, effects: [effect] };
+}
+
+function noteVote(
+  state: InstanceState,
+  from: InstanceId,
+  report: SlotReport,
+): InstanceState {
+  if (report.dataCentre !== state.self.dataCentre || report.echoMs === 0) {
+    return state;
+  }
+  const before = state.slots.votes[from] ?? 0;
+  const votes = setEntry(
+    state.slots.votes,
+    from,
+    Math.max(before, report.echoMs),
+  );
+  return { ...state, slots: { ...state.slots, votes } };
+}
+
+function startTerm(state: InstanceState, nowMs: number): InstanceState {
+  if (state.slots.ownerSinceMs !== undefined) {
+    return state;
+  }
+  // Where nobody else may have granted, there is nothing to wait out.
+  const ownerSinceMs = isAlone(state) ? nowMs - SLOT_TIMES.SETTLE_MS : nowMs;
+  return { ...state, slots: { ...state.slots, ownerSinceMs, ledgers: {} } };
+}
+
+function endTerm(state: InstanceState): InstanceState {
+  return state.slots.ownerSinceMs === undefined
+    ? state
+    : {
+        ...state,
+        slots: { ...state.slots, ownerSinceMs: undefined, ledgers: {} },
+      };
+}
--- /dev/null
+++ b/packages/core/src/slots/report_slots.ts
@@ -0,0 +1,129 @@
+import type { DataCentreId } from "../ids/types.ts";
+import { chainAll } from "../instance/chain_all.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import type { Upstream } from "../upstreams/types.ts";
+import { buildUse } from "./build_use.ts";
+import { chooseLink } from "./choose_link.ts";
+import { SLOT_TIMES } from "./constants.ts";
+import { isAlone } from "./is_alone.ts";
+import { noteReport } from "./note_report.ts";
+import type { OwnerLink, SlotReport } from "./types.ts";
+
+/** Reports the use of upstreams to their slot owners when that is due. */
+export function reportSlots(state: InstanceState, nowMs: number): Step {
+  const { slots } = state;
+  const everyMs = slots.isReportDue
+    ? SLOT_TIMES.URGENT_REPORT_MS
+    : SLOT_TIMES.REPORT_MS;
+  if (
+    slots.lastReportMs !== undefined &&
+    nowMs < slots.lastReportMs + everyMs
+  ) {
+    return { state, effects: [] };
+  }
+  // What was voted for before a restart is not known: wait a vote out.
+  const lockedUntilMs =
+    slots.lastReportMs === undefined && !isAlone(state)
+      ? nowMs + SLOT_TIMES.VOTE_MS + SLOT_TIMES.CLOCK_DRIFT_MS
+      : slots.lockedUntilMs;
+  const begun: InstanceState = {
+    ...state,
+    slots: { ...slots, lastReportMs: nowMs, isReportDue: false, lockedUntilMs },
+  };
+  const used = Object.values(state.upstreams).filter((upstream) =>
+    isUsed(state, upstream),
+  );
+  const dataCentres = new Set([
+    state.self.dataCentre,
+    ...used.map(({ dataCentre }) => dataCentre),
+  ]);
+  return chainAll(begun, [...dataCentres], (at, dataCentre) =>
+    reportTo(at, { dataCentre, used, nowMs }),
+  );
+}
+
+function isUsed(state: InstanceState, upstream: Upstream): boolean {
+  return (
+    upstream.dataCentre === state.self.dataCentre ||
+    upstream.inFlight > 0 ||
+    upstream.isAckDue ||
+    upstream.allowance > 0 ||
+    state.queues.services[upstream.service] !== undefined
+  );
+}
+
+function reportTo(
+  state: InstanceState,
+  {
+    dataCentre,
+    used,
+    nowMs,
+  }: {
+    readonly dataCentre: DataCentreId;
+    readonly used: readonly Upstream[];
+    readonly nowMs: number;
+  },
+): Step {
+  const link = chooseLink(state, dataCentre, nowMs);
+  if (link === undefined) {
+    return { state, effects: [] };
+  }
+  const linked = keepLink(dropAcks(state, dataCentre), {
+    dataCentre,
+    link,
+    nowMs,
+  });
+  const report: SlotReport = {
+    kind: "slot-report",
+    incarnation: state.self.incarnation,
+    dataCentre: state.self.dataCentre,
+    sentMs: nowMs,
+    echoMs: link.echoMs,
+    uses: used
+      .filter((upstream) => upstream.dataCentre === dataCentre)
+      .map((upstream) => buildUse(state, upstream, { nowMs, term: link.term })),
+  };
+  return link.ownerId === state.self.instanceId
+    ? noteReport(linked, link.ownerId, { report, nowMs })
+    : {
+        state: linked,
+        effects: [{ kind: "send-peer", to: link.ownerId, message: report }],
+      };
+}
+
+function dropAcks(
+  state: InstanceState,
+  dataCentre: DataCentreId,
+): InstanceState {
+  const told = Object.values(state.upstreams)
+    .filter((upstream) => upstream.dataCentre === dataCentre)
+    .filter(({ isAckDue }) => isAckDue)
+    .map((upstream) => [upstream.upstreamId, { ...upstream, isAckDue: false }]);
+  return told.length === 0
+    ? state
+    : {
+        ...state,
+        upstreams: { ...state.upstreams, ...Object.fromEntries(told) },
+      };
+}
+
+function keepLink(
+  state: InstanceState,
+  {
+    dataCentre,
+    link,
+    nowMs,
+  }: {
+    readonly dataCentre: DataCentreId;
+    readonly link: OwnerLink;
+    readonly nowMs: number;
+  },
+): InstanceState {
+  const isVote = dataCentre === state.self.dataCentre;
+  const lockedUntilMs = isVote
+    ? nowMs + SLOT_TIMES.VOTE_MS + SLOT_TIMES.CLOCK_DRIFT_MS
+    : state.slots.lockedUntilMs;
+  const links = setEntry(state.slots.links, dataCentre, link);
+  return { ...state, slots: { ...state.slots, links, lockedUntilMs } };
+}
--- a/packages/core/src/upstreams/build_upstreams.ts
+++ b/packages/core/src/upstreams/build_upstreams.ts
@@ -1,24 +1,47 @@
 import type { ConfigDocument } from "../config/types.ts";
 import type { DataCentreId, ServiceName, UpstreamId } from "../ids/types.ts";
 import type { Table } from "../shared/types.ts";
-import type { Upstream } from "./types.ts";
+import type { TimeHistory, Upstream } from "./types.ts";
 
-/** Builds the upstream table of a document, keeping what is in flight. */
+const NO_HISTORY: TimeHistory = { meanMs: 0, deviationMs: 0, count: 0 };
+
+const UNKNOWN = {
+  allowance: 0,
+  allowanceUntilMs: 0,
+  grantTerm: "",
+  grantNumber: 0,
+  knownAllowance: 0,
+  isAckDue: false,
+  inFlight: 0,
+  batchInFlight: 0,
+  batchRuns: [],
+  bootId: undefined,
+  successCount: 0,
+  coldCount: 0,
+  errorStreak: 0,
+  errorCount: 0,
+  erredMs: -1,
+  slowStreak: 0,
+  answeredMs: -1,
+  silentSinceMs: undefined,
+  suspectUntilMs: 0,
+  firstToken: NO_HISTORY,
+  run: NO_HISTORY,
+} as const;
+
+/** Builds the upstream table of a document, keeping what is known. */
 export function buildUpstreams(
   before: Table<Upstream>,
   document: ConfigDocument,
 ): Table<Upstream> {
   return Object.fromEntries(
     Object.entries(document.upstreams).map(([id, config]) => {
-      const known = before[id];
       const upstream: Upstream = {
+        ...(before[id] ?? UNKNOWN),
         upstreamId: id as UpstreamId,
         service: config.service as ServiceName,
         dataCentre: config.dataCentre as DataCentreId,
         maxConcurrency: config.maxConcurrency,
-        allowance: config.maxConcurrency,
-        inFlight: known?.inFlight ?? 0,
-        batchInFlight: known?.batchInFlight ?? 0,
         isLeaving: document.dataCentres[config.dataCentre]?.state === "out",
       };
       return [id, upstream];
--- a/packages/core/src/work/accept_request.ts
+++ b/packages/core/src/work/accept_request.ts
@@ -4,9 +4,12 @@
 import { takeTokens } from "../limits/take_tokens.ts";
 import type { Bucket } from "../limits/types.ts";
 import { enqueueWork } from "../queue/enqueue_work.ts";
+import { findQueueFault } from "../queue/find_queue_fault.ts";
+import { noteArrival } from "../queue/note_arrival.ts";
 import { setSharded } from "../sharded/set_sharded.ts";
 import { setEntry } from "../shared/set_entry.ts";
 import { setTimer } from "../timers/set_timer.ts";
+import { RETRY_BOUNDS } from "./constants.ts";
 import { createWork } from "./create_work.ts";
 import type { Fault, WorkOrder } from "./types.ts";
 
@@ -53,13 +56,22 @@
   order: WorkOrder,
   nowMs: number,
 ): Step {
+  const reason = findQueueFault(state, order, nowMs);
+  if (reason !== undefined) {
+    return refuseOrder(state, order, reason);
+  }
   const { workId, deadlineMs: dueMs } = order;
   const isClaimed = order.claimKey !== undefined && !order.isIdempotent;
   const created = createWork(order, { nowMs });
   const work = isClaimed ? { ...created, phase: "claiming" } : created;
   const works = setSharded(state.works, workId, work);
+  const retryBudget = Math.min(
+    RETRY_BOUNDS.MAX_RETRY_BUDGET,
+    state.retryBudget + RETRY_BOUNDS.RETRIES_PER_REQUEST,
+  );
+  const arrived = noteArrival({ ...state, works, retryBudget }, order, nowMs);
   const timer = { kind: "deadline", dueMs, workId } as const;
-  const timed = setTimer({ ...state, works }, timer);
+  const timed = setTimer(arrived, timer);
   return isClaimed
     ? startClaim(timed, work, nowMs)
     : { state: enqueueWork(timed, work), effects: [] };
--- /dev/null
+++ b/packages/core/src/work/can_retry.ts
@@ -0,0 +1,17 @@
+import type { InstanceState } from "../instance/types.ts";
+import { canMeetDeadline } from "./can_meet_deadline.ts";
+import { RETRY_BOUNDS } from "./constants.ts";
+import type { Work } from "./types.ts";
+
+/** Whether one more attempt is within the budget and the deadline. */
+export function canRetry(
+  state: InstanceState,
+  work: Work,
+  nowMs: number,
+): boolean {
+  return (
+    work.attemptCount < RETRY_BOUNDS.MAX_ATTEMPTS &&
+    state.retryBudget >= 1 &&
+    canMeetDeadline(state, work, nowMs)
+  );
+}
--- a/packages/core/src/work/dispatch_work.ts
+++ b/packages/core/src/work/dispatch_work.ts
@@ -1,25 +1,36 @@
+import type { ServiceName } from "../ids/types.ts";
+import { chainAll } from "../instance/chain_all.ts";
 import { chainStep } from "../instance/chain_step.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
+import { checkInvariant } from "../invariants/check_invariant.ts";
 import { startItems } from "../jobs/start_items.ts";
 import { addCharge } from "../queue/add_charge.ts";
 import { dropQueued } from "../queue/drop_queued.ts";
 import { findNext } from "../queue/find_next.ts";
 import { getSharded } from "../sharded/get_sharded.ts";
+import { SLOT_TIMES } from "../slots/constants.ts";
+import { reportSlots } from "../slots/report_slots.ts";
 import { chooseUpstream } from "../upstreams/choose_upstream.ts";
+import { listOpen, type OpenUpstream } from "../upstreams/list_open.ts";
+import type { Upstream } from "../upstreams/types.ts";
+import { canMeetDeadline } from "./can_meet_deadline.ts";
+import { cancelWork } from "./cancel_work.ts";
+import { findVictim } from "./find_victim.ts";
+import { requeueBatch } from "./requeue_batch.ts";
 import { startAttempt } from "./start_attempt.ts";
+import type { Work } from "./types.ts";
 
-/** Starts queued work wherever an upstream has a free place. */
+/** Starts queued work, then batch items, wherever a slot is free. */
 export function dispatchWork(state: InstanceState, nowMs: number): Step {
-  const start: Step = { state, effects: [] };
-  const services = Object.keys(state.queues.services);
-  const online = services.reduce(
-    (step, service) => startQueued(step, service, nowMs),
-    start,
+  const services = Object.keys(state.queues.services) as ServiceName[];
+  const online = chainAll(state, services, (at, service) =>
+    startQueued({ state: at, effects: [] }, service, nowMs),
   );
-  return chainStep(online, (at) => startItems(at, nowMs));
+  const batch = chainStep(online, (at) => startItems(at, nowMs));
+  return chainStep(batch, (at) => reportSlots(askForSlots(at, nowMs), nowMs));
 }
 
-function startQueued(step: Step, service: string, nowMs: number): Step {
+function startQueued(step: Step, service: ServiceName, nowMs: number): Step {
   const { state } = step;
   const workId = findNext(state, service);
   const work =
@@ -27,20 +38,62 @@
   if (work === undefined) {
     return step;
   }
-  const upstream = chooseUpstream(state.upstreams, work.order.service);
-  if (upstream === undefined) {
+  if (!canMeetDeadline(state, work, nowMs)) {
+    const ended = chainStep(step, (at) =>
+      cancelWork(at, work.order.workId, "deadline_exceeded"),
+    );
+    return startQueued(ended, service, nowMs);
+  }
+  const open = listOpen(state, service, nowMs);
+  const { upstream, seed } = chooseUpstream(state, open, work.order);
+  if (upstream !== undefined) {
+    const started = chainStep(step, (at) =>
+      startOnline({ ...at, seed }, work, { upstream, nowMs }),
+    );
+    return startQueued(started, service, nowMs);
+  }
+  const victim = findVictim(state, open);
+  if (victim === undefined) {
+    checkWait(work, open);
     return step;
   }
-  const { customer, costTokens } = work.order;
+  const yielded = chainStep(step, (at) =>
+    requeueBatch(at, victim.upstreamId, { count: 1, nowMs }),
+  );
+  return startQueued(yielded, service, nowMs);
+}
+
+function startOnline(
+  state: InstanceState,
+  work: Work,
+  { upstream, nowMs }: { readonly upstream: Upstream; readonly nowMs: number },
+): Step {
+  const { customer, costTokens, service } = work.order;
   const charged = addCharge(dropQueued(state, work), {
     queue: service,
     customer,
     costTokens,
   });
-  const started = startAttempt(charged, work, { upstream, nowMs });
-  return startQueued(
-    { state: started.state, effects: [...step.effects, ...started.effects] },
-    service,
-    nowMs,
+  return startAttempt(charged, work, { upstream, nowMs });
+}
+
+function checkWait({ order }: Work, open: readonly OpenUpstream[]): void {
+  const blocked = open.find(
+    ({ upstream: { inFlight, batchRuns }, slots }) =>
+      inFlight < slots || batchRuns.length > 0,
+  );
+  checkInvariant(
+    "online-never-waits-behind-batch",
+    blocked === undefined,
+    () => `${order.workId} waits at ${blocked?.upstream.upstreamId}`,
   );
 }
+
+/** Lets the slot owners know at once that online work waits. */
+function askForSlots(state: InstanceState, nowMs: number): InstanceState {
+  const { lastReportMs = nowMs } = state.slots;
+  const isWaiting = Object.keys(state.queues.services).length > 0;
+  return isWaiting && nowMs - lastReportMs >= SLOT_TIMES.ASK_MS
+    ? { ...state, slots: { ...state.slots, isReportDue: true } }
+    : state;
+}
--- a/packages/core/src/work/end_attempt.ts
+++ b/packages/core/src/work/end_attempt.ts
@@ -1,23 +1,32 @@
 import type { AttemptId } from "../ids/types.ts";
 import { chainStep } from "../instance/chain_step.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
+import { checkInvariant } from "../invariants/check_invariant.ts";
 import { assertNever } from "../shared/assert_never.ts";
+import { noteSign } from "../upstreams/note_sign.ts";
+import { canRetry } from "./can_retry.ts";
 import { dropWork } from "./drop_work.ts";
 import { findWorkOf } from "./find_work_of.ts";
 import { finishWork } from "./finish_work.ts";
 import { recordRun } from "./record_run.ts";
-import { requeueWork } from "./requeue_work.ts";
+import { retryWork } from "./retry_work.ts";
 import type { AttemptOutcome, Fault, RunCertainty, Work } from "./types.ts";
 
-const MAX_ATTEMPTS = 3;
-
-/** Handles the end of an attempt: answers, retries or refuses its work. */
+/**
+ * Handles the end of an attempt: answers, retries or refuses its work. The
+ * end of an attempt that is not the present one of its work is dropped.
+ */
 export function endAttempt(
   state: InstanceState,
   {
     attemptId,
     outcome,
-  }: { readonly attemptId: AttemptId; readonly outcome: AttemptOutcome },
+    bootId,
+  }: {
+    readonly attemptId: AttemptId;
+    readonly outcome: AttemptOutcome;
+    readonly bootId?: string;
+  },
   nowMs: number,
 ): Step {
   const work = findWorkOf(state, attemptId);
@@ -25,37 +34,49 @@
     return { state, effects: [] };
   }
   const { attempt } = work;
+  checkInvariant(
+    "whole-answer-to-own-request",
+    attempt.attemptId === attemptId,
+    () => `${attemptId} ends ${attempt.attemptId}`,
+  );
   const run = recordRun(state, { work, attempt, outcome: outcome.kind, nowMs });
-  return chainStep({ state, effects: [run] }, (at) =>
-    settleOutcome(at, work, outcome),
+  const sign = { kind: "ended", outcome: outcome.kind, bootId } as const;
+  const noted = noteSign(state, attempt, { sign, nowMs });
+  return chainStep({ state: noted, effects: [run] }, (at) =>
+    settleOutcome(at, { work, outcome, nowMs }),
   );
 }
 
 function settleOutcome(
   state: InstanceState,
-  work: Work,
-  outcome: AttemptOutcome,
+  {
+    work,
+    outcome,
+    nowMs,
+  }: {
+    readonly work: Work;
+    readonly outcome: AttemptOutcome;
+    readonly nowMs: number;
+  },
 ): Step {
+  const isAllowed = canRetry(state, work, nowMs);
   switch (outcome.kind) {
     case "completed":
       return finishWork(state, work, { kind: "answered", outcome });
     case "not-started":
-      return canRetry(work)
-        ? retryWork(state, work, false)
+      return isAllowed
+        ? { state: retryWork(state, work, false), effects: [] }
         : refuseWork(state, work, {
             fault: outcome.fault,
             run: work.mayHaveRun ? "may have run" : "not run",
           });
-    case "failed": {
-      const shouldRetry =
-        work.order.isIdempotent && !outcome.isRelayed && canRetry(work);
-      return shouldRetry
-        ? retryWork(state, work, true)
+    case "failed":
+      return isAllowed && work.order.isIdempotent && !outcome.isRelayed
+        ? { state: retryWork(state, work, true), effects: [] }
         : refuseWork(state, work, {
             fault: outcome.fault,
             run: "may have run",
           });
-    }
     case "cancelled":
       return { state: dropWork(state, work, "ABANDON"), effects: [] };
     default:
@@ -63,21 +84,6 @@
   }
 }
 
-function canRetry(work: Work): boolean {
-  return work.attemptCount < MAX_ATTEMPTS;
-}
-
-function retryWork(
-  state: InstanceState,
-  work: Work,
-  mayHaveRun: boolean,
-): Step {
-  return {
-    state: requeueWork(state, work, { event: "RETRY", mayHaveRun }),
-    effects: [],
-  };
-}
-
 function refuseWork(
   state: InstanceState,
   work: Work,
--- /dev/null
+++ b/packages/core/src/work/expire_attempt.ts
@@ -0,0 +1,43 @@
+import type { AttemptId } from "../ids/types.ts";
+import type { Effect, InstanceState, Step } from "../instance/types.ts";
+import { checkInvariant } from "../invariants/check_invariant.ts";
+import { noteSign } from "../upstreams/note_sign.ts";
+import { canRetry } from "./can_retry.ts";
+import { findWorkOf } from "./find_work_of.ts";
+import { recordRun } from "./record_run.ts";
+import { retryWork } from "./retry_work.ts";
+
+/**
+ * Ends an attempt that showed no token in time, where its work may run
+ * again: its connection is dropped and the work retried on another. Other
+ * work waits for its answer until the deadline.
+ */
+export function expireAttempt(
+  state: InstanceState,
+  attemptId: AttemptId,
+  nowMs: number,
+): Step {
+  const work = findWorkOf(state, attemptId);
+  if (work?.attempt === undefined || work.phase !== "running") {
+    return { state, effects: [] };
+  }
+  const { attempt } = work;
+  const sign = { kind: "silent" } as const;
+  const noted = noteSign(state, attempt, { sign, nowMs });
+  if (!work.order.isIdempotent || !canRetry(noted, work, nowMs)) {
+    return { state: noted, effects: [] };
+  }
+  const before = state.upstreams[attempt.upstreamId];
+  const after = noted.upstreams[attempt.upstreamId];
+  checkInvariant(
+    "silence-costs-one-timeout",
+    before?.silentSinceMs !== undefined ||
+      before?.suspectUntilMs === after?.suspectUntilMs,
+    () => `${attempt.upstreamId} is suspect after one silent connection`,
+  );
+  const effects: readonly Effect[] = [
+    { kind: "cancel-attempt", attemptId, isSilent: true },
+    recordRun(noted, { work, attempt, outcome: "failed", nowMs }),
+  ];
+  return { state: retryWork(noted, work, true), effects };
+}
--- a/packages/core/src/work/expire_work.ts
+++ b/packages/core/src/work/expire_work.ts
@@ -4,19 +4,23 @@
 import { takeDueTimers } from "../timers/take_due_timers.ts";
 import type { Timer } from "../timers/types.ts";
 import { cancelWork } from "./cancel_work.ts";
+import { endLongRun } from "./end_long_run.ts";
+import { expireAttempt } from "./expire_attempt.ts";
 
 /** Ends what is due: work past its deadline, attempts that stay silent. */
 export function expireWork(state: InstanceState, nowMs: number): Step {
   const { state: rest, due } = takeDueTimers(state, nowMs);
-  return chainAll(rest, due, expireTimer);
+  return chainAll(rest, due, (at, timer) => expireTimer(at, timer, nowMs));
 }
 
-function expireTimer(state: InstanceState, timer: Timer): Step {
+function expireTimer(state: InstanceState, timer: Timer, nowMs: number): Step {
   switch (timer.kind) {
     case "deadline":
       return cancelWork(state, timer.workId, "deadline_exceeded");
     case "first-token":
-      return { state, effects: [] };
+      return expireAttempt(state, timer.attemptId, nowMs);
+    case "run-limit":
+      return endLongRun(state, timer.attemptId, nowMs);
     default:
       return assertNever(timer);
   }
--- /dev/null
+++ b/packages/core/src/work/find_victim.ts
@@ -0,0 +1,30 @@
+import type { InstanceState } from "../instance/types.ts";
+import { getSharded } from "../sharded/get_sharded.ts";
+import type { OpenUpstream } from "../upstreams/list_open.ts";
+import type { Upstream } from "../upstreams/types.ts";
+
+/**
+ * Finds the upstream whose newest batch item has made the least progress, as
+ * cancelling it loses the least work. Its slot is then free for online work.
+ */
+export function findVictim(
+  state: InstanceState,
+  open: readonly OpenUpstream[],
+): Upstream | undefined {
+  return open
+    .filter(({ upstream, slots }) => upstream.inFlight <= slots)
+    .filter(({ upstream }) => upstream.batchRuns.length > 0)
+    .map(({ upstream }) => ({
+      upstream,
+      startedMs: readStart(state, upstream),
+    }))
+    .sort((a, b) => b.startedMs - a.startedMs)
+    .at(0)?.upstream;
+}
+
+function readStart(state: InstanceState, { batchRuns }: Upstream): number {
+  const workId = batchRuns.at(-1);
+  const work =
+    workId === undefined ? undefined : getSharded(state.works, workId);
+  return work?.attempt?.startedMs ?? 0;
+}
--- a/packages/core/src/work/release_attempt.ts
+++ b/packages/core/src/work/release_attempt.ts
@@ -13,11 +13,12 @@
   if (attempt === undefined) {
     return state;
   }
-  const { workId, lane } = work.order;
+  const { order } = work;
+  const { workId } = order;
   return {
     ...state,
     upstreams: countInFlight(state.upstreams, attempt.upstreamId, {
-      lane,
+      order,
       change: -1,
     }),
     attempts: dropSharded(state.attempts, attempt.attemptId),
--- /dev/null
+++ b/packages/core/src/work/requeue_batch.ts
@@ -0,0 +1,43 @@
+import type { UpstreamId, WorkId } from "../ids/types.ts";
+import { chainAll } from "../instance/chain_all.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { getSharded } from "../sharded/get_sharded.ts";
+import { recordRun } from "./record_run.ts";
+import { requeueWork } from "./requeue_work.ts";
+
+/**
+ * Cancels up to `count` batch items at an upstream, those that started last
+ * first, and gives them back to their jobs.
+ */
+export function requeueBatch(
+  state: InstanceState,
+  upstreamId: UpstreamId,
+  { count, nowMs }: { readonly count: number; readonly nowMs: number },
+): Step {
+  if (count <= 0) {
+    return { state, effects: [] };
+  }
+  const runs = state.upstreams[upstreamId]?.batchRuns ?? [];
+  return chainAll(state, runs.slice(-count), (at, workId) =>
+    requeueItem(at, workId, nowMs),
+  );
+}
+
+function requeueItem(
+  state: InstanceState,
+  workId: WorkId,
+  nowMs: number,
+): Step {
+  const work = getSharded(state.works, workId);
+  if (work?.attempt === undefined) {
+    return { state, effects: [] };
+  }
+  const { attempt } = work;
+  return {
+    state: requeueWork(state, work, { event: "YIELD", mayHaveRun: true }),
+    effects: [
+      { kind: "cancel-attempt", attemptId: attempt.attemptId },
+      recordRun(state, { work, attempt, outcome: "cancelled", nowMs }),
+    ],
+  };
+}
--- /dev/null
+++ b/packages/core/src/work/retry_work.ts
@@ -0,0 +1,13 @@
+import type { InstanceState } from "../instance/types.ts";
+import { requeueWork } from "./requeue_work.ts";
+import type { Work } from "./types.ts";
+
+/** Queues work for one more attempt, which counts against the budget. */
+export function retryWork(
+  state: InstanceState,
+  work: Work,
+  mayHaveRun: boolean,
+): InstanceState {
+  const spent = { ...state, retryBudget: state.retryBudget - 1 };
+  return requeueWork(spent, work, { event: "RETRY", mayHaveRun });
+}
--- a/packages/core/src/work/start_attempt.ts
+++ b/packages/core/src/work/start_attempt.ts
@@ -3,7 +3,10 @@
 import type { InstanceState, Step } from "../instance/types.ts";
 import { checkInvariant } from "../invariants/check_invariant.ts";
 import { setSharded } from "../sharded/set_sharded.ts";
+import { countSlots } from "../slots/count_slots.ts";
+import { setTimer } from "../timers/set_timer.ts";
 import { countInFlight } from "../upstreams/count_in_flight.ts";
+import { measureTimeout } from "../upstreams/measure_timeout.ts";
 import type { Upstream } from "../upstreams/types.ts";
 import { advancePhase } from "./advance_phase.ts";
 import type { Work } from "./types.ts";
@@ -14,7 +17,8 @@
   work: Work,
   { upstream, nowMs }: { readonly upstream: Upstream; readonly nowMs: number },
 ): Step {
-  const { workId, origin, lane } = work.order;
+  const { order } = work;
+  const { workId, origin } = order;
   checkInvariant(
     "runs-for-own-customer",
     state.config === undefined || holdsKey(state.config.document, work.order),
@@ -28,17 +32,49 @@
     attemptCount: work.attemptCount + 1,
     attempt: { attemptId, upstreamId, startedMs: nowMs },
   };
+  checkStart(state, upstream, { work, nowMs });
+  const started: InstanceState = {
+    ...state,
+    attemptCount,
+    attempts: setSharded(state.attempts, attemptId, workId),
+    works: setSharded(state.works, workId, running),
+    upstreams: countInFlight(state.upstreams, upstreamId, {
+      order,
+      change: 1,
+    }),
+  };
+  const dueMs = nowMs + measureTimeout(state, running, upstream);
+  const timed = setTimer(started, { kind: "first-token", dueMs, attemptId });
+  const longestMs = state.config?.document.profiles[order.profile]?.deadlineMs;
+  const limitMs =
+    origin.kind === "item" && longestMs !== undefined
+      ? nowMs + longestMs
+      : Number.POSITIVE_INFINITY;
   return {
-    state: {
-      ...state,
-      attemptCount,
-      attempts: setSharded(state.attempts, attemptId, workId),
-      works: setSharded(state.works, workId, running),
-      upstreams: countInFlight(state.upstreams, upstreamId, {
-        lane,
-        change: 1,
-      }),
-    },
+    state: setTimer(timed, { kind: "run-limit", dueMs: limitMs, attemptId }),
     effects: [{ kind: "start-attempt", attemptId, workId, upstreamId, origin }],
   };
 }
+
+function checkStart(
+  state: InstanceState,
+  upstream: Upstream,
+  { work, nowMs }: { readonly work: Work; readonly nowMs: number },
+): void {
+  const { workId, isIdempotent } = work.order;
+  checkInvariant(
+    "leaving-gets-no-work",
+    !upstream.isLeaving,
+    () => `${workId} at ${upstream.upstreamId}`,
+  );
+  checkInvariant(
+    "ramp-is-kept",
+    upstream.inFlight < countSlots(state, upstream, nowMs),
+    () => `${workId} above the slots of ${upstream.upstreamId}`,
+  );
+  checkInvariant(
+    "non-idempotent-runs-once",
+    isIdempotent || !work.mayHaveRun,
+    () => `${workId} starts again`,
+  );
+}
--- a/packages/daemon/src/start_embedded.ts
+++ b/packages/daemon/src/start_embedded.ts
@@ -17,7 +17,9 @@
  * `embeddedConfig` or one whose only customer has the key `demo-key`.
  */
 export async function startEmbedded(settings: Settings): Promise<Embedded> {
-  const store = await startStore();
+  const { instanceId, dataCentre } = settings;
+  const self = { instanceId, dataCentre, address: "", state: "live" } as const;
+  const store = await startStore({ instances: [self] });
   const engine = await startEngine({ tokenMs: EMBEDDED_TOKEN_MS });
   const document =
     settings.embeddedConfig ?? buildConfig(settings.dataCentre, engine.url);
--- a/packages/fakes/src/world/effect_runner.ts
+++ b/packages/fakes/src/world/effect_runner.ts
@@ -206,14 +206,22 @@
     }
     if (notice.kind === "first-token") {
       this.#parts.ledger.noteFirstToken(workId, this.#nowMs);
-      this.#parts.post(node, { kind: "attempt-first-token", attemptId });
+      const first = { kind: "attempt-first-token", attemptId } as const;
+      this.#parts.post(node, { ...first, ...this.#nameBoot(upstreamId) });
       return;
     }
     const hasToken =
       this.#parts.ledger.findCall(workId)?.firstTokenMs !== undefined;
     const outcome = describeOutcome(notice, upstreamId, hasToken);
     node.listening.delete(attemptId);
-    this.#parts.post(node, { kind: "attempt-ended", attemptId, outcome });
+    const ended = { kind: "attempt-ended", attemptId, outcome } as const;
+    const boot = outcome.kind === "completed" ? this.#nameBoot(upstreamId) : {};
+    this.#parts.post(node, { ...ended, ...boot });
+  }
+
+  #nameBoot(upstreamId: UpstreamId): { readonly bootId?: string } {
+    const bootId = this.#parts.engines.get(upstreamId)?.bootId;
+    return bootId === undefined ? {} : { bootId };
   }
 
   get #nowMs(): number {
--- a/packages/fakes/src/world/types.ts
+++ b/packages/fakes/src/world/types.ts
@@ -24,6 +24,8 @@
   /** Delay between two data centres, one way, milliseconds. */
   readonly delayMs?: number;
   readonly engine?: Partial<EngineModel>;
+  /** Instances know nothing of the engines at the start, and ramp them. */
+  readonly isCold?: boolean;
   /** Stands in for the core's own step, to break it on purpose. */
   readonly step?: typeof stepInstance;
 };
--- a/packages/fakes/src/world/world.ts
+++ b/packages/fakes/src/world/world.ts
@@ -12,6 +12,7 @@
   type UpstreamId,
   type WorkOrder,
 } from "@gooseberryline/core";
+import { addWarmth } from "./add_warmth.ts";
 import { ConfigFeed } from "./config_feed.ts";
 import { EffectRunner } from "./effect_runner.ts";
 import { ENGINE_DEFAULTS } from "./engine_defaults.ts";
@@ -89,6 +90,9 @@
       this.start(id, dataCentre);
       this.post(id, { kind: "config-offered", config, source: "store" });
     });
+    this.#nodes.forEach((node) => {
+      node.state = options.isCold ? node.state : addWarmth(node.state);
+    });
   }
 
   get nowMs(): number {
--- a/packages/measure/src/support/start_system.ts
+++ b/packages/measure/src/support/start_system.ts
@@ -39,7 +39,8 @@
   /** Changes the configuration that the system starts with. */
   readonly changeConfig?: (document: ConfigDocument) => ConfigDocument;
 }): Promise<System> {
-  const store = await startStore();
+  const self = { instanceId: "one", dataCentre: "a", address: "" };
+  const store = await startStore({ instances: [{ ...self, state: "live" }] });
   const engines = await Promise.all(
     Array.from({ length: options.engines }, () =>
       startEngine(options.engine ?? { tokenMs: 2 }),
