Measure online against batch, customers, and a leaving data centre

Cause: the scheduling had no measurement beside baselines. The ramp of a large upstream is done after 128 answers.

--- a/packages/core/src/instance/create_instance.ts
+++ b/packages/core/src/instance/create_instance.ts
@@ -1,5 +1,7 @@
 import { createClaims } from "../claims/create_claims.ts";
 import { createJobs } from "../jobs/create_jobs.ts";
+import { PRODUCT_POLICY } from "../policy/product_policy.ts";
+import type { Policy } from "../policy/types.ts";
 import { createSharded } from "../sharded/create_sharded.ts";
 import { createSlots } from "../slots/create_slots.ts";
 import { RETRY_BOUNDS } from "../work/constants.ts";
@@ -9,10 +11,12 @@
 export function createInstance(
   self: InstanceSelf,
   seed: number,
+  policy: Partial<Policy> = {},
 ): InstanceState {
   return {
     self,
     seed,
+    policy: { ...PRODUCT_POLICY, ...policy },
     attemptCount: 0,
     isStopping: false,
     refuseFromMs: 0,
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -41,6 +41,7 @@
   PlatformCall,
   PlatformState,
 } from "../platform/types.ts";
+import type { Policy } from "../policy/types.ts";
 import type { ArrivalRate, QueueState } from "../queue/types.ts";
 import type { ShardedTable } from "../sharded/types.ts";
 import type { Table } from "../shared/types.ts";
@@ -72,6 +73,7 @@
 export type InstanceState = {
   readonly self: InstanceSelf;
   readonly seed: number;
+  readonly policy: Policy;
   readonly attemptCount: number;
   readonly isStopping: boolean;
   /** From when a stopping instance refuses new requests. */
--- a/packages/core/src/jobs/choose_spare.ts
+++ b/packages/core/src/jobs/choose_spare.ts
@@ -36,7 +36,10 @@
   );
   const rate = measureArrivals(state.arrivals[service], nowMs);
   const reserve = Math.floor((rate * RESERVE_MS) / MS_PER_SECOND);
-  if (free <= reserve) {
+  const hasOnline = open.some(
+    ({ upstream }) => upstream.inFlight > upstream.batchInFlight,
+  );
+  if (free <= reserve || (state.policy.isBatchExclusive && hasOnline)) {
     return { any: undefined, forFixed: undefined };
   }
   const usable = open
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -31,6 +31,8 @@
 export type * from "./limits/types.ts";
 export type * from "./membership/types.ts";
 export type * from "./platform/types.ts";
+export { PRODUCT_POLICY } from "./policy/product_policy.ts";
+export type * from "./policy/types.ts";
 export type * from "./queue/types.ts";
 export { getSharded } from "./sharded/get_sharded.ts";
 export { listSharded } from "./sharded/list_sharded.ts";
--- a/packages/core/src/queue/find_next.ts
+++ b/packages/core/src/queue/find_next.ts
@@ -1,5 +1,7 @@
 import type { WorkId } from "../ids/types.ts";
 import type { InstanceState } from "../instance/types.ts";
+import { getSharded } from "../sharded/get_sharded.ts";
+import type { Table } from "../shared/types.ts";
 import { readTag } from "./read_tag.ts";
 import type { CustomerQueue } from "./types.ts";
 
@@ -12,6 +14,9 @@
   service: string,
 ): WorkId | undefined {
   const customers = state.queues.services[service]?.customers ?? {};
+  if (state.policy.isQueueShared) {
+    return findOldest(state, customers);
+  }
   const tags = state.queues.tags[service];
   const [first] = Object.keys(customers)
     .map((id) => ({ id, tag: readTag(tags, id) }))
@@ -21,6 +26,21 @@
   return own === undefined ? undefined : pickHead(own);
 }
 
+function findOldest(
+  state: InstanceState,
+  customers: Table<CustomerQueue>,
+): WorkId | undefined {
+  return Object.values(customers)
+    .flatMap(({ profiles }) => Object.values(profiles))
+    .flatMap(([head]) => (head === undefined ? [] : [head.workId]))
+    .map((workId) => ({
+      workId,
+      acceptedMs: getSharded(state.works, workId)?.acceptedMs ?? 0,
+    }))
+    .sort((a, b) => a.acceptedMs - b.acceptedMs)
+    .at(0)?.workId;
+}
+
 function pickHead(own: CustomerQueue): WorkId | undefined {
   const heads = Object.values(own.profiles).flatMap(([head]) =>
     head === undefined ? [] : [head],
--- a/packages/core/src/slots/build_use.ts
+++ b/packages/core/src/slots/build_use.ts
@@ -17,7 +17,7 @@
   return {
     upstreamId: upstream.upstreamId,
     inFlight,
-    fixed: inFlight - upstream.batchRuns.length,
+    fixed: countFixed(state, upstream),
     slots: isGranted ? upstream.allowance : 0,
     onlineWant: inFlight - batchInFlight + queued,
     batchWant: hasBatch(state, upstream)
@@ -33,6 +33,11 @@
   };
 }
 
+function countFixed({ policy }: InstanceState, upstream: Upstream): number {
+  const { inFlight, batchRuns } = upstream;
+  return policy.canYield ? inFlight - batchRuns.length : inFlight;
+}
+
 function hasBatch(state: InstanceState, upstream: Upstream): boolean {
   return listServices(state).includes(upstream.service);
 }
--- a/packages/core/src/slots/constants.ts
+++ b/packages/core/src/slots/constants.ts
@@ -18,6 +18,8 @@
   SETTLE_MS: 1_100,
   /** Whole answers that raise a ramp by one slot. */
   SUCCESSES_PER_SLOT: 8,
+  /** Whole answers after which the ramp of a large upstream is done. */
+  RAMP_SUCCESSES: 128,
   /** Age of the last answer after which an upstream has to be probed. */
   IDLE_MS: 10_000,
   /** Signs of life so soon after a failure may be from before it. */
--- a/packages/core/src/slots/count_allowance.ts
+++ b/packages/core/src/slots/count_allowance.ts
@@ -1,3 +1,4 @@
+import type { Policy } from "../policy/types.ts";
 import type { Upstream } from "../upstreams/types.ts";
 import { SLOT_TIMES } from "./constants.ts";
 import { countRamp } from "./count_ramp.ts";
@@ -11,8 +12,11 @@
 export function countAllowance(
   ledger: SlotLedger,
   upstream: Upstream,
-  nowMs: number,
+  { nowMs, policy }: { readonly nowMs: number; readonly policy: Policy },
 ): number {
+  if (!policy.hasRamp && !upstream.isLeaving) {
+    return upstream.maxConcurrency;
+  }
   const ramp = countRamp(ledger, upstream);
   const { aliveMs, doubtMs } = ledger;
   const isProbed =
--- a/packages/core/src/slots/count_held.ts
+++ b/packages/core/src/slots/count_held.ts
@@ -25,7 +25,8 @@
     nowMs - heardMs < SLOT_TIMES.GRANT_MS;
   const live = countBounds(holders.filter(isLive));
   const isRamping =
-    countAllowance(ledger, upstream, nowMs) < upstream.maxConcurrency;
+    countAllowance(ledger, upstream, { nowMs, policy: state.policy }) <
+    upstream.maxConcurrency;
   const roster = listRoster(state, upstream.dataCentre);
   const heard = new Set(
     holders.filter(isLive).map(({ instanceId }) => instanceId),
--- a/packages/core/src/slots/count_ramp.ts
+++ b/packages/core/src/slots/count_ramp.ts
@@ -7,7 +7,12 @@
   if (upstream.isLeaving) {
     return 0;
   }
-  const raised = Math.floor(ledger.successes / SLOT_TIMES.SUCCESSES_PER_SLOT);
+  const { SUCCESSES_PER_SLOT, RAMP_SUCCESSES } = SLOT_TIMES;
+  const slotsEach = Math.max(
+    1 / SUCCESSES_PER_SLOT,
+    upstream.maxConcurrency / RAMP_SUCCESSES,
+  );
+  const raised = Math.floor(ledger.successes * slotsEach);
   return Math.min(
     upstream.maxConcurrency,
     Math.max(1, ledger.rampStart) + raised,
--- a/packages/core/src/slots/grant_slots.ts
+++ b/packages/core/src/slots/grant_slots.ts
@@ -41,7 +41,10 @@
     nowMs - (state.slots.ownerSinceMs ?? nowMs) < SLOT_TIMES.SETTLE_MS;
   const allowance = isSettling
     ? held.live
-    : Math.min(countAllowance(ledger, upstream, nowMs), held.cap);
+    : Math.min(
+        countAllowance(ledger, upstream, { nowMs, policy: state.policy }),
+        held.cap,
+      );
   const wanted = isSettling
     ? holders.map(([, { slots, use }]) => Math.max(slots, use.inFlight))
     : fillSlots(
--- a/packages/core/src/work/dispatch_work.ts
+++ b/packages/core/src/work/dispatch_work.ts
@@ -54,7 +54,7 @@
   }
   const victim = findVictim(state, open);
   if (victim === undefined) {
-    checkWait(work, open);
+    checkWait(state, work, open);
     return step;
   }
   const yielded = chainStep(step, (at) =>
@@ -77,14 +77,18 @@
   return startAttempt(charged, work, { upstream, nowMs });
 }
 
-function checkWait({ order }: Work, open: readonly OpenUpstream[]): void {
+function checkWait(
+  { policy }: InstanceState,
+  { order }: Work,
+  open: readonly OpenUpstream[],
+): void {
   const blocked = open.find(
     ({ upstream: { inFlight, batchRuns }, slots }) =>
       inFlight < slots || batchRuns.length > 0,
   );
   checkInvariant(
     "online-never-waits-behind-batch",
-    blocked === undefined,
+    blocked === undefined || !policy.canYield,
     () => `${order.workId} waits at ${blocked?.upstream.upstreamId}`,
   );
 }
--- a/packages/core/src/work/find_victim.ts
+++ b/packages/core/src/work/find_victim.ts
@@ -11,6 +11,9 @@
   state: InstanceState,
   open: readonly OpenUpstream[],
 ): Upstream | undefined {
+  if (!state.policy.canYield) {
+    return undefined;
+  }
   return open
     .filter(({ upstream, slots }) => upstream.inFlight <= slots)
     .filter(({ upstream }) => upstream.batchRuns.length > 0)
--- a/packages/core/src/work/requeue_batch.ts
+++ b/packages/core/src/work/requeue_batch.ts
@@ -14,7 +14,7 @@
   upstreamId: UpstreamId,
   { count, nowMs }: { readonly count: number; readonly nowMs: number },
 ): Step {
-  if (count <= 0) {
+  if (count <= 0 || !state.policy.canYield) {
     return { state, effects: [] };
   }
   const runs = state.upstreams[upstreamId]?.batchRuns ?? [];
--- a/packages/fakes/src/world/types.ts
+++ b/packages/fakes/src/world/types.ts
@@ -7,6 +7,7 @@
   InstanceId,
   InstanceState,
   ItemResult,
+  Policy,
   Refusal,
   stepInstance,
   UpstreamId,
@@ -24,6 +25,8 @@
   /** Delay between two data centres, one way, milliseconds. */
   readonly delayMs?: number;
   readonly engine?: Partial<EngineModel>;
+  /** Changes of the product's policy, for baselines of measurements. */
+  readonly policy?: Partial<Policy>;
   /** Instances know nothing of the engines at the start, and ramp them. */
   readonly isCold?: boolean;
   /** Stands in for the core's own step, to break it on purpose. */
--- /dev/null
+++ b/packages/measure/src/measures/online_p99.ts
@@ -0,0 +1,10 @@
+import { measureOnlineBatch } from "./online_batch.ts";
+import type { Measure } from "./types.ts";
+
+/** Time to the whole online answer, beside the load without batch. */
+export const ONLINE_P99: Measure = {
+  name: "online-p99",
+  target: "<= 5 % rise",
+  run: async (seed) =>
+    measureOnlineBatch(seed).filter(({ measure }) => measure === "online-p99"),
+};
