Share customers' limits between instances, with loans, waits and fences

Cause: each instance gave every customer the full rate and burst, so eight instances admitted eight times the rate.

Change: base shares stand in platform records by group, written by CAS with the sum asserted; an instance admits only from its share, borrows whole tokens from peers, and lets a request wait a short while where a token is in reach, here or in a lender's queue. Holders stop spending without contact for FENCE_MS. An instance that the platform can't name yet learns the records from its peers. The world counts admissions and can start two processes under one name.

--- a/packages/core/src/config/adopt_config.ts
+++ b/packages/core/src/config/adopt_config.ts
@@ -2,14 +2,15 @@
 import { chainStep } from "../instance/chain_step.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
 import { stopWithdrawn } from "../jobs/stop_withdrawn.ts";
-import { refillBucket } from "../limits/refill_bucket.ts";
-import type { Bucket } from "../limits/types.ts";
+import { buildLimits } from "../limits/build_limits.ts";
+import { dropWaiting } from "../limits/drop_waiting.ts";
 import { listSharded } from "../sharded/list_sharded.ts";
-import type { Table } from "../shared/types.ts";
 import { buildUpstreams } from "../upstreams/build_upstreams.ts";
 import { cancelWork } from "../work/cancel_work.ts";
+import { refuseOrder } from "../work/refuse_order.ts";
+import type { WorkOrder } from "../work/types.ts";
 import { holdsKey } from "./holds_key.ts";
-import type { Config, ConfigDocument } from "./types.ts";
+import type { Config } from "./types.ts";
 
 /**
  * Adopts a configuration of a higher revision; ignores any other. Work
@@ -25,34 +26,25 @@
     return { state, effects: [] };
   }
   const adopted: InstanceState = {
-    ...state,
-    config,
-    buckets: buildBuckets(state.buckets, config.document, nowMs),
+    ...buildLimits({ ...state, config }, nowMs),
     upstreams: buildUpstreams(state.upstreams, config.document),
   };
-  const withdrawn = listSharded(adopted.works)
+  const isWithdrawn = (order: WorkOrder): boolean =>
+    !holdsKey(config.document, order);
+  const kept = dropWaiting(adopted, isWithdrawn);
+  const withdrawn = listSharded(kept.state.works)
     .map(({ order }) => order)
-    .filter((order) => !holdsKey(config.document, order))
-    .map(({ workId }) => workId);
-  const cancelled = chainAll(adopted, withdrawn, (at, workId) =>
+    .filter(isWithdrawn);
+  const cancelled = chainAll(kept.state, withdrawn, (at, { workId }) =>
     cancelWork(at, workId, "key_withdrawn"),
   );
-  return chainStep(cancelled, (after) => stopWithdrawn(after, nowMs));
-}
-
-function buildBuckets(
-  before: Table<Bucket>,
-  document: ConfigDocument,
-  nowMs: number,
-): Table<Bucket> {
-  return Object.fromEntries(
-    Object.entries(document.customers).map(([id, { rate, burst }]) => {
-      const held = before[id];
-      const tokens =
-        held === undefined
-          ? burst
-          : Math.min(burst, refillBucket(held, nowMs).tokens);
-      return [id, { tokens, cap: burst, ratePerSecond: rate, atMs: nowMs }];
-    }),
+  const refused = chainStep(cancelled, (after) =>
+    chainAll(after, kept.dropped, (at, order) =>
+      refuseOrder(at, order, {
+        code: "key_withdrawn",
+        message: "the tenant key was withdrawn",
+      }),
+    ),
   );
+  return chainStep(refused, (after) => stopWithdrawn(after, nowMs));
 }
--- a/packages/core/src/instance/create_instance.ts
+++ b/packages/core/src/instance/create_instance.ts
@@ -1,8 +1,10 @@
 import { createClaims } from "../claims/create_claims.ts";
 import { createJobs } from "../jobs/create_jobs.ts";
+import { createMembership } from "../membership/create_membership.ts";
 import { PRODUCT_POLICY } from "../policy/product_policy.ts";
 import type { Policy } from "../policy/types.ts";
 import { createSharded } from "../sharded/create_sharded.ts";
+import { createShares } from "../shares/create_shares.ts";
 import { createSlots } from "../slots/create_slots.ts";
 import { RETRY_BOUNDS } from "../work/constants.ts";
 import type { InstanceSelf, InstanceState } from "./types.ts";
@@ -21,7 +23,10 @@
     isStopping: false,
     refuseFromMs: 0,
     config: undefined,
-    buckets: {},
+    limits: {},
+    waiting: {},
+    asks: {},
+    shares: createShares(),
     upstreams: {},
     works: createSharded(),
     attempts: createSharded(),
@@ -29,12 +34,7 @@
     queues: { services: {}, tags: {} },
     jobs: createJobs(),
     claims: createClaims(),
-    membership: {
-      members: {},
-      nextHeartbeatMs: 0,
-      nextDelegateMs: 0,
-      hasList: false,
-    },
+    membership: createMembership(),
     spread: {
       startedMs: undefined,
       offered: undefined,
--- a/packages/core/src/instance/handle_message.ts
+++ b/packages/core/src/instance/handle_message.ts
@@ -4,8 +4,15 @@
 import { takeConfig } from "../config/take_config.ts";
 import type { InstanceId } from "../ids/types.ts";
 import { stopJob } from "../jobs/stop_job.ts";
+import { acceptAsk } from "../limits/accept_ask.ts";
+import { noteLoan } from "../limits/note_loan.ts";
 import { noteHeartbeat } from "../membership/note_heartbeat.ts";
 import { assertNever } from "../shared/assert_never.ts";
+import { answerShares } from "../shares/answer_shares.ts";
+import { lowerShares } from "../shares/lower_shares.ts";
+import { noteDemand } from "../shares/note_demand.ts";
+import { noteLowered } from "../shares/note_lowered.ts";
+import { noteWritten } from "../shares/note_written.ts";
 import { adoptGrants } from "../slots/adopt_grants.ts";
 import { noteReport } from "../slots/note_report.ts";
 import type { InstanceState, PeerMessage, Step } from "./types.ts";
@@ -44,6 +51,20 @@
       return noteReport(state, from, { report: message, nowMs });
     case "slot-grants":
       return adoptGrants(state, from, { message, nowMs });
+    case "loan-asked":
+      return acceptAsk(state, { from, ask: message }, nowMs);
+    case "loan-answered":
+      return noteLoan(state, { from, loan: message }, nowMs);
+    case "demand-reported":
+      return noteDemand(state, from, message);
+    case "share-lower-asked":
+      return lowerShares(state, { from, asked: message }, nowMs);
+    case "share-lowered":
+      return noteLowered(state, { from, answer: message }, nowMs);
+    case "shares-asked":
+      return answerShares(state, from);
+    case "shares-written":
+      return noteWritten(state, message, nowMs);
     default:
       return assertNever(message);
   }
--- a/packages/core/src/instance/peer_message_kinds.ts
+++ b/packages/core/src/instance/peer_message_kinds.ts
@@ -14,4 +14,11 @@
   "claim-dropped": true,
   "slot-report": true,
   "slot-grants": true,
+  "loan-asked": true,
+  "loan-answered": true,
+  "demand-reported": true,
+  "share-lower-asked": true,
+  "share-lowered": true,
+  "shares-asked": true,
+  "shares-written": true,
 };
--- a/packages/core/src/instance/step_instance.ts
+++ b/packages/core/src/instance/step_instance.ts
@@ -9,11 +9,18 @@
 import { retryResult } from "../jobs/retry_result.ts";
 import { settleResult } from "../jobs/settle_result.ts";
 import { stepJobs } from "../jobs/step_jobs.ts";
+import { settleLimits } from "../limits/settle_limits.ts";
+import { askProof } from "../membership/ask_proof.ts";
 import { noteList } from "../membership/note_list.ts";
+import { noteStep } from "../membership/note_step.ts";
 import { sendDelegateHeartbeats } from "../membership/send_delegate_heartbeats.ts";
 import { sendHeartbeats } from "../membership/send_heartbeats.ts";
 import { handleAnswer } from "../platform/handle_answer.ts";
 import { assertNever } from "../shared/assert_never.ts";
+import { answerLowered } from "../shares/answer_lowered.ts";
+import { pollGroups } from "../shares/poll_groups.ts";
+import { reportDemand } from "../shares/report_demand.ts";
+import { startRebalances } from "../shares/start_rebalances.ts";
 import { askStop } from "../stops/ask_stop.ts";
 import { endStop } from "../stops/end_stop.ts";
 import { abandonRequest } from "../work/abandon_request.ts";
@@ -36,7 +43,7 @@
   event: InstanceEvent,
   nowMs: number,
 ): Step {
-  const handled = handleEvent(state, event, nowMs);
+  const handled = handleEvent(noteStep(state, nowMs), event, nowMs);
   const before = state.config?.revision ?? 0;
   const after = handled.state.config?.revision ?? 0;
   checkInvariant(
@@ -47,6 +54,21 @@
   return chainStep(handled, (at) => dispatchWork(at, nowMs));
 }
 
+const TICK_STEPS = [
+  expireWork,
+  settleLimits,
+  sendHeartbeats,
+  sendDelegateHeartbeats,
+  stepSpread,
+  stepJobs,
+  stepClaims,
+  askProof,
+  pollGroups,
+  reportDemand,
+  answerLowered,
+  startRebalances,
+] as const;
+
 function handleEvent(
   state: InstanceState,
   event: InstanceEvent,
@@ -89,18 +111,7 @@
     case "instances-listed":
       return noteList(state, event, nowMs);
     case "tick":
-      return chainAll(
-        state,
-        [
-          expireWork,
-          sendHeartbeats,
-          sendDelegateHeartbeats,
-          stepSpread,
-          stepJobs,
-          stepClaims,
-        ],
-        (at, stepBy) => stepBy(at, nowMs),
-      );
+      return chainAll(state, TICK_STEPS, (at, step) => step(at, nowMs));
     default:
       return assertNever(event);
   }
--- a/packages/core/src/instance/types.ts
+++ b/packages/core/src/instance/types.ts
@@ -30,7 +30,13 @@
   JobsState,
   OfferAnswer,
 } from "../jobs/types.ts";
-import type { Bucket } from "../limits/types.ts";
+import type {
+  Limit,
+  LoanAnswered,
+  LoanAsked,
+  PendingAsk,
+  Waiting,
+} from "../limits/types.ts";
 import type {
   Heartbeat,
   ListedInstance,
@@ -45,6 +51,14 @@
 import type { ArrivalRate, QueueState } from "../queue/types.ts";
 import type { ShardedTable } from "../sharded/types.ts";
 import type { Table } from "../shared/types.ts";
+import type {
+  DemandReported,
+  ShareLowerAsked,
+  ShareLowered,
+  SharesAsked,
+  SharesState,
+  SharesWritten,
+} from "../shares/types.ts";
 import type { SlotGrants, SlotReport, SlotState } from "../slots/types.ts";
 import type { TimerGroup } from "../timers/types.ts";
 import type { Upstream } from "../upstreams/types.ts";
@@ -79,7 +93,13 @@
   /** From when a stopping instance refuses new requests. */
   readonly refuseFromMs: number;
   readonly config: Config | undefined;
-  readonly buckets: Table<Bucket>;
+  /** By customer: what this instance may admit. */
+  readonly limits: Table<Limit>;
+  /** By customer: what waits for a token here. */
+  readonly waiting: Table<readonly Waiting[]>;
+  /** By customer: requests that wait for a peer's token. */
+  readonly asks: Table<readonly PendingAsk[]>;
+  readonly shares: SharesState;
   readonly upstreams: Table<Upstream>;
   readonly works: ShardedTable<Work>;
   /** Which work a running attempt belongs to. */
@@ -109,7 +129,14 @@
   | ClaimAnswered
   | ClaimDropped
   | SlotReport
-  | SlotGrants;
+  | SlotGrants
+  | LoanAsked
+  | LoanAnswered
+  | DemandReported
+  | ShareLowerAsked
+  | ShareLowered
+  | SharesAsked
+  | SharesWritten;
 
 /** What happened, as told by the daemon's tasks. */
 export type InstanceEvent =
--- /dev/null
+++ b/packages/core/src/limits/build_limits.ts
@@ -0,0 +1,27 @@
+import type { InstanceState } from "../instance/types.ts";
+import { isAlone } from "../membership/is_alone.ts";
+import { applyShares } from "../shares/apply_shares.ts";
+import { nameGroup } from "../shares/name_group.ts";
+
+/**
+ * Builds the limits of the configuration that was just adopted. A lowered
+ * rate or burst holds here from now on; tokens above the new cap are gone.
+ */
+export function buildLimits(
+  state: InstanceState,
+  nowMs: number,
+): InstanceState {
+  const customers = Object.keys(state.config?.document.customers ?? {});
+  const rebuilt = applyShares({ ...state, limits: {} }, customers, {
+    before: state.limits,
+    isFresh: isAlone(state),
+    nowMs,
+  });
+  const { shares } = rebuilt;
+  const isKnown = customers.every(
+    (customer) => shares.groups[nameGroup(customer)] !== undefined,
+  );
+  return isKnown
+    ? rebuilt
+    : { ...rebuilt, shares: { ...shares, nextPollMs: nowMs } };
+}
--- /dev/null
+++ b/packages/core/src/limits/grant_loan.ts
@@ -0,0 +1,44 @@
+import type { InstanceId } from "../ids/types.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import { answerAsk } from "./answer_ask.ts";
+import { LIMIT_TIMES } from "./limit_times.ts";
+import { takeToken } from "./take_token.ts";
+import type { Limit, LoanAsked } from "./types.ts";
+
+/**
+ * Lends a token of the base share. It is subtracted here before the answer
+ * leaves, and the cap stays lower until the borrower can't spend it any more.
+ */
+export function grantLoan(
+  state: InstanceState,
+  {
+    from,
+    ask,
+    limit,
+    receivedMs,
+  }: {
+    readonly from: InstanceId;
+    readonly ask: LoanAsked;
+    readonly limit: Limit;
+    readonly receivedMs: number;
+  },
+  nowMs: number,
+): Step {
+  const { bucket, ...rest } = takeToken(limit);
+  const forMs = Math.min(ask.forMs, LIMIT_TIMES.LOAN_MS);
+  const untilMs = nowMs + forMs * (1 + LIMIT_TIMES.CLOCK_DRIFT);
+  const lender: Limit = {
+    ...rest,
+    bucket: { ...bucket, cap: bucket.cap - 1 },
+    lent: [...limit.lent, { tokens: 1, untilMs }],
+  };
+  const limits = setEntry(state.limits, ask.customer, lender);
+  const after: InstanceState = { ...state, limits };
+  const heldMs = nowMs - receivedMs;
+  const outcome = "granted";
+  return {
+    state: after,
+    effects: [answerAsk(after, { from, ask }, { outcome, heldMs })],
+  };
+}
--- /dev/null
+++ b/packages/core/src/limits/locate_token.ts
@@ -0,0 +1,75 @@
+import type { InstanceState, Step } from "../instance/types.ts";
+import { canSpend } from "../membership/can_spend.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import { findGroup } from "../shares/find_group.ts";
+import { refuseOrder } from "../work/refuse_order.ts";
+import { askLoan } from "./ask_loan.ts";
+import { listLenders } from "./list_lenders.ts";
+import type { Limit, Waiting, WaitingOrder } from "./types.ts";
+
+const MS_PER_SECOND = 1000;
+
+/**
+ * Lets a request wait where a token should come first: here, or at a peer.
+ * Refuses it where none can come in time; while it is not known who holds
+ * tokens, the request waits here.
+ */
+export function locateToken(
+  state: InstanceState,
+  waiting: WaitingOrder,
+  nowMs: number,
+): Step {
+  const { customer } = waiting.order;
+  const limit = state.limits[customer];
+  if (limit === undefined) {
+    return refuseOrder(state, waiting.order, {
+      code: "rate_limited",
+      message: "the customer has no limit any more",
+    });
+  }
+  const queue = state.waiting[customer] ?? [];
+  const ownMs = canSpend(state, nowMs)
+    ? measureOwnDelayMs(limit, queue)
+    : Number.POSITIVE_INFINITY;
+  const lender = listLenders(state, { customer, limit }, nowMs).at(0);
+  const lenderMs = lender?.delayMs ?? Number.POSITIVE_INFINITY;
+  const delayMs = Math.min(ownMs, lenderMs);
+  const isUnknown = (findGroup(state, customer)?.version ?? 0) === 0;
+  if (isUnknown && nowMs < waiting.untilMs) {
+    return putWaiting(state, { kind: "order", ...waiting });
+  }
+  if (nowMs + delayMs > waiting.untilMs) {
+    return refuseOrder(state, waiting.order, {
+      code: "rate_limited",
+      message: "the customer's rate is used up",
+      retryAfterMs: Number.isFinite(delayMs)
+        ? Math.ceil(delayMs)
+        : Math.ceil(MS_PER_SECOND / limit.rate),
+    });
+  }
+  return lender !== undefined && lenderMs < ownMs
+    ? askLoan(state, { waiting, lender }, nowMs)
+    : putWaiting(state, { kind: "order", ...waiting });
+}
+
+function measureOwnDelayMs(
+  { bucket }: Limit,
+  queue: readonly Waiting[],
+): number {
+  const missing = queue.length + 1 - bucket.tokens;
+  return bucket.cap < 1
+    ? Number.POSITIVE_INFINITY
+    : (missing / bucket.ratePerSecond) * MS_PER_SECOND;
+}
+
+function putWaiting(
+  state: InstanceState,
+  waiting: Extract<Waiting, { kind: "order" }>,
+): Step {
+  const { customer } = waiting.order;
+  const queue = [...(state.waiting[customer] ?? []), waiting];
+  return {
+    state: { ...state, waiting: setEntry(state.waiting, customer, queue) },
+    effects: [],
+  };
+}
--- a/packages/core/src/membership/build_heartbeat.ts
+++ b/packages/core/src/membership/build_heartbeat.ts
@@ -3,7 +3,7 @@
 
 /** Builds what this instance says of itself. */
 export function buildHeartbeat(state: InstanceState, nowMs: number): Heartbeat {
-  const { self, spread } = state;
+  const { self, spread, membership } = state;
   return {
     kind: "heartbeat",
     dataCentre: self.dataCentre,
@@ -13,5 +13,7 @@
     isStopping: state.isStopping,
     hasDisk: state.self.hasDisk,
     isWatchBroken: nowMs < spread.brokenUntilMs,
+    number: membership.number,
+    sentMs: nowMs,
   };
 }
--- /dev/null
+++ b/packages/core/src/membership/can_spend.ts
@@ -0,0 +1,15 @@
+import type { InstanceState } from "../instance/types.ts";
+import { isAlone } from "./is_alone.ts";
+import { isInTouch } from "./is_in_touch.ts";
+import { MEMBERSHIP_TIMES } from "./membership_times.ts";
+
+/**
+ * Whether this instance may spend its base shares: the platform or more than
+ * half of its data centre has confirmed its incarnation within `FENCE_MS`.
+ */
+export function canSpend(state: InstanceState, nowMs: number): boolean {
+  const { provenMs, resumedMs, standing } = state.membership;
+  const sinceMs = Math.max(nowMs - MEMBERSHIP_TIMES.FENCE_MS, resumedMs);
+  const isProven = standing === "current" && provenMs >= sinceMs;
+  return isProven || isInTouch(state, nowMs) || isAlone(state);
+}
--- /dev/null
+++ b/packages/core/src/membership/create_membership.ts
@@ -0,0 +1,18 @@
+import type { MembershipState } from "./types.ts";
+
+/** The membership state of an instance that knows nothing yet. */
+export function createMembership(): MembershipState {
+  return {
+    members: {},
+    nextHeartbeatMs: 0,
+    nextDelegateMs: 0,
+    hasList: false,
+    standing: "joining",
+    number: 0,
+    provenMs: 0,
+    nextProofMs: 0,
+    isAsking: false,
+    steppedMs: 0,
+    resumedMs: 0,
+  };
+}
--- a/packages/core/src/membership/note_heartbeat.ts
+++ b/packages/core/src/membership/note_heartbeat.ts
@@ -4,7 +4,10 @@
 import { setEntry } from "../shared/set_entry.ts";
 import type { Heartbeat, Member } from "./types.ts";
 
-/** Notes what a peer says of itself. */
+/**
+ * Notes what a peer says of itself. Of two incarnations under one name the
+ * one with the higher number counts; the lower is heard no more.
+ */
 export function noteHeartbeat(
   state: InstanceState,
   from: InstanceId,
@@ -16,10 +19,26 @@
     readonly nowMs: number;
   },
 ): Step {
-  const { kind: _kind, ...about } = heartbeat;
-  const member: Member = { instanceId: from, heardMs: nowMs, ...about };
-  const members = setEntry(state.membership.members, from, member);
-  const membership = { ...state.membership, members };
-  const after = { ...state, membership };
-  return noteRevision(after, { from, revision: heartbeat.revision, nowMs });
+  const { membership, self } = state;
+  const known = membership.members[from];
+  const isOlder = heartbeat.number < (known?.number ?? 0);
+  const { revision } = heartbeat;
+  if (from === self.instanceId || isOlder) {
+    return noteRevision(state, { from, revision, nowMs });
+  }
+  const { kind: _kind, echo, sentMs, ...about } = heartbeat;
+  const isOwnEcho = echo !== undefined && echo.number === membership.number;
+  const confirmedMs = isOwnEcho ? echo.sentMs : 0;
+  const member: Member = {
+    ...about,
+    instanceId: from,
+    heardMs: nowMs,
+    heardSentMs: sentMs,
+    confirmedMs: Math.max(confirmedMs, known?.confirmedMs ?? 0),
+    retired: known?.retired ?? 0,
+    isListed: known?.isListed ?? false,
+  };
+  const members = setEntry(membership.members, from, member);
+  const after = { ...state, membership: { ...membership, members } };
+  return noteRevision(after, { from, revision, nowMs });
 }
--- a/packages/core/src/membership/note_list.ts
+++ b/packages/core/src/membership/note_list.ts
@@ -36,6 +36,11 @@
         isStopping: one.state === "leaving",
         isWatchBroken: false,
         hasDisk: false,
+        number: 0,
+        heardSentMs: 0,
+        confirmedMs: 0,
+        retired: 0,
+        isListed: true,
       },
     ]);
   const listedIds = new Set(instances.map(({ instanceId }) => instanceId));
@@ -47,7 +52,11 @@
   );
   const hasList =
     state.membership.hasList || listedIds.has(state.self.instanceId);
-  const members = Object.fromEntries([...kept, ...fresh]);
+  const marked = kept.map(([id, member]): readonly [string, Member] => {
+    const isListed = listedIds.has(id) || (isWhole !== true && member.isListed);
+    return [id, { ...member, isListed }];
+  });
+  const members = Object.fromEntries([...marked, ...fresh]);
   const membership = { ...state.membership, members, hasList };
   return { state: { ...state, membership }, effects: [] };
 }
--- /dev/null
+++ b/packages/core/src/membership/parse_instance_record.ts
@@ -0,0 +1,14 @@
+import { z } from "zod";
+import type { InstanceRecord } from "./types.ts";
+
+const RECORD = z.object({
+  incarnation: z.string(),
+  dataCentre: z.string(),
+  state: z.enum(["live", "retired"]),
+});
+
+/** Reads an instance's record; undefined for a value of another shape. */
+export function parseInstanceRecord(value: string): InstanceRecord | undefined {
+  const parsed = RECORD.safeParse(JSON.parse(value));
+  return parsed.success ? parsed.data : undefined;
+}
--- a/packages/core/src/membership/send_heartbeats.ts
+++ b/packages/core/src/membership/send_heartbeats.ts
@@ -1,21 +1,39 @@
 import type { Effect, InstanceState, Step } from "../instance/types.ts";
 import { buildHeartbeat } from "./build_heartbeat.ts";
+import { listPeers } from "./list_peers.ts";
+import { MEMBERSHIP_TIMES } from "./membership_times.ts";
+import type { Heartbeat, Member } from "./types.ts";
 
-const HEARTBEAT_MS = 250;
+const SMALL_DATA_CENTRE = 5;
 
-/** Sends a heartbeat to every instance of the data centre when due. */
+/** Sends heartbeats when due; each echoes what was heard of its receiver. */
 export function sendHeartbeats(state: InstanceState, nowMs: number): Step {
-  const { membership, self } = state;
+  const { membership } = state;
   if (nowMs < membership.nextHeartbeatMs) {
     return { state, effects: [] };
   }
   const message = buildHeartbeat(state, nowMs);
-  const effects: readonly Effect[] = Object.values(membership.members)
-    .filter(({ dataCentre }) => dataCentre === self.dataCentre)
-    .map(({ instanceId: to }) => ({ kind: "send-peer", to, message }));
-  const nextHeartbeatMs = nowMs + HEARTBEAT_MS;
+  const effects: readonly Effect[] = listPeers(state).map((member) => ({
+    kind: "send-peer",
+    to: member.instanceId,
+    message: addEcho(message, member),
+  }));
+  const nextHeartbeatMs = nowMs + measureIntervalMs(state);
   return {
     state: { ...state, membership: { ...membership, nextHeartbeatMs } },
     effects,
   };
 }
+
+function addEcho(message: Heartbeat, member: Member): Heartbeat {
+  const { number, heardSentMs, retired, heardMs } = member;
+  return heardMs === 0 || number <= retired
+    ? message
+    : { ...message, echo: { number, sentMs: heardSentMs } };
+}
+
+function measureIntervalMs(state: InstanceState): number {
+  const extra = Math.max(0, 1 + listPeers(state).length - SMALL_DATA_CENTRE);
+  const { HEARTBEAT_MS, HEARTBEAT_STEP_MS } = MEMBERSHIP_TIMES;
+  return HEARTBEAT_MS + extra * HEARTBEAT_STEP_MS;
+}
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -17,8 +17,25 @@
   readonly isWatchBroken: boolean;
   /** Whether it has a disk for bulk data. */
   readonly hasDisk: boolean;
+  /** Version of its record in the platform; a higher one replaces a lower. */
+  readonly number: number;
+  /** The sender's clock in its last heartbeat, sent back as an echo. */
+  readonly heardSentMs: number;
+  /** This instance's own clock in the last heartbeat that it echoed. */
+  readonly confirmedMs: number;
+  /** Highest number under which it is no longer confirmed. */
+  readonly retired: number;
+  readonly isListed: boolean;
 };
 
+/** Whether this incarnation may hold shares. */
+export type Standing =
+  /** Not yet named in the platform. */
+  | "joining"
+  | "current"
+  /** Another incarnation has taken the name: it never spends again. */
+  | "superseded";
+
 export type MembershipState = {
   /** Other instances by id. */
   readonly members: Table<Member>;
@@ -27,6 +44,16 @@
   readonly nextDelegateMs: number;
   /** Set once a list was seen that names this instance. */
   readonly hasList: boolean;
+  readonly standing: Standing;
+  /** Version of this incarnation's record in the platform; 0 for none. */
+  readonly number: number;
+  /** When the last question was asked that the platform confirmed. */
+  readonly provenMs: number;
+  readonly nextProofMs: number;
+  readonly isAsking: boolean;
+  readonly steppedMs: number;
+  /** End of the last gap between steps; what came before is void. */
+  readonly resumedMs: number;
 };
 
 /** What an instance says of itself, several times a second. */
@@ -40,6 +67,18 @@
   readonly isWatchBroken: boolean;
   /** Whether it has a disk for bulk data. */
   readonly hasDisk: boolean;
+  readonly number: number;
+  /** The sender's clock. */
+  readonly sentMs: number;
+  /** What was last heard of the receiver; absent once it is retired. */
+  readonly echo?: { readonly number: number; readonly sentMs: number };
+};
+
+/** The value of an instance's record in the platform. */
+export type InstanceRecord = {
+  readonly incarnation: string;
+  readonly dataCentre: string;
+  readonly state: "live" | "retired";
 };
 
 /** One instance in the platform's lagging list. */
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -45,6 +45,7 @@
 export { rankByRendezvous } from "./shared/rank_by_rendezvous.ts";
 export { setEntry } from "./shared/set_entry.ts";
 export type * from "./shared/types.ts";
+export type * from "./shares/types.ts";
 export { isDrained } from "./stops/is_drained.ts";
 export type * from "./timers/types.ts";
 export type * from "./upstreams/types.ts";
--- /dev/null
+++ b/packages/core/src/shares/adopt_group.ts
@@ -0,0 +1,31 @@
+import type { InstanceState } from "../instance/types.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import { applyShares } from "./apply_shares.ts";
+import type { Group, GroupRecord } from "./types.ts";
+
+const NO_RECORD: GroupRecord = { writer: "", count: 0, limits: {} };
+
+/** Takes up a group's record where it is newer than the known one. */
+export function adoptGroup(
+  state: InstanceState,
+  {
+    groupId,
+    group = { version: 0, record: NO_RECORD },
+  }: { readonly groupId: string; readonly group?: Group | undefined },
+  nowMs: number,
+): InstanceState {
+  const known = state.shares.groups[groupId];
+  if (known !== undefined && group.version <= known.version) {
+    return state;
+  }
+  const groups = setEntry(state.shares.groups, groupId, group);
+  const after = { ...state, shares: { ...state.shares, groups } };
+  const { limits, count } = group.record;
+  const customers = new Set([
+    ...Object.keys(known?.record.limits ?? {}),
+    ...Object.keys(limits),
+  ]);
+  const isFirst = known === undefined || known.version === 0;
+  const isFresh = isFirst && count === 1;
+  return applyShares(after, [...customers], { isFresh, nowMs });
+}
--- /dev/null
+++ b/packages/core/src/shares/apply_shares.ts
@@ -0,0 +1,36 @@
+import type { InstanceState } from "../instance/types.ts";
+import { buildLimit } from "../limits/build_limit.ts";
+import type { Limit } from "../limits/types.ts";
+import type { Table } from "../shared/types.ts";
+import { findShare } from "./find_share.ts";
+
+/** Rebuilds the limits of some customers for the shares held by now. */
+export function applyShares(
+  state: InstanceState,
+  customers: readonly string[],
+  {
+    before = state.limits,
+    isFresh,
+    nowMs,
+  }: {
+    readonly before?: Table<Limit>;
+    readonly isFresh: boolean;
+    readonly nowMs: number;
+  },
+): InstanceState {
+  const known = state.config?.document.customers ?? {};
+  const rebuilt = customers.flatMap((customer) => {
+    const terms = known[customer];
+    if (terms === undefined) {
+      return [];
+    }
+    const share = findShare(state, customer);
+    const held = before[customer];
+    const limit = buildLimit(held, terms, { share, isFresh, nowMs });
+    return [[customer, limit] as const];
+  });
+  return {
+    ...state,
+    limits: { ...state.limits, ...Object.fromEntries(rebuilt) },
+  };
+}
--- /dev/null
+++ b/packages/core/src/shares/find_group.ts
@@ -0,0 +1,11 @@
+import type { InstanceState } from "../instance/types.ts";
+import { nameGroup } from "./name_group.ts";
+import type { Group } from "./types.ts";
+
+/** Finds the group of a customer, where its record has been read. */
+export function findGroup(
+  state: InstanceState,
+  customer: string,
+): Group | undefined {
+  return state.shares.groups[nameGroup(customer)];
+}
--- /dev/null
+++ b/packages/core/src/shares/note_shares_answer.ts
@@ -0,0 +1,138 @@
+import type { InstanceId } from "../ids/types.ts";
+import type { Effect, InstanceState, Step } from "../instance/types.ts";
+import { askPlatform } from "../platform/ask_platform.ts";
+import type {
+  PendingCall,
+  PlatformAnswer,
+  PlatformRecord,
+} from "../platform/types.ts";
+import { adoptGroup } from "./adopt_group.ts";
+import { nameGroup } from "./name_group.ts";
+import { parseGroup } from "./parse_group.ts";
+import { planRebalance } from "./plan_rebalance.ts";
+import { putRebalance } from "./put_rebalance.ts";
+import { SHARE_TIMES } from "./share_times.ts";
+import type { Group } from "./types.ts";
+
+const PREFIX = "shares/";
+
+/** Takes the platform's answer to a call about shares. */
+export function noteSharesAnswer(
+  state: InstanceState,
+  asked: PendingCall,
+  {
+    answer,
+    nowMs,
+  }: { readonly answer: PlatformAnswer; readonly nowMs: number },
+): Step {
+  const { what, id } = asked.purpose;
+  switch (answer.kind) {
+    case "listed":
+      return what === "instances"
+        ? planRebalance(state, { groupId: id, records: answer.records }, nowMs)
+        : noteAll(state, answer.records, nowMs);
+    case "got": {
+      const group = readGroup(answer.record);
+      const after = adoptGroup(state, { groupId: id, group }, nowMs);
+      return { state: after, effects: [] };
+    }
+    case "written":
+      return noteWritten(state, asked, { version: answer.version, nowMs });
+    case "conflict": {
+      const group = readGroup(answer.current);
+      const after = adoptGroup(state, { groupId: id, group }, nowMs);
+      return { state: stopRebalance(after, asked, nowMs), effects: [] };
+    }
+    default:
+      return readBack(stopRebalance(state, asked, nowMs), asked, nowMs);
+  }
+}
+
+function noteAll(
+  state: InstanceState,
+  records: readonly PlatformRecord[],
+  nowMs: number,
+): Step {
+  const listed = records.map(({ key }) => key.slice(PREFIX.length));
+  const customers = Object.keys(state.config?.document.customers ?? {});
+  const ids = [...new Set([...listed, ...customers.map(nameGroup)])];
+  const after = ids.reduce(
+    (at, groupId) => {
+      const record = records.find(({ key }) => key === `${PREFIX}${groupId}`);
+      return adoptGroup(at, { groupId, group: readGroup(record) }, nowMs);
+    },
+    startDuty(state, nowMs),
+  );
+  return { state: after, effects: [] };
+}
+
+/** New groups are divided at the next tick. */
+function startDuty(state: InstanceState, nowMs: number): InstanceState {
+  return { ...state, shares: { ...state.shares, nextDutyMs: nowMs } };
+}
+
+function readGroup(record: PlatformRecord | undefined): Group | undefined {
+  const parsed = record && parseGroup(record.value);
+  return record === undefined || parsed === undefined
+    ? undefined
+    : { version: record.version, record: parsed };
+}
+
+/** Takes up what this instance wrote, and tells those whom it concerns. */
+function noteWritten(
+  state: InstanceState,
+  { call, purpose: { id } }: PendingCall,
+  { version, nowMs }: { readonly version: number; readonly nowMs: number },
+): Step {
+  const value = call.kind === "cas" ? call.value : "";
+  const record = parseGroup(value);
+  if (record === undefined) {
+    return { state, effects: [] };
+  }
+  const before = state.shares.groups[id]?.record.limits ?? {};
+  const after = adoptGroup(
+    state,
+    { groupId: id, group: { version, record } },
+    nowMs,
+  );
+  const tables = [...Object.values(before), ...Object.values(record.limits)];
+  const concerned = new Set(tables.flatMap((table) => Object.keys(table)));
+  concerned.delete(state.self.instanceId);
+  const effects: readonly Effect[] = [...concerned].map((to) => ({
+    kind: "send-peer",
+    to: to as InstanceId,
+    message: { kind: "shares-written", group: id, version, value },
+  }));
+  const nextMs = nowMs + SHARE_TIMES.REBALANCE_MS;
+  return {
+    state: putRebalance(after, id, { rebalance: undefined, nextMs }),
+    effects,
+  };
+}
+
+function stopRebalance(
+  state: InstanceState,
+  { purpose: { what, id } }: PendingCall,
+  nowMs: number,
+): InstanceState {
+  const isRebalance = what === "instances" || what === "rebalance";
+  const nextMs = nowMs + SHARE_TIMES.RETRY_MS;
+  return isRebalance
+    ? putRebalance(state, id, { rebalance: undefined, nextMs })
+    : state;
+}
+
+/** A write without an answer may stand: reads the record again. */
+function readBack(
+  state: InstanceState,
+  { call, purpose: { id } }: PendingCall,
+  nowMs: number,
+): Step {
+  return call.kind === "cas"
+    ? askPlatform(
+        state,
+        { kind: "get", key: call.key },
+        { purpose: { feature: "shares", what: "get", id }, nowMs },
+      )
+    : { state, effects: [] };
+}
--- /dev/null
+++ b/packages/core/src/shares/plan_group.ts
@@ -0,0 +1,104 @@
+import type { InstanceState } from "../instance/types.ts";
+import type { Share } from "../limits/types.ts";
+import type { Table } from "../shared/types.ts";
+import { divideLimit } from "./divide_limit.ts";
+import { nameGroup } from "./name_group.ts";
+import type { Holder, Plan, ShareTable } from "./types.ts";
+
+/** Part of a limit that must be in the wrong place before shares move. */
+const MIN_MOVED = 0.1;
+
+/**
+ * Plans a group's division. Entries of numbers that are not live stay as
+ * they are: only a take-over behind the fence may touch them.
+ */
+export function planGroup(
+  state: InstanceState,
+  groupId: string,
+  holders: readonly Holder[],
+): Plan {
+  const customers = Object.entries(state.config?.document.customers ?? {});
+  const record = state.shares.groups[groupId]?.record;
+  const planned = customers
+    .filter(([customer]) => nameGroup(customer) === groupId)
+    .map(([customer, { burst }]) => {
+      const current = record?.limits[customer] ?? {};
+      const demand = state.shares.reports[customer] ?? {};
+      return [
+        customer,
+        planLimit(customer, { burst, current, holders, demand }),
+      ] as const;
+    });
+  return { ...record?.limits, ...Object.fromEntries(planned) };
+}
+
+function planLimit(
+  customer: string,
+  {
+    burst,
+    current,
+    holders,
+    demand,
+  }: {
+    readonly burst: number;
+    readonly current: ShareTable;
+    readonly holders: readonly Holder[];
+    readonly demand: Table<number>;
+  },
+): ShareTable {
+  const stranded = Object.entries(current).filter(
+    ([id, { number }]) =>
+      !holders.some(
+        (holder) => holder.instanceId === id && holder.number === number,
+      ),
+  );
+  const isStranded = new Set(stranded.map(([id]) => id));
+  const free = stranded.reduce<Share>(
+    (left, [, { rate, burst: part }]) => ({
+      rate: Math.max(0, left.rate - rate),
+      burst: Math.max(0, left.burst - part),
+    }),
+    { rate: 1, burst: 1 },
+  );
+  const able = holders.filter(({ instanceId }) => !isStranded.has(instanceId));
+  if (able.length === 0) {
+    return current;
+  }
+  const target = divideLimit(customer, {
+    burst: Math.max(1, burst * free.burst),
+    holders: able,
+    demand,
+    current,
+  });
+  const entries = able.flatMap(({ instanceId, number }) => {
+    const share = target[instanceId];
+    return share === undefined
+      ? []
+      : [
+          [
+            instanceId,
+            {
+              number,
+              rate: share.rate * free.rate,
+              burst: share.burst * free.burst,
+            },
+          ] as const,
+        ];
+  });
+  const planned = {
+    ...Object.fromEntries(stranded),
+    ...Object.fromEntries(entries),
+  };
+  return measureMoved(current, planned) < MIN_MOVED ? current : planned;
+}
+
+/** The part of a limit that changes its holder. */
+function measureMoved(current: ShareTable, planned: ShareTable): number {
+  const ids = Object.keys(planned);
+  const gained = (part: keyof Share): number =>
+    ids.reduce((sum, id) => {
+      const gain = (planned[id]?.[part] ?? 0) - (current[id]?.[part] ?? 0);
+      return sum + Math.max(0, gain);
+    }, 0);
+  return Math.max(gained("rate"), gained("burst"));
+}
--- /dev/null
+++ b/packages/core/src/shares/poll_groups.ts
@@ -0,0 +1,66 @@
+import type { InstanceState, Step } from "../instance/types.ts";
+import { listLive } from "../membership/list_live.ts";
+import { askPlatform } from "../platform/ask_platform.ts";
+import { nameGroup } from "./name_group.ts";
+import { SHARE_TIMES } from "./share_times.ts";
+
+/** Reads the records: all at the start, then one after the other. */
+export function pollGroups(state: InstanceState, nowMs: number): Step {
+  const { shares } = state;
+  if (nowMs < shares.nextPollMs) {
+    return { state, effects: [] };
+  }
+  if (state.membership.number === 0) {
+    return askPeer(state, nowMs);
+  }
+  const ids = Object.keys(shares.groups).sort();
+  const customers = Object.keys(state.config?.document.customers ?? {});
+  const isKnown = customers.every(
+    (customer) => shares.groups[nameGroup(customer)] !== undefined,
+  );
+  const blank = ids.find((id) => shares.groups[id]?.version === 0);
+  const groupId = isKnown
+    ? (shares.staleGroup ?? blank ?? ids[shares.pollCount % ids.length])
+    : undefined;
+  const { POLL_MS, FIRST_POLL_MS } = SHARE_TIMES;
+  const isBehind = groupId === undefined || blank !== undefined;
+  const gapMs = isBehind ? FIRST_POLL_MS : POLL_MS;
+  const after: InstanceState = {
+    ...state,
+    shares: {
+      ...shares,
+      nextPollMs: nowMs + gapMs,
+      pollCount: shares.pollCount + 1,
+      staleGroup: undefined,
+    },
+  };
+  return groupId === undefined
+    ? askPlatform(
+        after,
+        { kind: "list", prefix: "shares/" },
+        { purpose: { feature: "shares", what: "list", id: "" }, nowMs },
+      )
+    : askPlatform(
+        after,
+        { kind: "get", key: `shares/${groupId}` },
+        { purpose: { feature: "shares", what: "get", id: groupId }, nowMs },
+      );
+}
+
+/** Before the platform has named this instance, its peers tell of shares. */
+function askPeer(state: InstanceState, nowMs: number): Step {
+  const { shares } = state;
+  const live = listLive(state, nowMs);
+  const nextPollMs = nowMs + SHARE_TIMES.FIRST_POLL_MS;
+  const peer = live[shares.pollCount % Math.max(1, live.length)];
+  const isBlank = Object.keys(shares.groups).length === 0;
+  if (peer === undefined || !isBlank) {
+    return { state, effects: [] };
+  }
+  const pollCount = shares.pollCount + 1;
+  const message = { kind: "shares-asked" } as const;
+  return {
+    state: { ...state, shares: { ...shares, nextPollMs, pollCount } },
+    effects: [{ kind: "send-peer", to: peer.instanceId, message }],
+  };
+}
--- /dev/null
+++ b/packages/core/src/shares/report_demand.ts
@@ -0,0 +1,53 @@
+import { chainAll } from "../instance/chain_all.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { setEntry } from "../shared/set_entry.ts";
+import type { Table } from "../shared/types.ts";
+import { findDutyHolder } from "./find_duty_holder.ts";
+import { nameGroup } from "./name_group.ts";
+import { noteDemand } from "./note_demand.ts";
+import { SHARE_TIMES } from "./share_times.ts";
+import type { DemandReported } from "./types.ts";
+
+const MS_PER_SECOND = 1000;
+
+/** Tells each group's duty holder, when due, what arrives here. */
+export function reportDemand(state: InstanceState, nowMs: number): Step {
+  const { shares, limits } = state;
+  if (nowMs < shares.nextReportMs) {
+    return { state, effects: [] };
+  }
+  const reported = Object.fromEntries(
+    Object.entries(limits).map(([customer, { arrived }]) => [
+      customer,
+      arrived,
+    ]),
+  );
+  const nextReportMs = nowMs + SHARE_TIMES.REPORT_MS;
+  const after = { ...state, shares: { ...shares, reported, nextReportMs } };
+  const reports = buildReports(state);
+  return chainAll(after, Object.entries(reports), (at, [group, demand]) => {
+    const message: DemandReported = { kind: "demand-reported", group, demand };
+    const to = findDutyHolder(at, group, nowMs);
+    return to === at.self.instanceId
+      ? noteDemand(at, to, message)
+      : { state: at, effects: [{ kind: "send-peer", to, message }] };
+  });
+}
+
+function buildReports({ shares, limits }: InstanceState): Table<Table<number>> {
+  const seconds = SHARE_TIMES.REPORT_MS / MS_PER_SECOND;
+  const rates = Object.entries(limits).map(([customer, { arrived }]) => ({
+    customer,
+    group: nameGroup(customer),
+    perSecond: (arrived - (shares.reported[customer] ?? 0)) / seconds,
+  }));
+  return rates.reduce<Table<Table<number>>>(
+    (reports, { customer, group, perSecond }) => {
+      const report = reports[group] ?? {};
+      const named =
+        perSecond > 0 ? setEntry(report, customer, perSecond) : report;
+      return setEntry(reports, group, named);
+    },
+    {},
+  );
+}
--- /dev/null
+++ b/packages/core/src/shares/start_rebalances.ts
@@ -0,0 +1,57 @@
+import { chainAll } from "../instance/chain_all.ts";
+import type { InstanceState, Step } from "../instance/types.ts";
+import { askPlatform } from "../platform/ask_platform.ts";
+import { endLowering } from "./end_lowering.ts";
+import { findDutyHolder } from "./find_duty_holder.ts";
+import { putRebalance } from "./put_rebalance.ts";
+import { SHARE_TIMES } from "./share_times.ts";
+
+/** Divides anew the groups for which this instance has the duty, when due. */
+export function startRebalances(state: InstanceState, nowMs: number): Step {
+  const { shares, membership } = state;
+  if (nowMs < shares.nextDutyMs || membership.standing !== "current") {
+    return { state, effects: [] };
+  }
+  const after: InstanceState = {
+    ...state,
+    shares: { ...shares, nextDutyMs: nowMs + SHARE_TIMES.DUTY_MS },
+  };
+  const due = Object.keys(shares.groups).filter((groupId) =>
+    isDue(after, groupId, nowMs),
+  );
+  return chainAll(after, due, (at, groupId) =>
+    advanceRebalance(at, groupId, nowMs),
+  );
+}
+
+function isDue(state: InstanceState, groupId: string, nowMs: number): boolean {
+  const { rebalances, nextRebalanceMs } = state.shares;
+  const running = rebalances[groupId];
+  if (running !== undefined) {
+    return running.phase === "lowering" && nowMs >= running.untilMs;
+  }
+  const isTime = nowMs >= (nextRebalanceMs[groupId] ?? 0);
+  return (
+    !state.isStopping &&
+    isTime &&
+    findDutyHolder(state, groupId, nowMs) === state.self.instanceId
+  );
+}
+
+function advanceRebalance(
+  state: InstanceState,
+  groupId: string,
+  nowMs: number,
+): Step {
+  const running = state.shares.rebalances[groupId];
+  if (running?.phase === "lowering") {
+    return endLowering(state, { groupId, lowering: running }, nowMs);
+  }
+  const nextMs = nowMs + SHARE_TIMES.REBALANCE_MS;
+  const rebalance = { phase: "listing" } as const;
+  return askPlatform(
+    putRebalance(state, groupId, { rebalance, nextMs }),
+    { kind: "list", prefix: "instances/" },
+    { purpose: { feature: "shares", what: "instances", id: groupId }, nowMs },
+  );
+}
--- /dev/null
+++ b/packages/core/src/shares/write_group.ts
@@ -0,0 +1,52 @@
+import type { InstanceState, Step } from "../instance/types.ts";
+import { checkInvariant } from "../invariants/check_invariant.ts";
+import { askPlatform } from "../platform/ask_platform.ts";
+import { SHARE_TIMES } from "./share_times.ts";
+import type { GroupRecord, ShareTable } from "./types.ts";
+
+/** Writes a group's record by CAS on the version that it was built from. */
+export function writeGroup(
+  state: InstanceState,
+  {
+    groupId,
+    limits,
+    why,
+  }: {
+    readonly groupId: string;
+    readonly limits: GroupRecord["limits"];
+    readonly why: "rebalance" | "hand-back" | "take-over";
+  },
+  nowMs: number,
+): Step {
+  const known = state.shares.groups[groupId];
+  const writeCount = state.shares.writeCount + 1;
+  const record: GroupRecord = {
+    writer: `${state.self.incarnation}-${writeCount}`,
+    count: (known?.record.count ?? 0) + 1,
+    limits,
+  };
+  Object.entries(limits).forEach(([customer, table]) => {
+    assertSum(customer, table);
+  });
+  return askPlatform(
+    { ...state, shares: { ...state.shares, writeCount } },
+    {
+      kind: "cas",
+      key: `shares/${groupId}`,
+      value: JSON.stringify(record),
+      expect: known?.version ?? 0,
+    },
+    { purpose: { feature: "shares", what: why, id: groupId }, nowMs },
+  );
+}
+
+function assertSum(customer: string, table: ShareTable): void {
+  const entries = Object.values(table);
+  const rate = entries.reduce((sum, entry) => sum + entry.rate, 0);
+  const burst = entries.reduce((sum, entry) => sum + entry.burst, 0);
+  checkInvariant(
+    "shares-within-limit",
+    Math.max(rate, burst) <= 1 + SHARE_TIMES.EPSILON,
+    () => `${customer}: rate ${rate}, burst ${burst} of 1`,
+  );
+}
--- a/packages/core/src/work/abandon_request.ts
+++ b/packages/core/src/work/abandon_request.ts
@@ -1,5 +1,6 @@
 import type { WorkId } from "../ids/types.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
+import { dropWaiting } from "../limits/drop_waiting.ts";
 import { getSharded } from "../sharded/get_sharded.ts";
 import { dropWork } from "./drop_work.ts";
 
@@ -7,7 +8,11 @@
 export function abandonRequest(state: InstanceState, workId: WorkId): Step {
   const work = getSharded(state.works, workId);
   if (work === undefined) {
-    return { state, effects: [] };
+    const { state: after } = dropWaiting(
+      state,
+      (order) => order.workId === workId,
+    );
+    return { state: after, effects: [] };
   }
   const attemptId = work.attempt?.attemptId;
   return {
--- /dev/null
+++ b/packages/core/src/work/refuse_order.ts
@@ -0,0 +1,29 @@
+import type { InstanceState, Step } from "../instance/types.ts";
+import type { Fault, WorkOrder } from "./types.ts";
+
+/** Refuses an order at admission: it surely did not run. */
+export function refuseOrder(
+  state: InstanceState,
+  order: WorkOrder,
+  why: {
+    readonly code: Fault["code"];
+    readonly message: string;
+    readonly retryAfterMs?: number;
+  },
+): Step {
+  const fault: Fault = {
+    code: why.code,
+    step: "admit",
+    peer: state.self.instanceId,
+    message: why.message,
+  };
+  const refusal = {
+    fault,
+    run: "not run",
+    retryAfterMs: why.retryAfterMs,
+  } as const;
+  return {
+    state,
+    effects: [{ kind: "refuse-request", workId: order.workId, refusal }],
+  };
+}
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -12,6 +12,7 @@
 export type * from "./service/types.ts";
 export { EventQueue } from "./world/event_queue.ts";
 export type {
+  Admission,
   CallerView,
   EngineModel,
   EngineRun,
--- a/packages/fakes/src/world/job_effects.ts
+++ b/packages/fakes/src/world/job_effects.ts
@@ -65,7 +65,7 @@
   }
 
   #canReach(node: WorldNode, id: InstanceId): boolean {
-    const target = this.#parts.findNode(id);
+    const target = this.#parts.findNodes(id).find(({ isAlive }) => isAlive);
     return (
       target?.state.self.hasDisk === true &&
       target.isAlive &&
--- a/packages/fakes/src/world/types.ts
+++ b/packages/fakes/src/world/types.ts
@@ -93,6 +93,14 @@
     | undefined;
 };
 
+/** Requests of a customer that one step of an instance admitted. */
+export type Admission = {
+  readonly customer: string;
+  readonly instanceId: InstanceId;
+  readonly count: number;
+  readonly atMs: number;
+};
+
 /** One process of the world. */
 export type WorldNode = {
   state: InstanceState;
--- a/packages/fakes/src/world/world_ledger.ts
+++ b/packages/fakes/src/world/world_ledger.ts
@@ -1,6 +1,7 @@
 import type {
   AttemptId,
   InstanceId,
+  InstanceState,
   JobId,
   OfferAnswer,
   PeerMessage,
@@ -8,7 +9,7 @@
   WorkId,
   WorkOrder,
 } from "@gooseberryline/core";
-import type { CallerView, EngineRun, StoredLine } from "./types.ts";
+import type { Admission, CallerView, EngineRun, StoredLine } from "./types.ts";
 
 /** What callers and engines saw, kept outside the program under test. */
 export class WorldLedger {
@@ -22,6 +23,7 @@
     readonly offerId: string;
     readonly answer: OfferAnswer;
   }[] = [];
+  readonly admissions: Admission[] = [];
 
   get calls(): readonly CallerView[] {
     return [...this.#calls.values()];
@@ -49,6 +51,24 @@
     this.#messages.set(kind, before);
   }
 
+  /** Notes what a step admitted against customers' rates and bursts. */
+  noteAdmissions(
+    before: InstanceState["limits"],
+    { limits, self }: InstanceState,
+    nowMs: number,
+  ): void {
+    if (before === limits) {
+      return;
+    }
+    Object.entries(limits).forEach(([customer, limit]) => {
+      const count = limit.admitted - (before[customer]?.admitted ?? 0);
+      if (count > 0) {
+        const { instanceId } = self;
+        this.admissions.push({ customer, instanceId, count, atMs: nowMs });
+      }
+    });
+  }
+
   findCall(workId: WorkId): CallerView | undefined {
     return this.#calls.get(workId);
   }
--- a/packages/protocol/src/peers/peers_test.ts
+++ b/packages/protocol/src/peers/peers_test.ts
@@ -18,6 +18,8 @@
     isStopping: false,
     isWatchBroken: false,
     hasDisk: false,
+    number: 7,
+    sentMs: 1_000,
   },
 };
 
