Give a restarted instance its share back behind the fence, and test limits

Cause: a share stands under its holder's number, so a restart stranded it.

Change: the new incarnation takes the share over by CAS once the platform names it, so many peers have confirmed it that too few are left to confirm the earlier one, and FENCE_WAIT_MS has passed.

--- a/packages/core/src/instance/step_instance.ts
+++ b/packages/core/src/instance/step_instance.ts
@@ -21,6 +21,7 @@
 import { pollGroups } from "../shares/poll_groups.ts";
 import { reportDemand } from "../shares/report_demand.ts";
 import { startRebalances } from "../shares/start_rebalances.ts";
+import { takeOverShares } from "../shares/take_over_shares.ts";
 import { askStop } from "../stops/ask_stop.ts";
 import { endStop } from "../stops/end_stop.ts";
 import { abandonRequest } from "../work/abandon_request.ts";
@@ -66,6 +67,7 @@
   pollGroups,
   reportDemand,
   answerLowered,
+  takeOverShares,
   startRebalances,
 ] as const;
 
--- a/packages/core/src/shares/create_shares.ts
+++ b/packages/core/src/shares/create_shares.ts
@@ -12,6 +12,8 @@
     pollCount: 0,
     staleGroup: undefined,
     nextReportMs: 0,
+    nextTakeOverMs: 0,
+    clearMs: undefined,
     nextDutyMs: 0,
     nextRebalanceMs: {},
     askCount: 0,
--- a/packages/core/src/shares/types.ts
+++ b/packages/core/src/shares/types.ts
@@ -74,6 +74,9 @@
   readonly staleGroup: string | undefined;
   readonly pollCount: number;
   readonly nextReportMs: number;
+  readonly nextTakeOverMs: number;
+  /** Since when no earlier incarnation of the name can be confirmed. */
+  readonly clearMs: number | undefined;
   readonly nextDutyMs: number;
   /** By group id; absent for at once. */
   readonly nextRebalanceMs: Table<number>;
--- /dev/null
+++ b/packages/measure/src/limits/shares_test.ts
@@ -0,0 +1,97 @@
+import {
+  type DataCentreId,
+  INVARIANTS,
+  type InstanceId,
+} from "@gooseberryline/core";
+import { World } from "@gooseberryline/fakes";
+import { beforeAll, expect, test } from "vitest";
+import { driveArrivals } from "../world/drive_arrivals.ts";
+import { buildWorldConfig } from "../world/world_config.ts";
+import { findOverrun } from "./find_overrun.ts";
+
+const TERMS = { rate: 20, burst: 10 };
+const HOT = "a-0" as InstanceId;
+
+const createWorld = (seed: number) =>
+  new World({
+    seed,
+    document: buildWorldConfig({
+      dataCentres: ["a", "b"],
+      upstreamsEach: 8,
+      customers: ["c1"],
+      ...TERMS,
+    }),
+    instances: { a: 2, b: 2 },
+  });
+
+const sumShares = (world: World) =>
+  world.instanceIds
+    .map((id) => world.stateOf(id)?.limits.c1?.share.burst ?? 0)
+    .reduce((sum, burst) => sum + burst, 0);
+
+const expectWithin = (world: World) => {
+  const { admissions } = world.ledger;
+  expect(admissions.length).toBeGreaterThan(100);
+  expect(findOverrun(admissions, [{ fromMs: 0, ...TERMS }])).toBe(undefined);
+};
+
+const drive = (world: World, seed: number) =>
+  driveArrivals(world, { seed, customer: "c1", rate: 100, untilMs: 60_000 });
+
+beforeAll(() => {
+  INVARIANTS.shouldThrow = true;
+});
+
+test("overload stays within the limit, and uses it", () => {
+  const world = createWorld(1);
+  drive(world, 1);
+  world.runFor(60_000);
+  expectWithin(world);
+  const admitted = world.ledger.admissions.reduce(
+    (n, { count }) => n + count,
+    0,
+  );
+  expect(admitted).toBeGreaterThan(0.9 * 20 * 60);
+});
+
+test("a restarted holder gets its share back, and none is spent twice", () => {
+  const world = createWorld(2);
+  drive(world, 2);
+  world.runFor(20_000);
+  world.instanceIds.forEach((id) => {
+    world.kill(id);
+    world.start(id, id.slice(0, 1) as DataCentreId);
+    world.runFor(10_000);
+  });
+  expect(sumShares(world)).toBeCloseTo(1, 5);
+  expectWithin(world);
+});
+
+test("two instances under one name stay within the limit", () => {
+  const world = createWorld(3);
+  drive(world, 3);
+  world.runFor(10_000);
+  expect(world.startTwin(HOT)).toBe("~a-0");
+  world.runFor(50_000);
+  expect(world.stateOf("~a-0" as InstanceId)?.membership.standing).toBe(
+    "superseded",
+  );
+  expectWithin(world);
+});
+
+test("cuts, pauses, lost answers and an outage stay within the limit", () => {
+  const world = createWorld(4);
+  drive(world, 4);
+  world.runFor(10_000);
+  world.network.setLoss(0.1);
+  world.network.cut("a-0", "platform");
+  world.pause("b-0" as InstanceId);
+  world.runFor(6_000);
+  world.resume("b-0" as InstanceId);
+  world.store.setFaults({ loseAnswers: 3 });
+  world.runFor(6_000);
+  world.store.setFaults({ isDown: true });
+  world.network.cut("a", "b");
+  world.runFor(20_000);
+  expectWithin(world);
+});
