--- a/packages/fakes/src/world/world.ts
+++ b/packages/fakes/src/world/world.ts
@@ -43,7 +43,7 @@
   readonly #runner: EffectRunner;
   readonly #nodes = new Map<InstanceId, WorldNode>();
   readonly #options: WorldOptions;
-  readonly #listed = new Map<string, ListedInstance>();
+  readonly #listed: Map<string, ListedInstance>;
   readonly #feed: ConfigFeed;
   #incarnations = 0;
 
@@ -73,9 +73,7 @@
       this.#addEngine(id as UpstreamId);
     });
     const places = listPlaces(options.instances);
-    places.forEach(({ id, listed }) => {
-      this.#listed.set(id, listed);
-    });
+    this.#listed = new Map(places.map(({ id, listed }) => [id, listed]));
     const { config } = this.#feed;
     places.forEach(({ id, dataCentre }) => {
       this.start(id, dataCentre);
