Check rates, keys, data centres and revisions from outside the program

Cause: the randomised runs saw only single requests.

Change: after a run the ledger is checked for windows above a customer's limit, and after a rest requests are sent for every customer at every instance: none may run with a withdrawn key or at a data centre taken out, and every instance must have the newest revision.

--- a/packages/measure/src/matrix/subjects/build_request_subject.ts
+++ b/packages/measure/src/matrix/subjects/build_request_subject.ts
@@ -1,16 +1,12 @@
 import {
-  type CustomerId,
   getSharded,
   type InstanceId,
-  type KeyId,
-  LANES,
-  type ProfileName,
-  type ServiceName,
   type Work,
   type WorkId,
   type WorkOrder,
 } from "@gooseberryline/core";
 import type { SoakFleet } from "../../soak/soak_fleet.ts";
+import { buildOrder } from "../../world/build_order.ts";
 import { driveArrivals } from "../../world/drive_arrivals.ts";
 import type { Scenario, Subject } from "../types.ts";
 
@@ -83,20 +79,9 @@
   profile: "counter" | "charge",
   deadlineMs: number,
 ): WorkOrder {
-  return {
-    workId: PROBE,
-    origin: { kind: "request" },
-    lane: LANES.ONLINE,
-    customer: "c1" as CustomerId,
-    keyId: "c1-key" as KeyId,
-    profile: profile as string as ProfileName,
-    service: "letterdesk-llm" as ServiceName,
-    isIdempotent: profile === "counter",
-    ...(profile === "counter" ? {} : { claimKey: "probe-key" }),
-    costTokens: 50,
-    prefixHash: 0,
-    deadlineMs: world.nowMs + deadlineMs,
-  };
+  const request = { customer: "c1", profile, deadlineMs };
+  const order = buildOrder(request, { workId: PROBE, world });
+  return profile === "counter" ? order : { ...order, claimKey: "probe-key" };
 }
 
 /** Fills the upstreams with requests of every customer. */
--- a/packages/measure/src/soak/run_actions.ts
+++ b/packages/measure/src/soak/run_actions.ts
@@ -1,10 +1,13 @@
 import { INVARIANTS } from "@gooseberryline/core";
 import type { WorldOptions } from "@gooseberryline/fakes";
+import { checkFleet } from "./check_fleet.ts";
 import { checkLedger } from "./check_ledger.ts";
 import { SoakFleet } from "./soak_fleet.ts";
 import type { SoakAction, SoakCounts, SoakVerdict } from "./types.ts";
 
-const REST_MS = 60_000;
+/** A pause may last 20 s, and a change has 11 s to spread after it. */
+const SPREAD_MS = 32_000;
+const REST_MS = 40_000;
 
 /** Lets actions happen to a fleet and checks what must always hold. */
 export function runActions(
@@ -19,8 +22,15 @@
     actions.forEach((action) => {
       fleet.apply(action);
     });
+    fleet.settle(SPREAD_MS);
+    const restedMs = fleet.world.nowMs;
+    fleet.probe();
     fleet.settle(REST_MS);
-    const [fault] = checkLedger(fleet.world.ledger);
+    const { world, limits } = fleet;
+    const [fault] = [
+      ...checkLedger(world.ledger),
+      ...checkFleet(world, { restedMs, limits }),
+    ];
     if (fault !== undefined) {
       const message = `${fault.promise}: ${fault.detail}`;
       return { kind: "broken", message };
--- a/packages/measure/src/soak/soak_fleet.ts
+++ b/packages/measure/src/soak/soak_fleet.ts
@@ -6,6 +6,7 @@
   type WorkId,
 } from "@gooseberryline/core";
 import { World, type WorldOptions } from "@gooseberryline/fakes";
+import { buildOrder } from "../world/build_order.ts";
 import { driveArrivals } from "../world/drive_arrivals.ts";
 import { buildWorldConfig } from "../world/world_config.ts";
 import type { SoakAction } from "./types.ts";
@@ -13,6 +14,7 @@
 const DATA_CENTRES = ["a", "b", "c"] as const;
 const CUSTOMERS = ["c1", "c2", "c3", "c4"] as const;
 const BURST_MS = 1_000;
+const PROBE_GAP_MS = 100;
 const MS_PER_SECOND = 1_000;
 
 /** Size of each customer's rate and burst, and the core's step. */
@@ -26,18 +28,23 @@
 /** A fleet of today's size to which actions happen. */
 export class SoakFleet {
   readonly world: World;
+  /** Highest limits of each customer over all revisions. */
+  readonly limits: Record<string, { rate: number; burst: number }>;
   readonly #dead: { id: InstanceId; dataCentre: DataCentreId }[] = [];
   #requestSeed = 1;
 
-  constructor({ seed, step, rate, burst }: FleetOptions) {
+  constructor({ seed, step, rate = 20, burst = 10 }: FleetOptions) {
+    this.limits = Object.fromEntries(
+      CUSTOMERS.map((id) => [id, { rate, burst }]),
+    );
     this.world = new World({
       seed,
       document: buildWorldConfig({
         dataCentres: DATA_CENTRES,
         upstreamsEach: 2,
         customers: CUSTOMERS,
-        rate: rate ?? 20,
-        burst: burst ?? 10,
+        rate,
+        burst,
         concurrency: 8,
       }),
       instances: { a: 2, b: 2, c: 2 },
@@ -135,12 +142,40 @@
 
   /** Ends every fault and lets the fleet come to rest. */
   settle(restMs: number): void {
+    this.#mendAll();
+    this.world.runFor(restMs);
+  }
+
+  /** Sends one request of each customer to each instance. */
+  probe(): void {
+    CUSTOMERS.forEach((customer, at) => {
+      this.world.instanceIds.forEach((id, place) => {
+        this.#requestSeed += 1;
+        const gapMs = PROBE_GAP_MS * (at + CUSTOMERS.length * place);
+        this.world.queue.schedule(gapMs, () => this.#probeOne(customer, id));
+      });
+    });
+  }
+
+  #probeOne(customer: string, id: InstanceId): void {
+    this.world.arrive(
+      id,
+      buildOrder(
+        { customer, profile: "counter", deadlineMs: 8_000 },
+        {
+          workId: `probe-${customer}-${id}`,
+          world: this.world,
+        },
+      ),
+    );
+  }
+
+  #mendAll(): void {
     this.apply({ kind: "heal" });
     this.world.engines.forEach((engine) => {
       engine.setFault({ isSilent: false, isDown: false });
     });
     this.world.store.setFaults({ loseAnswers: 0 });
-    this.world.runFor(restMs);
   }
 
   #sendRequests(action: Extract<SoakAction, { kind: "requests" }>): void {
@@ -240,6 +275,8 @@
     const held = document.customers[id];
     if (held !== undefined) {
       const customers = { ...document.customers, [id]: { ...held, ...change } };
+      const rate = Math.max(this.limits[id]?.rate ?? 0, change.rate ?? 0);
+      this.limits[id] = { rate, burst: held.burst };
       this.world.setConfig({ ...document, customers });
     }
   }
--- a/packages/measure/src/world/drive_arrivals.ts
+++ b/packages/measure/src/world/drive_arrivals.ts
@@ -1,18 +1,8 @@
-import {
-  type CustomerId,
-  drawRandom,
-  type InstanceId,
-  type KeyId,
-  LANES,
-  type ProfileName,
-  type ServiceName,
-  type WorkId,
-  type WorkOrder,
-} from "@gooseberryline/core";
+import { drawRandom, type InstanceId } from "@gooseberryline/core";
 import type { World } from "@gooseberryline/fakes";
+import { buildOrder } from "./build_order.ts";
 
 const MS_PER_SECOND = 1000;
-const COST_TOKENS = 50;
 
 /** A stream of online requests of one customer, Poisson by default. */
 export type Arrivals = {
@@ -49,32 +39,12 @@
       const instanceId = pick(draw());
       control.count += 1;
       if (instanceId !== undefined) {
-        world.arrive(instanceId, buildOrder(arrivals, control.count, world));
+        const { seed, customer } = arrivals;
+        const workId = `${customer}-${seed}-${control.count}`;
+        world.arrive(instanceId, buildOrder(arrivals, { workId, world }));
       }
       next();
     });
   };
   next();
 }
-
-function buildOrder(
-  { seed, customer, profile, deadlineMs }: Arrivals,
-  count: number,
-  world: World,
-): WorkOrder {
-  const name = profile ?? "counter";
-  const isIdempotent = world.config.document.profiles[name]?.idempotent;
-  return {
-    workId: `${customer}-${seed}-${count}` as WorkId,
-    origin: { kind: "request" },
-    lane: LANES.ONLINE,
-    customer: customer as CustomerId,
-    keyId: `${customer}-key` as KeyId,
-    profile: name as ProfileName,
-    service: "letterdesk-llm" as ServiceName,
-    isIdempotent: isIdempotent ?? true,
-    costTokens: COST_TOKENS,
-    prefixHash: 0,
-    deadlineMs: world.nowMs + (deadlineMs ?? 15_000),
-  };
-}
