Break the program on purpose and catch each break

Cause: a check that never fails proves nothing.

Change: each mutation wraps the core's step; the randomised run with its seed has to come out broken, and the same seeds have to hold without it.

--- /dev/null
+++ b/packages/measure/src/mutations/answer_mutations.ts
@@ -0,0 +1,46 @@
+import { changeEffects } from "./change_effects.ts";
+import { changeEvent } from "./change_event.ts";
+import type { Mutation } from "./types.ts";
+
+/** Breaks in what callers are told, and in what is tried again. */
+export const ANSWER_MUTATIONS: readonly Mutation[] = [
+  {
+    name: "a non-idempotent request that may have run is tried again",
+    invariant: "non-idempotent-runs-once",
+    seed: 1,
+    wrap: (step) =>
+      changeEvent(step, (event) =>
+        event.kind === "attempt-ended" && event.outcome.kind === "failed"
+          ? {
+              ...event,
+              outcome: { kind: "not-started", fault: event.outcome.fault },
+            }
+          : event,
+      ),
+  },
+  {
+    name: 'every refusal says "not run"',
+    invariant: "not-run-is-true",
+    seed: 1,
+    wrap: (step) =>
+      changeEffects(step, (effect) =>
+        effect.kind === "refuse-request"
+          ? [{ ...effect, refusal: { ...effect.refusal, run: "not run" } }]
+          : [effect],
+      ),
+  },
+  {
+    name: "an answer that was cut off counts as whole",
+    invariant: "whole-answer-to-own-request",
+    seed: 1,
+    wrap: (step) =>
+      changeEvent(step, (event) =>
+        event.kind === "attempt-ended" && event.outcome.kind === "failed"
+          ? {
+              ...event,
+              outcome: { kind: "completed", status: 200, tokens: 1 },
+            }
+          : event,
+      ),
+  },
+];
--- /dev/null
+++ b/packages/measure/src/mutations/mutation_list.ts
@@ -0,0 +1,9 @@
+import { ANSWER_MUTATIONS } from "./answer_mutations.ts";
+import { CONFIG_MUTATIONS } from "./config_mutations.ts";
+import type { Mutation } from "./types.ts";
+
+/** Every break made on purpose. */
+export const MUTATION_LIST: readonly Mutation[] = [
+  ...ANSWER_MUTATIONS,
+  ...CONFIG_MUTATIONS,
+];
