Demand that faults which spare running work let it finish

Cause: the matrix only asked that nothing false happens, not that a request under a harmless fault is answered.

Change: each fault says whether it spares what runs; a request alone at running or answering has to be answered under those.

--- a/packages/measure/src/matrix/matrix_faults.ts
+++ b/packages/measure/src/matrix/matrix_faults.ts
@@ -63,9 +63,10 @@
 
 /** Every fault of the design page's list that the world can bring about. */
 export const MATRIX_FAULTS: readonly MatrixFault[] = [
-  { name: "none", strike: nothing, mend: nothing },
+  { name: "none", isSparing: true, strike: nothing, mend: nothing },
   {
     name: "worker dies",
+    isSparing: false,
     strike: ({ world }, { upstreamId }) => {
       if (upstreamId !== undefined) {
         world.engines.get(upstreamId)?.setFault({ isDown: true });
@@ -80,6 +81,7 @@
   },
   {
     name: "instance lost",
+    isSparing: false,
     strike: ({ world }, { instanceId }) => world.kill(instanceId),
     mend: ({ world }, place) => {
       if (!world.instanceIds.includes(place.instanceId)) {
@@ -89,11 +91,13 @@
   },
   {
     name: "key withdrawn",
+    isSparing: false,
     strike: (fleet) => fleet.apply({ kind: "withdraw-key", customer: 0 }),
     mend: nothing,
   },
   {
     name: "upstream turns cold",
+    isSparing: false,
     strike: ({ world }, { upstreamId }) => {
       if (upstreamId !== undefined) {
         world.engines.get(upstreamId)?.turnCold();
@@ -103,21 +107,25 @@
   },
   {
     name: "store down",
+    isSparing: true,
     strike: ({ world }) => world.store.setFaults({ isDown: true }),
     mend: ({ world }) => world.store.setFaults({ isDown: false }),
   },
   {
     name: "store slow",
+    isSparing: true,
     strike: ({ world }) => world.store.setFaults({ delayMs: SLOW_MS }),
     mend: ({ world }) => world.store.setFaults({ delayMs: 2 }),
   },
   {
     name: "store loses answers",
+    isSparing: true,
     strike: ({ world }) => world.store.setFaults({ loseAnswers: 3 }),
     mend: ({ world }) => world.store.setFaults({ loseAnswers: 0 }),
   },
   {
     name: "holder paused past its lease",
+    isSparing: false,
     strike: ({ world }, { instanceId }) => {
       world.pause(instanceId);
       world.queue.schedule(PAUSE_MS, () => world.resume(instanceId));
@@ -126,6 +134,7 @@
   },
   {
     name: "operators race",
+    isSparing: true,
     strike: ({ world }) => {
       const { document } = world.config;
       world.setConfig(document);
@@ -135,6 +144,7 @@
   },
   {
     name: "connection goes silent",
+    isSparing: false,
     strike: ({ world }, { upstreamId, attemptId }) => {
       if (upstreamId !== undefined && attemptId !== undefined) {
         world.engines.get(upstreamId)?.silence(attemptId);
@@ -142,17 +152,29 @@
     },
     mend: nothing,
   },
-  { name: "late answer", strike: postLate, mend: nothing },
+  { name: "late answer", isSparing: true, strike: postLate, mend: nothing },
   {
     name: "data centre out and back",
+    isSparing: true,
     strike: (fleet, place) => setDataCentre(fleet, place, "out"),
     mend: (fleet, place) => setDataCentre(fleet, place, "in"),
   },
-  { name: "cut off from peers", strike: cutPeers, mend: heal },
-  { name: "data centre cut off", strike: cutDataCentre, mend: heal },
-  { name: "cut off from the platform", strike: cutPlatform, mend: heal },
+  { name: "cut off from peers", isSparing: true, strike: cutPeers, mend: heal },
+  {
+    name: "data centre cut off",
+    isSparing: true,
+    strike: cutDataCentre,
+    mend: heal,
+  },
+  {
+    name: "cut off from the platform",
+    isSparing: true,
+    strike: cutPlatform,
+    mend: heal,
+  },
   {
     name: "cut off from both",
+    isSparing: true,
     strike: (fleet, place) => {
       cutDataCentre(fleet, place);
       cutPlatform(fleet, place);
@@ -161,6 +183,7 @@
   },
   {
     name: "planned stop",
+    isSparing: true,
     strike: ({ world }, { instanceId }) =>
       world.post(instanceId, { kind: "stop-asked" }),
     mend: nothing,
--- a/packages/measure/src/matrix/run_cell.ts
+++ b/packages/measure/src/matrix/run_cell.ts
@@ -66,7 +66,14 @@
   });
   fleet.settle(REST_MS);
   const [promise] = checkLedger(fleet.world.ledger);
-  const [own] = subject.listFaults(fleet);
+  const isOwed =
+    subject.runningSteps.includes(step) &&
+    faults.every(({ isSparing }) => isSparing) &&
+    scenario === subject.scenarios[0];
+  const own =
+    isOwed && !subject.isFulfilled(fleet)
+      ? "it was cut off by a fault that spares what runs"
+      : subject.listFaults(fleet).at(0);
   const message =
     promise === undefined ? own : `${promise.promise}: ${promise.detail}`;
   return message === undefined
--- a/packages/measure/src/matrix/types.ts
+++ b/packages/measure/src/matrix/types.ts
@@ -12,6 +12,8 @@
 /** One thing that goes wrong, and how it ends. */
 export type MatrixFault = {
   readonly name: string;
+  /** Whether a request that runs already must be answered all the same. */
+  readonly isSparing: boolean;
   readonly strike: (fleet: SoakFleet, place: Place) => void;
   readonly mend: (fleet: SoakFleet, place: Place) => void;
 };
@@ -28,9 +30,13 @@
   /** Chart whose states are the steps. */
   readonly chart: string;
   readonly scenarios: readonly Scenario[];
+  /** Steps from which a sparing fault leads to a good end. */
+  readonly runningSteps: readonly string[];
   /** The step it is at, or undefined while it does not exist. */
   readonly readStep: (fleet: SoakFleet) => string | undefined;
   readonly locate: (fleet: SoakFleet) => Place;
+  /** Whether it ended well; asked where every fault is a sparing one. */
+  readonly isFulfilled: (fleet: SoakFleet) => boolean;
   /** What must hold of it once the fleet is at rest; empty when it does. */
   readonly listFaults: (fleet: SoakFleet) => readonly string[];
 };
