--- a/packages/measure/src/matrix/run_cell.ts
+++ b/packages/measure/src/matrix/run_cell.ts
@@ -67,11 +67,11 @@
   fleet.settle(REST_MS);
   const [promise] = checkLedger(fleet.world.ledger);
   const isOwed =
-    subject.runningSteps.includes(step) &&
+    subject.owed?.steps.includes(step) === true &&
     faults.every(({ isSparing }) => isSparing) &&
     scenario === subject.scenarios[0];
   const own =
-    isOwed && !subject.isFulfilled(fleet)
+    isOwed && subject.owed?.isFulfilled(fleet) !== true
       ? "it was cut off by a fault that spares what runs"
       : subject.listFaults(fleet).at(0);
   const message =
--- a/packages/measure/src/matrix/subjects/build_request_subject.ts
+++ b/packages/measure/src/matrix/subjects/build_request_subject.ts
@@ -59,9 +59,11 @@
   return {
     name: isIdempotent ? "request" : "non-idempotent request",
     chart: "work",
-    runningSteps: ["running", "answering"],
-    isFulfilled: ({ world }) =>
-      world.ledger.findCall(PROBE)?.end?.kind === "answered",
+    owed: {
+      steps: ["running", "answering"],
+      isFulfilled: ({ world }) =>
+        world.ledger.findCall(PROBE)?.end?.kind === "answered",
+    },
     scenarios,
     readStep: (fleet) => findWork(fleet)?.phase ?? readEnd(fleet),
     locate: (fleet) => {
--- a/packages/measure/src/matrix/types.ts
+++ b/packages/measure/src/matrix/types.ts
@@ -30,13 +30,14 @@
   /** Chart whose states are the steps. */
   readonly chart: string;
   readonly scenarios: readonly Scenario[];
-  /** Steps from which a sparing fault leads to a good end. */
-  readonly runningSteps: readonly string[];
+  /** A good end that sparing faults must leave it, from these steps on. */
+  readonly owed?: {
+    readonly steps: readonly string[];
+    readonly isFulfilled: (fleet: SoakFleet) => boolean;
+  };
   /** The step it is at, or undefined while it does not exist. */
   readonly readStep: (fleet: SoakFleet) => string | undefined;
   readonly locate: (fleet: SoakFleet) => Place;
-  /** Whether it ended well; asked where every fault is a sparing one. */
-  readonly isFulfilled: (fleet: SoakFleet) => boolean;
   /** What must hold of it once the fleet is at rest; empty when it does. */
   readonly listFaults: (fleet: SoakFleet) => readonly string[];
 };
