Let an ended watch of the stand-in leave its successor alone

Change: a poll that is no longer the current one only ends. Conclusion: a fault of the stand-in, not of the program.

--- a/packages/fakes/src/world/config_feed.ts
+++ b/packages/fakes/src/world/config_feed.ts
@@ -87,8 +87,8 @@
   }
 
   #watch(node: WorldNode, count: number): void {
-    if (!node.isAlive || this.#watches.get(node) !== count) {
-      this.#watches.delete(node);
+    const isCurrent = this.#watches.get(node) === count;
+    if (!node.isAlive || !isCurrent) {
       return;
     }
     const isReached = this.#isReached(node);
