--- a/packages/measure/src/matrix/list_steps.ts
+++ b/packages/measure/src/matrix/list_steps.ts
@@ -1,7 +1,7 @@
 import { listCells } from "./list_cells.ts";
 import { MATRIX_FAULTS } from "./matrix_faults.ts";
 import { runCell } from "./run_cell.ts";
-import type { CellVerdict } from "./types.ts";
+import type { Cell, CellVerdict } from "./types.ts";
 
 /** One step of a subject, with all faults that strike there. */
 export type MatrixStep = {
@@ -29,7 +29,13 @@
         .map((cell) => ({
           fault: cell.faults.map((fault) => fault.name).join(" + "),
           verdict: runCell(cell),
+          expected: nameExpected(cell),
         }))
-        .filter(({ verdict }) => verdict.kind !== "held"),
+        .filter(({ verdict, expected }) => verdict.kind !== expected),
   }));
 }
+
+/** A step that a subject never takes must stay out of its reach. */
+function nameExpected({ subject, step }: Cell): CellVerdict["kind"] {
+  return subject.absentSteps?.includes(step) === true ? "unreached" : "held";
+}
--- a/packages/measure/src/matrix/subjects/build_request_subject.ts
+++ b/packages/measure/src/matrix/subjects/build_request_subject.ts
@@ -59,6 +59,8 @@
   return {
     name: isIdempotent ? "request" : "non-idempotent request",
     chart: "work",
+    // Only a non-idempotent request claims its key.
+    absentSteps: isIdempotent ? ["claiming"] : [],
     owed: {
       steps: ["running", "answering"],
       isFulfilled: ({ world }) =>
--- a/packages/measure/src/matrix/types.ts
+++ b/packages/measure/src/matrix/types.ts
@@ -30,6 +30,8 @@
   /** Chart whose states are the steps. */
   readonly chart: string;
   readonly scenarios: readonly Scenario[];
+  /** Steps of the chart that this subject never takes. */
+  readonly absentSteps?: readonly string[];
   /** A good end that sparing faults must leave it, from these steps on. */
   readonly owed?: {
     readonly steps: readonly string[];
