Hand segments back where a data centre is taken out

Change: an owner whose data centre is out hands its segments back, claims none, and one whose data centre has no upstream in service uses others' spare slots.

--- a/packages/core/src/jobs/choose_spare.ts
+++ b/packages/core/src/jobs/choose_spare.ts
@@ -20,15 +20,18 @@
 
 /**
  * Chooses upstreams for a batch item: the least loaded ones of the own data
- * centre, while more slots are free than the online reserve.
+ * centre, or of others while the own one has none in service, as long as more
+ * slots are free than the online reserve.
  */
 export function chooseSpare(
   state: InstanceState,
   service: string,
   nowMs: number,
 ): SpareUpstreams {
+  const isHomeServing = hasServingUpstream(state, service);
   const open = listOpen(state, service, nowMs).filter(
-    ({ upstream }) => upstream.dataCentre === state.self.dataCentre,
+    ({ upstream }) =>
+      !isHomeServing || upstream.dataCentre === state.self.dataCentre,
   );
   const free = open.reduce(
     (sum, { upstream, slots }) => sum + Math.max(0, slots - upstream.inFlight),
@@ -54,6 +57,18 @@
   };
 }
 
+function hasServingUpstream(
+  { upstreams, self }: InstanceState,
+  service: string,
+): boolean {
+  return Object.values(upstreams).some(
+    (upstream) =>
+      upstream.service === service &&
+      upstream.dataCentre === self.dataCentre &&
+      !upstream.isLeaving,
+  );
+}
+
 function canHoldFixed({ upstream, slots }: OpenUpstream): boolean {
   const fixed = upstream.batchInFlight - upstream.batchRuns.length;
   return slots > 1 && fixed < Math.max(1, Math.floor(slots * FIXED_PART));
--- a/packages/core/src/jobs/drive_segment.ts
+++ b/packages/core/src/jobs/drive_segment.ts
@@ -3,6 +3,7 @@
 import { addToRanges } from "./add_to_ranges.ts";
 import { advanceSegment } from "./advance_segment.ts";
 import { JOBS } from "./constants.ts";
+import { isHomeOut } from "./is_home_out.ts";
 import { ITEM_STATES } from "./item_states.ts";
 import { nameSegment } from "./name_segment.ts";
 import { readSegment } from "./read_segment.ts";
@@ -39,7 +40,8 @@
       return readSegment(at, now, atMs);
     }
     const isIdempotent = job?.record.spec.isIdempotent ?? true;
-    const intended = isIdempotent || at.isStopping ? now : noteIntents(now);
+    const isLeaving = at.isStopping || isHomeOut(at);
+    const intended = isIdempotent || isLeaving ? now : noteIntents(now);
     return isWriteDue(intended, atMs)
       ? writeSegment(at, intended, atMs)
       : { state: at, effects: [] };
@@ -57,7 +59,7 @@
   if (job.isCancelled && (isOwned || phase === "releasing")) {
     return releaseSegment(state, segment, "CLOSE");
   }
-  if (state.isStopping && isOwned) {
+  if ((state.isStopping || isHomeOut(state)) && isOwned) {
     return releaseSegment(state, segment, "HAND_BACK");
   }
   const isLapsed = nowMs - segment.confirmedMs >= JOBS.LAPSE_MS;
