Move many items of a segment in one copy, and give up on a silent disk sooner

Cause: taking over a segment copied its items once for each done item; a result waited 30 s for a peer's disk that stayed silent. Change: one copy for all items of a step; 3 s for results, 30 s for files.

--- a/packages/core/src/jobs/adopt_segment.ts
+++ b/packages/core/src/jobs/adopt_segment.ts
@@ -1,13 +1,13 @@
 import { chainStep } from "../instance/chain_step.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
 import { checkInvariant } from "../invariants/check_invariant.ts";
+import { advanceItems } from "./advance_items.ts";
 import { advanceSegment } from "./advance_segment.ts";
 import { countOffsets } from "./count_offsets.ts";
 import { dropSegment } from "./drop_segment.ts";
 import { ITEM_STATES } from "./item_states.ts";
 import { listOffsets } from "./list_offsets.ts";
 import { listSegments } from "./list_segments.ts";
-import { setItem } from "./set_item.ts";
 import { setSegment } from "./set_segment.ts";
 import { startSegment } from "./start_segment.ts";
 import type { Segment, SegmentRecord } from "./types.ts";
@@ -84,15 +84,6 @@
     : known;
 }
 
-function advanceItems(
-  segment: Segment,
-  offsets: readonly number[],
-  { from, event }: { readonly from: number; readonly event: string },
-): Segment {
-  const due = offsets.filter((offset) => segment.items[offset] === from);
-  return due.reduce((at, offset) => setItem(at, offset, event), segment);
-}
-
 function checkParts(segment: Segment, { parts }: SegmentRecord): void {
   const offsets = parts.flatMap(({ done }) => listOffsets(done));
   checkInvariant(
--- /dev/null
+++ b/packages/core/src/jobs/advance_items.ts
@@ -0,0 +1,19 @@
+import { advanceItem } from "./advance_item.ts";
+import type { Segment } from "./types.ts";
+
+/** Moves those of many items that are in state `from`, in one copy. */
+export function advanceItems(
+  segment: Segment,
+  offsets: readonly number[],
+  { from, event }: { readonly from: number; readonly event: string },
+): Segment {
+  const due = new Set(offsets);
+  const items = segment.items.map((item, offset) =>
+    item === from && due.has(offset) ? advanceItem(item, event) : item,
+  );
+  const first = offsets.reduce(
+    (least, offset) => Math.min(least, offset),
+    segment.cursor,
+  );
+  return { ...segment, items, cursor: first };
+}
--- a/packages/core/src/jobs/start_segment.ts
+++ b/packages/core/src/jobs/start_segment.ts
@@ -1,5 +1,6 @@
 import { chainAll } from "../instance/chain_all.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
+import { advanceItems } from "./advance_items.ts";
 import { advanceSegment } from "./advance_segment.ts";
 import { ITEM_STATES } from "./item_states.ts";
 import { listOffsets } from "./list_offsets.ts";
@@ -25,10 +26,11 @@
   record: SegmentRecord,
 ): Step {
   const done = record.parts.flatMap((part) => listOffsets(part.done));
-  const adopted = done.reduce(
-    (at, offset) => setItem(at, offset, "ADOPT"),
-    advanceSegment(segment, "CLAIMED"),
-  );
+  const claimed = advanceSegment(segment, "CLAIMED");
+  const adopted = advanceItems(claimed, done, {
+    from: ITEM_STATES.PENDING,
+    event: "ADOPT",
+  });
   const doubtful = listOffsets(record.intents).filter(
     (offset) => adopted.items[offset] === ITEM_STATES.PENDING,
   );
--- a/packages/daemon/src/jobs/result_writer.ts
+++ b/packages/daemon/src/jobs/result_writer.ts
@@ -4,6 +4,7 @@
 
 const GROUP_MS = 250;
 const RETRY_MS = 200;
+const PUT_TIMEOUT_MS = 3_000;
 const NUMBER_DIGITS = 6;
 
 type Entry = {
@@ -86,14 +87,16 @@
       content,
     }: { readonly disks: readonly InstanceId[]; readonly content: Buffer },
   ): Promise<InstanceId | undefined> {
+    const about = {
+      content: () => streamOne(content),
+      limitMs: PUT_TIMEOUT_MS,
+    };
     const failures = await Promise.all(
       disks.map((id) =>
-        this.#blobs
-          .put(id, name, () => streamOne(content))
-          .then(
-            () => undefined,
-            () => id,
-          ),
+        this.#blobs.put(id, name, about).then(
+          () => undefined,
+          () => id,
+        ),
       ),
     );
     return disks.length === 0
--- a/packages/daemon/src/jobs/shared_blobs.ts
+++ b/packages/daemon/src/jobs/shared_blobs.ts
@@ -37,13 +37,20 @@
   async put(
     to: InstanceId,
     name: string,
-    content: () => AsyncIterable<Buffer>,
+    {
+      content,
+      limitMs = PUT_TIMEOUT_MS,
+    }: {
+      readonly content: () => AsyncIterable<Buffer>;
+      /** A peer that takes longer has failed. */
+      readonly limitMs?: number;
+    },
   ): Promise<void> {
     if (to === this.ownId) {
       await this.folder.write(name, content());
       return;
     }
-    await waitAtMost(this.#parts.peers.put(to, name, content()));
+    await waitAtMost(this.#parts.peers.put(to, name, content()), limitMs);
   }
 
   /**
@@ -136,7 +143,7 @@
     try {
       await names.reduce(async (before, name) => {
         await before;
-        await this.put(to, name, () => this.folder.read(name));
+        await this.put(to, name, { content: () => this.folder.read(name) });
       }, Promise.resolve());
       return undefined;
     } catch {
@@ -145,12 +152,15 @@
   }
 }
 
-async function waitAtMost<Value>(work: Promise<Value>): Promise<Value> {
+async function waitAtMost<Value>(
+  work: Promise<Value>,
+  limitMs: number,
+): Promise<Value> {
   const control: { timer: NodeJS.Timeout | undefined } = { timer: undefined };
   const late = new Promise<never>((_, reject) => {
     control.timer = setTimeout(
       () => reject(new Error("the peer's disk is silent")),
-      PUT_TIMEOUT_MS,
+      limitMs,
     );
   });
   return Promise.race([work, late]).finally(() => clearTimeout(control.timer));
