Wait for the head in the test of a key withdrawn mid-body

What the second check adds is that such a caller gets the same refusal as for an unknown key, not key_withdrawn.

--- a/packages/measure/src/caller/raw_test.ts
+++ b/packages/measure/src/caller/raw_test.ts
@@ -102,15 +102,18 @@
 
 test("a key withdrawn while a body arrives runs nothing", async () => {
   const own = await startDoor();
-  const head = `${HEAD}\r\ncontent-length: ${JSON_BODY.length}\r\n\r\n`;
-  const { socket, got } = send(head + JSON_BODY.slice(0, 9), own.callerUrl);
+  const size = `content-length: ${JSON_BODY.length}`;
+  const head = `${HEAD}\r\n${size}\r\nexpect: 100-continue\r\n\r\n`;
+  const { socket, got } = send(head, own.callerUrl);
+  await waitUntil(() => got.text.includes("100 Continue"));
   await putConfig(own.store, (document) => dropKeys(document, "demo"));
   await waitUntil(
     async () => (await own.api.get("v1/models")).statusCode === 401,
   );
-  socket.write(JSON_BODY.slice(9));
-  await waitUntil(() => got.text.includes("\r\n\r\n"));
-  expect(got.text).toMatch(/^HTTP\/1.1 401 /);
+  socket.write(JSON_BODY);
+  await waitUntil(() => /HTTP\/1.1 [2-5]/.test(got.text));
+  expect(got.text).toContain("HTTP/1.1 401 ");
+  expect(got.text).toContain("invalid_key");
   expect(own.engines[0]?.runs).toEqual([]);
   await own.stop();
 });
