Ramp upstreams up before the relay is loaded

Short requests end before the long streams begin, so that a system whose fresh upstreams start from one request has let the load in.

--- a/packages/measure/src/measures/relay_overhead.ts
+++ b/packages/measure/src/measures/relay_overhead.ts
@@ -10,6 +10,7 @@
 const STREAMS = 850;
 const REQUESTS_PER_SECOND = 29;
 const DURATION_MS = 3_000;
+const RAMP_REQUESTS = 3_000;
 const WARM_UP_MS = 1_500;
 const FULL_LOAD = {
   streams: STREAMS,
@@ -93,6 +94,7 @@
     ...FULL_LOAD,
     targetUrl: target.url,
     durationMs: WARM_UP_MS,
+    rampRequests: RAMP_REQUESTS,
     seed,
   });
   const once = await measurePaced(thread, target, { seed, times: 1 });
--- a/packages/measure/src/relay/load_run.ts
+++ b/packages/measure/src/relay/load_run.ts
@@ -9,6 +9,7 @@
 const MS_PER_SECOND = 1_000;
 const OPEN_AT_ONCE = 20;
 const MAX_PENDING = 100;
+const RAMP_PENDING = 20;
 const OPEN_GAP_MS = 10;
 const SETTLE_MS = 300;
 const TICK_MS = 1;
@@ -34,6 +35,7 @@
   #sent = 0;
   #delivered = 0;
   #shortCount = 0;
+  #endedCount = 0;
   #refusal: string | undefined;
 
   constructor(order: LoadOrder, engines: readonly TokenEngine[]) {
@@ -42,6 +44,7 @@
   }
 
   async run(onBegun: () => void): Promise<LoadResult> {
+    await this.#rampUp();
     await this.#openAll();
     const timers = this.#startPacing();
     await wait(SETTLE_MS);
@@ -168,6 +171,18 @@
     }
   }
 
+  async #rampUp(): Promise<void> {
+    const { rampRequests = 0 } = this.#order;
+    while (this.#endedCount < rampRequests && this.#refusal === undefined) {
+      const pending = this.#shortCount - this.#endedCount;
+      Array.from({ length: RAMP_PENDING - pending }).forEach(() => {
+        this.#openShort();
+      });
+      await wait(TICK_MS);
+    }
+    this.#firstTokenUs.reset();
+  }
+
   #openShort(): void {
     this.#shortCount += 1;
     const startedMs = performance.now();
@@ -178,6 +193,7 @@
       onTokens: () => {
         const tookUs = (performance.now() - startedMs) * US_PER_MS;
         this.#firstTokenUs.recordValue(Math.round(tookUs));
+        this.#endedCount += 1;
         socket.end();
       },
     });
--- a/packages/measure/src/relay/types.ts
+++ b/packages/measure/src/relay/types.ts
@@ -11,6 +11,8 @@
   /** Further requests of one token, a second. */
   readonly requestsPerSecond: number;
   readonly durationMs: number;
+  /** Requests of one token before all else, which ramp the upstreams up. */
+  readonly rampRequests?: number;
   readonly seed: number;
 };
 
