Test silence on a pooled connection from end to end

A proxy forgets its open connections while new ones work: two streams are answered whole within one timeout of the first token, and the upstream stays in use.

--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -8,6 +8,8 @@
 export { startStore } from "./platform/start_store.ts";
 export { StoreState } from "./platform/store_state.ts";
 export type * from "./platform/types.ts";
+export { startProxy } from "./proxy/start_proxy.ts";
+export type * from "./proxy/types.ts";
 export { startService } from "./service/start_service.ts";
 export type * from "./service/types.ts";
 export { EventQueue } from "./world/event_queue.ts";
--- /dev/null
+++ b/packages/fakes/src/proxy/start_proxy.ts
@@ -0,0 +1,38 @@
+import { connect, createServer, type Socket } from "node:net";
+import type { FakeProxy } from "./types.ts";
+
+/** Starts a proxy on loopback that passes bytes to the server at `url`. */
+export async function startProxy(url: string): Promise<FakeProxy> {
+  const target = new URL(url);
+  const sockets: Socket[] = [];
+  const server = createServer((near) => {
+    const far = connect(Number(target.port), target.hostname);
+    sockets.push(near, far);
+    [near, far].forEach((socket) => {
+      socket.on("error", () => undefined);
+    });
+    near.pipe(far);
+    far.pipe(near);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as { port: number };
+  return {
+    url: `http://127.0.0.1:${port}`,
+    countOpened: () => sockets.length / 2,
+    freeze: () => {
+      sockets.forEach((socket) => {
+        socket.unpipe();
+        socket.pause();
+      });
+    },
+    close: () =>
+      new Promise((resolve) => {
+        sockets.forEach((socket) => {
+          socket.destroy();
+        });
+        server.close(() => resolve());
+      }),
+  };
+}
--- /dev/null
+++ b/packages/measure/src/caller/silence_test.ts
@@ -0,0 +1,31 @@
+import { type FakeProxy, startEngine, startProxy } from "@gooseberryline/fakes";
+import { expect, test } from "vitest";
+import { startSystem } from "../support/start_system.ts";
+
+const json = { model: "demo-model", messages: [], stream: true };
+
+test("silence on a pooled connection costs one timeout", async () => {
+  const engine = await startEngine({ tokenMs: 1 });
+  const proxy: FakeProxy = await startProxy(engine.url);
+  const upstream = { service: "demo-model", dataCentre: "a", url: proxy.url };
+  const system = await startSystem({
+    engines: 0,
+    changeConfig: (document) => ({
+      ...document,
+      upstreams: { far: { ...upstream, maxConcurrency: 8 } },
+    }),
+  });
+  const ask = () => system.api.post("v1/chat/completions", { json });
+  await Promise.all([ask(), ask()]);
+  const opened = proxy.countOpened();
+  proxy.freeze();
+  const answers = await Promise.all([ask(), ask()]);
+  answers.forEach(({ body }) => {
+    expect(body).toContain("data: [DONE]");
+  });
+  expect((await ask()).body).toContain("data: [DONE]");
+  expect(proxy.countOpened()).toBeGreaterThan(opened);
+  await system.stop();
+  await proxy.close();
+  await engine.close();
+});
