Read a slow store's configuration, and pass over one's own name

Cause: a watch gave up after 3 s, so a store that answers later was never read; a second process under the same name was taken up as a peer. Change: after a failed round the next watch waits 8 s; heartbeats under the own name are passed over.

--- a/packages/core/src/membership/note_heartbeat.ts
+++ b/packages/core/src/membership/note_heartbeat.ts
@@ -4,7 +4,10 @@
 import { setEntry } from "../shared/set_entry.ts";
 import type { Heartbeat, Member } from "./types.ts";
 
-/** Notes what a peer says of itself. */
+/**
+ * Notes what a peer says of itself. Another process under the own name is
+ * no peer.
+ */
 export function noteHeartbeat(
   state: InstanceState,
   from: InstanceId,
@@ -16,6 +19,9 @@
     readonly nowMs: number;
   },
 ): Step {
+  if (from === state.self.instanceId) {
+    return { state, effects: [] };
+  }
   const { kind: _kind, ...about } = heartbeat;
   const member: Member = { instanceId: from, heardMs: nowMs, ...about };
   const members = setEntry(state.membership.members, from, member);
--- a/packages/daemon/src/config/config_watch.ts
+++ b/packages/daemon/src/config/config_watch.ts
@@ -7,6 +7,8 @@
 /** A key that nothing writes; reading it shows that the service answers. */
 const PROBE_KEY = "config/probe";
 const WATCH_MS = 3_000;
+/** Wait of a watch after a failed round: the service may only be slow. */
+const SLOW_WATCH_MS = 8_000;
 const RETRY_MS = 500;
 
 /** What the watch needs of the rest of the daemon. */
@@ -27,6 +29,7 @@
   readonly #parts: WatchParts;
   #round = 0;
   #seen = 0;
+  #waitMs = WATCH_MS;
 
   constructor(parts: WatchParts) {
     this.#parts = parts;
@@ -50,6 +53,7 @@
         return;
       }
       this.#parts.report(isReached);
+      this.#waitMs = isReached ? WATCH_MS : SLOW_WATCH_MS;
       if (!isReached) {
         await wait(RETRY_MS);
       }
@@ -59,7 +63,7 @@
   async #watchOnce(): Promise<boolean> {
     const { platform } = this.#parts;
     try {
-      const answer = await platform.watch(CONFIG_KEY, this.#seen, WATCH_MS);
+      const answer = await platform.watch(CONFIG_KEY, this.#seen, this.#waitMs);
       if (answer === undefined) {
         return this.#probe();
       }
--- a/packages/measure/src/world/world_test.ts
+++ b/packages/measure/src/world/world_test.ts
@@ -94,3 +94,18 @@
   expect(knows("b-1")).toBe(false);
   expect(knows("a-1")).toBe(true);
 });
+
+test("another process under the own name is no peer", () => {
+  const world = createWorld(3);
+  world.runFor(1_000);
+  const id = "a-0" as InstanceId;
+  const from = world.stateOf("a-1" as InstanceId);
+  const message = from?.membership.members[id];
+  if (message === undefined) {
+    throw new Error("a-1 has not heard of a-0");
+  }
+  const { instanceId: _id, heardMs: _heard, ...about } = message;
+  const heartbeat = { kind: "heartbeat", ...about, incarnation: "x" } as const;
+  world.post(id, { kind: "peer-message", from: id, message: heartbeat });
+  expect(world.stateOf(id)?.membership.members).not.toHaveProperty(id);
+});
