--- a/packages/core/src/jobs/seek_segments.ts
+++ b/packages/core/src/jobs/seek_segments.ts
@@ -1,7 +1,6 @@
 import type { InstanceState, Step } from "../instance/types.ts";
 import { chooseDisks } from "./choose_disks.ts";
 import { JOBS } from "./constants.ts";
-import { isHomeOut } from "./is_home_out.ts";
 import { listSegments } from "./list_segments.ts";
 import { shouldClaim } from "./should_claim.ts";
 import type { Job } from "./types.ts";
@@ -9,8 +8,7 @@
 /** Looks for a segment to claim, or a job to end, when one is due. */
 export function seekSegments(state: InstanceState, nowMs: number): Step {
   const { isSeeking, nextSeekMs } = state.jobs;
-  const isLeaving = state.isStopping || isHomeOut(state);
-  if (isSeeking || nowMs < nextSeekMs || isLeaving) {
+  if (isSeeking || nowMs < nextSeekMs || state.isStopping) {
     return { state, effects: [] };
   }
   const job = chooseJob(state, nowMs);
--- a/packages/core/src/jobs/should_claim.ts
+++ b/packages/core/src/jobs/should_claim.ts
@@ -1,8 +1,9 @@
 import type { InstanceState } from "../instance/types.ts";
 import { JOBS } from "./constants.ts";
+import { isHomeOut } from "./is_home_out.ts";
 import { ITEM_STATES } from "./item_states.ts";
 
-/** Whether this instance has too few items left to start. */
+/** Whether this instance may own more and has few items left to start. */
 export function shouldClaim(state: InstanceState): boolean {
   const owned = Object.values(state.jobs.owned);
   const startable = owned.reduce(
@@ -10,5 +11,9 @@
       sum + items.filter((item) => item <= ITEM_STATES.READY).length,
     0,
   );
-  return owned.length < JOBS.MAX_OWNED && startable < JOBS.LOW_ITEMS;
+  return (
+    !isHomeOut(state) &&
+    owned.length < JOBS.MAX_OWNED &&
+    startable < JOBS.LOW_ITEMS
+  );
 }
