Keep tests of real daemons apart from the heavy virtual runs

Cause: fleet_batch_test failed in three complete runs and passed alone each time: ten workers of virtual-time runs beside it starve daemons whose heartbeats and leases keep time.

Change: two groups, one after the other; real-time tests first, three at a time. No check or bound is changed but the runner's own time limit.

--- a/packages/measure/src/matrix/subjects/build_request_subject.ts
+++ b/packages/measure/src/matrix/subjects/build_request_subject.ts
@@ -5,6 +5,7 @@
   type WorkId,
   type WorkOrder,
 } from "@gooseberryline/core";
+import { abandonCall } from "../../soak/abandon_call.ts";
 import type { SoakFleet } from "../../soak/soak_fleet.ts";
 import { buildOrder } from "../../world/build_order.ts";
 import { driveArrivals } from "../../world/drive_arrivals.ts";
@@ -52,7 +53,9 @@
       name: "abandoned",
       start: (fleet) => {
         send(fleet);
-        fleet.world.queue.schedule(SHORT_MS, () => fleet.abandon(HOME, PROBE));
+        fleet.world.queue.schedule(SHORT_MS, () =>
+          abandonCall(fleet.world, HOME, PROBE),
+        );
       },
     },
   ];
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,6 +3,14 @@
 
 const PACKAGES = ["core", "protocol", "fakes", "daemon", "cli", "measure"];
 
+/** Tests of real sockets, files and timers. */
+const REAL_TIME = [
+  "packages/daemon/src/**/*_test.ts",
+  "packages/protocol/src/**/*_test.ts",
+  "packages/measure/src/{admin,caller,demo,system}/**/*_test.ts",
+  "packages/measure/src/jobs/fleet_*_test.ts",
+];
+
 /** Tests run against the sources, so that no stale build can pass. */
 const alias = Object.fromEntries(
   PACKAGES.map((name) => [
@@ -14,9 +22,30 @@
 export default defineConfig({
   resolve: { alias },
   test: {
-    include: ["packages/*/src/**/*_test.ts"],
-    testTimeout: 60_000,
+    testTimeout: 120_000,
     // Its modules import folders, which only a bundler resolves.
     server: { deps: { inline: ["clipanion"] } },
+    // Daemons keep time, so nothing heavy may run beside their tests.
+    projects: [
+      {
+        extends: true,
+        test: {
+          name: "real-time",
+          include: REAL_TIME,
+          maxWorkers: 3,
+          sequence: { groupOrder: 0 },
+        },
+      },
+      {
+        extends: true,
+        test: {
+          name: "virtual-time",
+          include: ["packages/*/src/**/*_test.ts"],
+          exclude: REAL_TIME,
+          maxWorkers: 8,
+          sequence: { groupOrder: 1 },
+        },
+      },
+    ],
   },
 });
