Give an instance that never heard of anyone no share

Cause: an instance that had heard neither of the platform nor of a peer gave every customer the whole rate and burst, a remainder of the time before the daemon carried out platform calls.

Change: the special case is gone; such an instance admits nothing until it holds a share or a loan. A test starts two that are cut off.

--- a/packages/core/src/limits/build_limits.ts
+++ b/packages/core/src/limits/build_limits.ts
@@ -1,5 +1,4 @@
 import type { InstanceState } from "../instance/types.ts";
-import { isAlone } from "../membership/is_alone.ts";
 import { applyShares } from "../shares/apply_shares.ts";
 import { nameGroup } from "../shares/name_group.ts";
 
@@ -14,7 +13,7 @@
   const customers = Object.keys(state.config?.document.customers ?? {});
   const rebuilt = applyShares({ ...state, limits: {} }, customers, {
     before: state.limits,
-    isFresh: isAlone(state),
+    isFresh: false,
     nowMs,
   });
   const { shares } = rebuilt;
--- a/packages/core/src/membership/can_spend.ts
+++ b/packages/core/src/membership/can_spend.ts
@@ -1,5 +1,4 @@
 import type { InstanceState } from "../instance/types.ts";
-import { isAlone } from "./is_alone.ts";
 import { isInTouch } from "./is_in_touch.ts";
 import { MEMBERSHIP_TIMES } from "./membership_times.ts";
 
@@ -11,5 +10,5 @@
   const { provenMs, resumedMs, standing } = state.membership;
   const sinceMs = Math.max(nowMs - MEMBERSHIP_TIMES.FENCE_MS, resumedMs);
   const isProven = standing === "current" && provenMs >= sinceMs;
-  return isProven || isInTouch(state, nowMs) || isAlone(state);
+  return isProven || isInTouch(state, nowMs);
 }
--- a/packages/core/src/shares/find_share.ts
+++ b/packages/core/src/shares/find_share.ts
@@ -1,10 +1,8 @@
 import type { InstanceState } from "../instance/types.ts";
 import type { Share } from "../limits/types.ts";
-import { isAlone } from "../membership/is_alone.ts";
 import { nameGroup } from "./name_group.ts";
 
 const NO_SHARE: Share = { rate: 0, burst: 0 };
-const WHOLE_SHARE: Share = { rate: 1, burst: 1 };
 
 /**
  * Finds the part of a customer's limit that this incarnation holds: what its
@@ -14,9 +12,6 @@
   const groupId = nameGroup(customer);
   const group = state.shares.groups[groupId];
   const entry = group?.record.limits[customer]?.[state.self.instanceId];
-  if (isAlone(state)) {
-    return WHOLE_SHARE;
-  }
   const { number } = state.membership;
   if (group === undefined || entry === undefined || entry.number !== number) {
     return NO_SHARE;
--- a/packages/measure/src/limits/shares_test.ts
+++ b/packages/measure/src/limits/shares_test.ts
@@ -95,3 +95,33 @@
   world.runFor(20_000);
   expectWithin(world);
 });
+
+test("an instance that never heard of anyone admits nothing", () => {
+  const world = new World({
+    seed: 5,
+    document: buildWorldConfig({
+      dataCentres: ["a"],
+      upstreamsEach: 8,
+      customers: ["c1"],
+      ...TERMS,
+    }),
+    instances: { a: 2 },
+    disks: ["a-0", "a-1"],
+  });
+  world.runFor(1_000);
+  world.network.cut("a-0", "a-1");
+  world.network.cut("a", "platform");
+  world.instanceIds.forEach((id) => {
+    world.kill(id);
+    world.start(id, "a" as DataCentreId);
+  });
+  driveArrivals(world, {
+    seed: 5,
+    customer: "c1",
+    rate: 100,
+    untilMs: 20_000,
+  });
+  world.runFor(30_000);
+  expect(world.ledger.calls.length).toBeGreaterThan(500);
+  expect(world.ledger.admissions).toEqual([]);
+});
