Word the configuration's refusals in one place

Cause: the refusals of an invalid document and of a write without an answer stood in add_config_routes.ts and again in change_config.ts. Change: AdminRefusal makes both. No behaviour changes; the administration tests pass as they are.

--- a/packages/daemon/src/admin/add_config_routes.ts
+++ b/packages/daemon/src/admin/add_config_routes.ts
@@ -26,12 +26,7 @@
     const expect = readExpected(ctx);
     const checked = checkConfig(await readJson(ctx));
     if (checked.kind === "invalid") {
-      throw new AdminRefusal(
-        400,
-        "invalid_config",
-        `${checked.faults.length} faults in the configuration`,
-        { faults: checked.faults },
-      );
+      throw AdminRefusal.invalidConfig(checked.faults);
     }
     const write = await store.write(checked.document, expect);
     switch (write.kind) {
@@ -47,12 +42,7 @@
           { revision: write.revision },
         );
       case "unknown":
-        throw new AdminRefusal(
-          503,
-          "store_unavailable",
-          "the store did not answer; the change may have been made",
-          { run: "may have run" },
-        );
+        throw AdminRefusal.unknownWrite();
     }
   });
 }
--- a/packages/daemon/src/admin/change_config.ts
+++ b/packages/daemon/src/admin/change_config.ts
@@ -26,24 +26,14 @@
       }
       throw new AdminRefusal(409, "lost_race", "other changes came first");
     case "unknown":
-      throw new AdminRefusal(
-        503,
-        "store_unavailable",
-        "the store did not answer; the change may have been made",
-        { run: "may have run" },
-      );
+      throw AdminRefusal.unknownWrite();
   }
 }
 
 function requireValid(input: unknown): ConfigDocument {
   const checked = checkConfig(input);
   if (checked.kind === "invalid") {
-    throw new AdminRefusal(
-      400,
-      "invalid_config",
-      `${checked.faults.length} faults in the configuration`,
-      { faults: checked.faults },
-    );
+    throw AdminRefusal.invalidConfig(checked.faults);
   }
   return checked.document;
 }
