--- /dev/null
+++ b/packages/core/src/batches/batch_keys.ts
@@ -0,0 +1,22 @@
+/** Digits of an index in a key, so that keys sort like indexes. */
+const INDEX_DIGITS = 4;
+const ROOT = "jobs";
+
+function nameIndex(index: number): string {
+  return String(index).padStart(INDEX_DIGITS, "0");
+}
+
+/** Names the records of a job in the metadata store. */
+export const batchKeys = {
+  jobPrefix: `${ROOT}/job/`,
+  claimPrefix: `${ROOT}/claim/`,
+  job: (id: string) => `${ROOT}/job/${id}`,
+  claim: (id: string) => `${ROOT}/claim/${id}`,
+  progress: (id: string) => `${ROOT}/progress/${id}`,
+  items: (id: string) => `${ROOT}/items/${id}/`,
+  chunk: (id: string, index: number) =>
+    `${ROOT}/items/${id}/${nameIndex(index)}`,
+  results: (id: string) => `${ROOT}/results/${id}/`,
+  result: (id: string, position: number) =>
+    `${ROOT}/results/${id}/${nameIndex(position)}`,
+} as const;
--- /dev/null
+++ b/packages/core/src/batches/constants.ts
@@ -0,0 +1,16 @@
+/** Figures of batch jobs. */
+export const BATCHES = {
+  MAX_ITEMS: 200,
+  /** Bytes of one chunk of items: well below the store's value limit. */
+  CHUNK_BYTES: 600_000,
+  /** Entries of one commit that the store takes. */
+  MAX_COMMIT_ENTRIES: 32,
+  /** Bytes of results in one answer. */
+  MAX_READ_BYTES: 1_000_000,
+  /** Wait before the next instance in rank claims an unowned job, in ms. */
+  CLAIM_STEP_MS: 600,
+  /** An unlisted owner may register again within this time, in ms. */
+  OWNER_GRACE_MS: 1_200,
+  /** Finished jobs are removed this long after submission, in ms. */
+  KEEP_MS: 600_000,
+} as const;
--- /dev/null
+++ b/packages/core/src/batches/decide_item_step.ts
@@ -0,0 +1,36 @@
+/** How a run of an item ended. */
+export type ItemRunEnd =
+  | { readonly kind: "completed" }
+  /** The upstream answered with a status and no result. */
+  | { readonly kind: "status"; readonly status: number }
+  /** Broken off, declined, or taken back for online work. */
+  | { readonly kind: "interrupted" };
+
+export type ItemStep =
+  | { readonly kind: "list-completed" }
+  | { readonly kind: "list-errored"; readonly reason: string }
+  | { readonly kind: "run-again"; readonly failures: number };
+
+const UNPROCESSABLE = 422;
+const SERVER_ERROR = 500;
+
+/** Decides whether an item is done, can't be done, or runs again. */
+export function decideItemStep(
+  end: ItemRunEnd,
+  failures: number,
+  maxAttempts: number,
+): ItemStep {
+  if (end.kind === "completed") {
+    return { kind: "list-completed" };
+  }
+  if (end.kind === "interrupted") {
+    return { kind: "run-again", failures };
+  }
+  if (end.status === UNPROCESSABLE) {
+    return { kind: "list-errored", reason: "it can't be processed" };
+  }
+  const counted = failures + (end.status === SERVER_ERROR ? 1 : 0);
+  return counted >= maxAttempts
+    ? { kind: "list-errored", reason: `it failed ${counted} times` }
+    : { kind: "run-again", failures: counted };
+}
--- /dev/null
+++ b/packages/core/src/batches/types.ts
@@ -0,0 +1,57 @@
+/** Jobs whose items run later, as they stand in the metadata store. */
+
+/** One item as its caller sent it. */
+export type BatchItem = {
+  readonly id: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  /** Base64. */
+  readonly body: string;
+  /** Prompt and output tokens together. */
+  readonly tokens: number;
+};
+
+/** What never changes of a job. */
+export type BatchJob = {
+  readonly id: string;
+  readonly customer: string;
+  readonly host: string;
+  readonly prefix: string;
+  /** Unix ms. */
+  readonly submittedAtMs: number;
+  readonly dueMs: number;
+  readonly retentionMs: number;
+  readonly maxAttempts: number;
+  readonly itemIds: readonly string[];
+  /** Index of the first item of each stored chunk. */
+  readonly chunkStarts: readonly number[];
+};
+
+/** Who runs an open job; the record's revision fences its writes. */
+export type BatchClaim = {
+  /** Empty until an instance has claimed it. */
+  readonly owner: string;
+  readonly incarnation: string;
+  /** Unix ms. */
+  readonly dueAtMs: number;
+};
+
+export const ITEM_RESULTS = {
+  completed: "completed",
+  errored: "errored",
+} as const;
+
+export type ItemResultState = (typeof ITEM_RESULTS)[keyof typeof ITEM_RESULTS];
+
+export type BatchResult = {
+  readonly id: string;
+  readonly state: ItemResultState;
+  readonly text: string;
+};
+
+/** Which items are listed, in the order of their positions. */
+export type BatchProgress = {
+  readonly listed: readonly number[];
+  /** Tells a writer whose answer was lost that the write was its own. */
+  readonly writer: string;
+};
--- /dev/null
+++ b/packages/core/src/fleet/types.ts
@@ -0,0 +1,39 @@
+/** Instances of the fleet, as they register and as they talk. */
+import type { OpenWork } from "../placing/types.ts";
+
+export const DUTIES = { serve: "serve", run: "run" } as const;
+
+/** `serve`: takes callers' requests. `run`: runs the items of jobs. */
+export type Duty = (typeof DUTIES)[keyof typeof DUTIES];
+
+/** One start of an instance, as its record in the store says. */
+export type FleetMember = {
+  readonly id: string;
+  readonly incarnation: string;
+  readonly address: string;
+  readonly port: number;
+  readonly dataCentre: string;
+  readonly duty: Duty;
+};
+
+/** A customer's use, as one instance counts it. */
+export type CustomerUse = {
+  readonly admitted: number;
+  /** The sender's view of the customer's one bucket. */
+  readonly tokens: number;
+};
+
+/** What an instance tells its peers several times a second; may be lost. */
+export type LoadMessage = {
+  readonly from: string;
+  readonly incarnation: string;
+  /** Rises with each message of an incarnation. */
+  readonly sequence: number;
+  /** Work of the sender at each upstream. */
+  readonly open: Readonly<Record<string, OpenWork>>;
+  /** Upstreams that failed the sender lately. */
+  readonly suspects: readonly string[];
+  readonly use: Readonly<Record<string, CustomerUse>>;
+  /** Said once by an instance that stops. */
+  readonly isLeaving: boolean;
+};
--- /dev/null
+++ b/packages/core/src/placing/constants.ts
@@ -0,0 +1,11 @@
+/** Figures of placing. */
+export const PLACING = {
+  /** Requests by which an affine upstream may be fuller than the emptiest. */
+  AFFINITY_SLACK: 2,
+  /** Share of the time to the objective that a queue may use up. */
+  QUEUE_SHARE: 0.5,
+  /** Slots of an upstream that batch work leaves to online arrivals. */
+  BATCH_RESERVE: 2,
+  /** Slow start: a cold upstream counts as this many requests fuller. */
+  COLD_PENALTY: 3,
+} as const;
--- /dev/null
+++ b/packages/core/src/routes/build_route_table.ts
@@ -0,0 +1,21 @@
+import { groupBy } from "../shared/group_by.ts";
+import type { RouteTable, ServingConfig } from "./types.ts";
+
+/** Indexes a configuration for the request path. */
+export function buildRouteTable(config: ServingConfig): RouteTable {
+  const longestFirst = [...config.routes].sort(
+    (a, b) => b.prefix.length - a.prefix.length,
+  );
+  const customersByKey = new Map(
+    config.customers.flatMap((customer) =>
+      customer.keys.map((key) => [key, customer] as const),
+    ),
+  );
+  return {
+    config,
+    routesByHost: groupBy(longestFirst, ({ host }) => host.toLowerCase()),
+    customersByKey,
+    customers: new Map(config.customers.map((entry) => [entry.name, entry])),
+    services: new Map(config.services.map((entry) => [entry.name, entry])),
+  };
+}
--- /dev/null
+++ b/packages/core/src/routes/find_route.ts
@@ -0,0 +1,13 @@
+import type { Route, RouteTable } from "./types.ts";
+
+/** Finds the route of a host with the longest prefix that begins the path. */
+export function findRoute(
+  table: RouteTable,
+  host: string,
+  path: string,
+): Route | undefined {
+  const name = host.toLowerCase().replace(/:\d+$/, "");
+  return table.routesByHost
+    .get(name)
+    ?.find(({ prefix }) => path.startsWith(prefix));
+}
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -4,3 +4,4 @@
 export type * from "./settings/types.ts";
 export type * from "./start/types.ts";
 export { startDaemon } from "./start_daemon.ts";
+export { ConnectionPool } from "./tasks/connection_pool.ts";
--- a/packages/daemon/src/tasks/upstream_pool.ts
+++ b/packages/daemon/src/tasks/upstream_pool.ts
@@ -1,25 +1,13 @@
-import { type ClientRequest, Agent as HttpAgent, request } from "node:http";
-import { Agent as HttpsAgent, request as requestTls } from "node:https";
-import type { Duplex } from "node:stream";
+import { type ClientRequest, request } from "node:http";
+import { request as requestTls } from "node:https";
+import { ConnectionPool } from "./connection_pool.ts";
 import type { AttemptOrder } from "./types.ts";
 
 const IDLE_MS = 4_000;
-const MAX_IDLE_CONNECTIONS = 512;
-const OPTIONS = {
-  keepAlive: true,
-  maxFreeSockets: MAX_IDLE_CONNECTIONS,
-  scheduling: "lifo",
-  timeout: IDLE_MS,
-} as const;
 
-type Agent = HttpAgent | HttpsAgent;
-
-/**
- * Keeps idle connections to upstreams. A connection on which bytes arrive
- * that no attempt asked for is closed, so that no attempt reads them.
- */
+/** Opens requests at upstreams, on kept connections where that is safe. */
 export class UpstreamPool {
-  readonly #agents = new Map<string, Agent>();
+  readonly #connections = new ConnectionPool(IDLE_MS);
 
   /**
    * Opens a request. A call that must not run twice gets a connection of its
@@ -28,7 +16,6 @@
   open(order: AttemptOrder): ClientRequest {
     const { call, upstreamUrl, attemptId } = order;
     const base = new URL(upstreamUrl);
-    const isTls = base.protocol === "https:";
     const options = {
       method: call.method,
       path: `${base.pathname.replace(/\/$/, "")}${call.path}`,
@@ -36,58 +23,23 @@
       port: base.port,
       headers: buildHeaders(order, attemptId),
       agent:
-        call.isIdempotent === false ? false : this.#find(base.origin, isTls),
+        call.isIdempotent === false
+          ? false
+          : this.#connections.find(base.origin),
     };
-    return isTls ? requestTls(options) : request(options);
+    return base.protocol === "https:" ? requestTls(options) : request(options);
   }
 
   /** Closes the idle connections to an upstream. */
   dropIdle(upstreamUrl: string): void {
-    const { origin } = new URL(upstreamUrl);
-    const idle = this.#agents.get(origin)?.freeSockets ?? {};
-    Object.values(idle)
-      .flatMap((sockets) => [...(sockets ?? [])])
-      .forEach((socket) => {
-        socket.destroy();
-      });
+    this.#connections.dropIdle(new URL(upstreamUrl).origin);
   }
 
   stop(): void {
-    this.#agents.forEach((agent) => {
-      agent.destroy();
-    });
-    this.#agents.clear();
-  }
-
-  #find(origin: string, isTls: boolean): Agent {
-    const known = this.#agents.get(origin);
-    if (known !== undefined) {
-      return known;
-    }
-    const agent = isTls ? new HttpsAgent(OPTIONS) : new HttpAgent(OPTIONS);
-    watchIdle(agent);
-    this.#agents.set(origin, agent);
-    return agent;
+    this.#connections.stop();
   }
 }
 
-function watchIdle(agent: Agent): void {
-  const keep = agent.keepSocketAlive.bind(agent);
-  const reuse = agent.reuseSocket.bind(agent);
-  agent.keepSocketAlive = (socket) => {
-    socket.on("data", closeUnasked);
-    return keep(socket);
-  };
-  agent.reuseSocket = (socket, next) => {
-    socket.off("data", closeUnasked);
-    reuse(socket, next);
-  };
-}
-
-function closeUnasked(this: Duplex): void {
-  this.destroy();
-}
-
 function buildHeaders(
   { call }: AttemptOrder,
   attemptId: string,
--- /dev/null
+++ b/packages/gateway/src/fleet/constants.ts
@@ -0,0 +1,23 @@
+/** Figures of what an instance knows of upstreams and peers. */
+export const FLEET = {
+  /** Entries that lapsed while the store was away may return this long, ms. */
+  LAPSE_GRACE_MS: 2_500,
+  /** A peer's load older than this says nothing of the present, in ms. */
+  LOAD_AGE_MS: 1_500,
+  /** First time that a failing upstream is avoided, in ms; doubles. */
+  SUSPECT_MS: 400,
+  MAX_SUSPECT_MS: 3_000,
+  /** A peer's suspicion counts this long, in ms. */
+  PEER_SUSPECT_MS: 400,
+  /** Weight of one request in the mean time that a slot is held. */
+  MEAN_WEIGHT: 0.05,
+  /** Mean time that a slot is held before any request has ended, in ms. */
+  FIRST_MEAN_MS: 700,
+  /** Lifetime of an instance's record without renewal, in ms. */
+  LEASE_MS: 3_000,
+  KEEP_MS: 1_000,
+  /** Load messages to each peer are this far apart, in ms. */
+  GOSSIP_MS: 100,
+  /** Time per peer that the pace of load messages allows, in ms. */
+  GOSSIP_PEER_MS: 8,
+} as const;
--- /dev/null
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -0,0 +1,112 @@
+import {
+  buildRouteTable,
+  type Candidate,
+  type LoadMessage,
+  type RouteTable,
+  type ServingConfig,
+  type UpstreamEntry,
+} from "@gooseberryline/core";
+import type { GatewaySettings } from "../settings/types.ts";
+import { type Lane, LoadBook } from "./load_book.ts";
+import { MemberBook } from "./member_book.ts";
+import { QuotaBook } from "./quota_book.ts";
+import { RampBook } from "./ramp_book.ts";
+import { UpstreamDirectory } from "./upstream_directory.ts";
+
+/** All that this instance knows of the fleet and its configuration. */
+export class FleetView {
+  readonly settings: GatewaySettings;
+  readonly incarnation: string;
+  readonly directory = new UpstreamDirectory();
+  readonly members = new MemberBook();
+  readonly load = new LoadBook();
+  readonly quotas: QuotaBook;
+  readonly #ramps: RampBook;
+  readonly #readNowMs: () => number;
+  #table: RouteTable | undefined;
+  #sequence = 0;
+
+  constructor(
+    settings: GatewaySettings,
+    incarnation: string,
+    readNowMs: () => number,
+  ) {
+    this.settings = settings;
+    this.incarnation = incarnation;
+    this.#readNowMs = readNowMs;
+    const { instanceId, ramp } = settings;
+    const { members, load } = this;
+    const startedMs = readNowMs();
+    this.quotas = new QuotaBook({ instanceId, members, load, startedMs });
+    this.#ramps = new RampBook({ instanceId, members, bounds: ramp });
+  }
+
+  /** Milliseconds of the steady clock. */
+  readNowMs(): number {
+    return this.#readNowMs();
+  }
+
+  /** The configuration in force; undefined until one is known. */
+  get table(): RouteTable | undefined {
+    return this.#table;
+  }
+
+  /** Adopts a configuration unless one as new is in force. */
+  adoptConfig(config: ServingConfig): boolean {
+    if (config.revision <= (this.#table?.config.revision ?? -1)) {
+      return false;
+    }
+    this.#table = buildRouteTable(config);
+    return true;
+  }
+
+  /** Upstreams of a service with their load, for a choice between them. */
+  listCandidates(service: string): readonly Candidate[] {
+    const nowMs = this.readNowMs();
+    const perSecond = this.#getColdRate(service);
+    return this.directory.list(service, nowMs).map((entry) => ({
+      entry,
+      open: this.load.countOpen(entry.id, nowMs),
+      suspectUntilMs: this.load.getSuspectUntilMs(entry.id, nowMs),
+      isRampOpen: this.#ramps.isOpen(entry, perSecond, nowMs),
+    }));
+  }
+
+  /** Notes that a request goes to an upstream now. */
+  noteSend(entry: UpstreamEntry, lane: Lane): void {
+    this.#ramps.take(entry, this.#getColdRate(entry.service), this.readNowMs());
+    this.load.noteStart(entry.id, lane);
+  }
+
+  noteMessage(message: LoadMessage): void {
+    const nowMs = this.readNowMs();
+    if (!this.load.notePeer(message, nowMs)) {
+      return;
+    }
+    if (message.isLeaving) {
+      this.members.forget(message.from, message.incarnation);
+    } else {
+      this.quotas.notePeer(message, nowMs);
+    }
+  }
+
+  buildMessage(isLeaving: boolean): LoadMessage {
+    const nowMs = this.readNowMs();
+    this.#sequence += 1;
+    const isServing = this.settings.duty === "serve";
+    const customers = this.#table?.config.customers ?? [];
+    return {
+      from: this.settings.instanceId,
+      incarnation: this.incarnation,
+      sequence: this.#sequence,
+      open: this.load.listOwn(),
+      suspects: this.load.listSuspects(nowMs),
+      use: isServing ? this.quotas.listUse(customers, nowMs) : {},
+      isLeaving,
+    };
+  }
+
+  #getColdRate(service: string): number {
+    return this.#table?.services.get(service)?.coldPerSecond ?? 1;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/load_book.ts
@@ -0,0 +1,116 @@
+import type { LoadMessage, OpenWork } from "@gooseberryline/core";
+import { FLEET } from "./constants.ts";
+
+export type Lane = "online" | "batch";
+
+type Heard = { readonly message: LoadMessage; readonly heardMs: number };
+type Suspicion = { readonly untilMs: number; readonly failures: number };
+
+const IDLE: OpenWork = { online: 0, batch: 0 };
+
+/** Work under way at each upstream: own, and peers' as last heard. */
+export class LoadBook {
+  readonly #own = new Map<string, OpenWork>();
+  readonly #peers = new Map<string, Heard>();
+  readonly #suspects = new Map<string, Suspicion>();
+  readonly #meansMs = new Map<string, number>();
+
+  noteStart(upstreamId: string, lane: Lane): void {
+    this.#change(upstreamId, lane, 1);
+  }
+
+  noteEnd(upstreamId: string, lane: Lane): void {
+    this.#change(upstreamId, lane, -1);
+  }
+
+  /** Avoids an upstream for a while, longer with each failure in a row. */
+  noteFailure(upstreamId: string, nowMs: number): void {
+    const failures = (this.#suspects.get(upstreamId)?.failures ?? 0) + 1;
+    const spanMs = Math.min(
+      FLEET.MAX_SUSPECT_MS,
+      FLEET.SUSPECT_MS * 2 ** (failures - 1),
+    );
+    this.#suspects.set(upstreamId, { untilMs: nowMs + spanMs, failures });
+  }
+
+  noteSuccess(upstreamId: string): void {
+    this.#suspects.delete(upstreamId);
+  }
+
+  /** Notes how long a request held a slot, in ms. */
+  noteServiceTime(service: string, heldMs: number): void {
+    const mean = this.#meansMs.get(service) ?? FLEET.FIRST_MEAN_MS;
+    this.#meansMs.set(service, mean + (heldMs - mean) * FLEET.MEAN_WEIGHT);
+  }
+
+  getMeanMs(service: string): number {
+    return this.#meansMs.get(service) ?? FLEET.FIRST_MEAN_MS;
+  }
+
+  /** Takes a peer's message unless a later one of it is known. */
+  notePeer(message: LoadMessage, heardMs: number): boolean {
+    const known = this.#peers.get(message.from)?.message;
+    const isStale =
+      known?.incarnation === message.incarnation &&
+      known.sequence >= message.sequence;
+    if (isStale) {
+      return false;
+    }
+    if (message.isLeaving) {
+      this.#peers.delete(message.from);
+    } else {
+      this.#peers.set(message.from, { message, heardMs });
+    }
+    return true;
+  }
+
+  isHeard(peerId: string, withinMs: number, nowMs: number): boolean {
+    const heard = this.#peers.get(peerId);
+    return heard !== undefined && nowMs - heard.heardMs <= withinMs;
+  }
+
+  /** Work at an upstream over all instances. */
+  countOpen(upstreamId: string, nowMs: number): OpenWork {
+    return [...this.#peers.values()]
+      .filter(({ heardMs }) => nowMs - heardMs <= FLEET.LOAD_AGE_MS)
+      .map(({ message }) => message.open[upstreamId] ?? IDLE)
+      .reduce(addWork, this.countOwn(upstreamId));
+  }
+
+  countOwn(upstreamId: string): OpenWork {
+    return this.#own.get(upstreamId) ?? IDLE;
+  }
+
+  /** Until when an upstream is avoided, by own failures or peers'. */
+  getSuspectUntilMs(upstreamId: string, nowMs: number): number {
+    const own = this.#suspects.get(upstreamId)?.untilMs ?? 0;
+    return [...this.#peers.values()]
+      .filter(({ message }) => message.suspects.includes(upstreamId))
+      .map(({ heardMs }) => heardMs + FLEET.PEER_SUSPECT_MS)
+      .filter((untilMs) => untilMs > nowMs)
+      .reduce((latest, untilMs) => Math.max(latest, untilMs), own);
+  }
+
+  listOwn(): Readonly<Record<string, OpenWork>> {
+    return Object.fromEntries(this.#own);
+  }
+
+  listSuspects(nowMs: number): readonly string[] {
+    return [...this.#suspects]
+      .filter(([, { untilMs }]) => untilMs > nowMs)
+      .map(([id]) => id);
+  }
+
+  #change(upstreamId: string, lane: Lane, by: number): void {
+    const next = addWork(this.countOwn(upstreamId), { ...IDLE, [lane]: by });
+    if (next.online <= 0 && next.batch <= 0) {
+      this.#own.delete(upstreamId);
+    } else {
+      this.#own.set(upstreamId, next);
+    }
+  }
+}
+
+function addWork(a: OpenWork, b: OpenWork): OpenWork {
+  return { online: a.online + b.online, batch: a.batch + b.batch };
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -0,0 +1,30 @@
+import type { LoadMessage } from "@gooseberryline/core";
+import { z } from "zod";
+
+const WORK = z.object({ online: z.number(), batch: z.number() });
+const USE = z.object({ admitted: z.number(), tokens: z.number() });
+
+const SCHEMA = z.object({
+  from: z.string(),
+  incarnation: z.string(),
+  sequence: z.number(),
+  open: z.record(z.string(), WORK),
+  suspects: z.array(z.string()),
+  use: z.record(z.string(), USE),
+  isLeaving: z.boolean(),
+});
+
+/** Datagrams between instances: JSON, checked where they are read. */
+export const loadCodec = {
+  encode: (message: LoadMessage): Buffer =>
+    Buffer.from(JSON.stringify(message)),
+  /** Undefined for bytes that no instance of this version sent. */
+  decode: (bytes: Buffer): LoadMessage | undefined => {
+    try {
+      return SCHEMA.safeParse(JSON.parse(bytes.toString())).data;
+    } catch {
+      // Not JSON: the same as a message of another shape.
+      return undefined;
+    }
+  },
+} as const;
--- /dev/null
+++ b/packages/gateway/src/fleet/member_book.ts
@@ -0,0 +1,46 @@
+import { type Duty, type FleetMember, QUOTAS } from "@gooseberryline/core";
+
+type Known = { readonly member: FleetMember; readonly leftMs?: number };
+
+/** Instances of the fleet, as their records in the store list them. */
+export class MemberBook {
+  readonly #known = new Map<string, Known>();
+
+  put(member: FleetMember): void {
+    this.#known.set(member.id, { member });
+  }
+
+  /** An unlisted instance may be cut off and still work. */
+  remove(id: string, nowMs: number): void {
+    const known = this.#known.get(id);
+    if (known !== undefined && known.leftMs === undefined) {
+      this.#known.set(id, { ...known, leftMs: nowMs });
+    }
+  }
+
+  /** Forgets an instance that said that it stops. */
+  forget(id: string, incarnation: string): void {
+    if (this.#known.get(id)?.member.incarnation === incarnation) {
+      this.#known.delete(id);
+    }
+  }
+
+  /** Instances that are listed now. */
+  list(duty?: Duty): readonly FleetMember[] {
+    return [...this.#known.values()]
+      .filter(({ leftMs }) => leftMs === undefined)
+      .map(({ member }) => member)
+      .filter((member) => duty === undefined || member.duty === duty);
+  }
+
+  /** Ids of instances that may be spending a part of a limit. */
+  listSpenders(duty: Duty, nowMs: number): readonly string[] {
+    return [...this.#known.values()]
+      .filter(({ member }) => member.duty === duty)
+      .filter(
+        ({ leftMs }) =>
+          leftMs === undefined || nowMs - leftMs < QUOTAS.FENCE_MS,
+      )
+      .map(({ member }) => member.id);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/member_record.ts
@@ -0,0 +1,30 @@
+import { DUTIES, type FleetMember } from "@gooseberryline/core";
+import { z } from "zod";
+
+const PREFIX = "instances/";
+
+const SCHEMA = z.object({
+  id: z.string(),
+  incarnation: z.string(),
+  address: z.string(),
+  port: z.number(),
+  dataCentre: z.string(),
+  duty: z.enum([DUTIES.serve, DUTIES.run]),
+});
+
+/** The record by which an instance registers itself in the store. */
+export const memberRecord = {
+  prefix: PREFIX,
+  nameKey: (id: string): string => `${PREFIX}${id}`,
+  parseKey: (key: string): string => key.slice(PREFIX.length),
+  encode: (member: FleetMember): Buffer => Buffer.from(JSON.stringify(member)),
+  /** Undefined for a record that no instance wrote. */
+  decode: (value: Buffer): FleetMember | undefined => {
+    try {
+      return SCHEMA.safeParse(JSON.parse(value.toString())).data;
+    } catch {
+      // Not JSON: the same as a record of another shape.
+      return undefined;
+    }
+  },
+} as const;
--- /dev/null
+++ b/packages/gateway/src/fleet/membership_task.ts
@@ -0,0 +1,73 @@
+import type { FleetMember, MetadataStore } from "@gooseberryline/core";
+import type { Log } from "@gooseberryline/daemon";
+import { FLEET } from "./constants.ts";
+import { memberRecord } from "./member_record.ts";
+
+type MembershipParts = {
+  readonly store: MetadataStore;
+  readonly member: FleetMember;
+  readonly log: Log;
+};
+
+/** Keeps this instance's record in the store under a lease. */
+export class MembershipTask {
+  readonly #parts: MembershipParts;
+  #leaseId: string | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #isStopped = false;
+
+  constructor(parts: MembershipParts) {
+    this.#parts = parts;
+  }
+
+  start(): void {
+    void this.#step();
+  }
+
+  /** Ends the lease, so that the record goes at once. */
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
+    if (this.#leaseId !== undefined) {
+      await this.#parts.store.endLease(this.#leaseId);
+    }
+  }
+
+  async #step(): Promise<void> {
+    await (this.#leaseId === undefined
+      ? this.#register()
+      : this.#keep(this.#leaseId));
+    if (!this.#isStopped) {
+      this.#timer = setTimeout(() => void this.#step(), FLEET.KEEP_MS);
+    }
+  }
+
+  async #keep(leaseId: string): Promise<void> {
+    const kept = await this.#parts.store.keepLease(leaseId);
+    if (kept.kind === "lease-gone") {
+      this.#parts.log.warn("membership-lapsed", { leaseId });
+      this.#leaseId = undefined;
+      await this.#register();
+    }
+  }
+
+  async #register(): Promise<void> {
+    const { store, member, log } = this.#parts;
+    const granted = await store.grantLease(FLEET.LEASE_MS);
+    if (granted.kind !== "lease") {
+      return;
+    }
+    const { leaseId } = granted;
+    const key = memberRecord.nameKey(member.id);
+    const value = memberRecord.encode(member);
+    const written = await store.commit({
+      expect: [],
+      set: [{ key, value, leaseId }],
+      remove: [],
+    });
+    if (written.kind === "committed") {
+      this.#leaseId = leaseId;
+      log.info("membership-registered", { leaseId });
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -0,0 +1,74 @@
+import { createSocket, type Socket } from "node:dgram";
+import type { Log } from "@gooseberryline/daemon";
+import { FLEET } from "./constants.ts";
+import type { FleetView } from "./fleet_view.ts";
+import { loadCodec } from "./load_codec.ts";
+
+/** Sends and takes load messages; each may be lost. */
+export class PeerLink {
+  readonly #view: FleetView;
+  readonly #log: Log;
+  readonly #socket: Socket;
+  #timer: NodeJS.Timeout | undefined;
+  #strays = 0;
+
+  constructor(view: FleetView, log: Log) {
+    this.#view = view;
+    this.#log = log;
+    this.#socket = createSocket("udp4");
+    this.#socket.on("message", (bytes) => this.#take(bytes));
+    this.#socket.on("error", (error) => {
+      log.error("peer-socket", { reason: error.message });
+    });
+  }
+
+  start(): Promise<void> {
+    const { peerPort, host } = this.#view.settings;
+    return new Promise((resolve) => {
+      this.#socket.bind(peerPort, host, () => {
+        this.#sendLater();
+        resolve();
+      });
+    });
+  }
+
+  /** Tells peers that this instance leaves, then closes the socket. */
+  stop(): void {
+    clearTimeout(this.#timer);
+    this.#send(true);
+    this.#socket.close();
+  }
+
+  #take(bytes: Buffer): void {
+    const message = loadCodec.decode(bytes);
+    if (message !== undefined) {
+      this.#view.noteMessage(message);
+      return;
+    }
+    this.#strays += 1;
+    if (this.#strays === 1) {
+      this.#log.warn("peer-message-unreadable", { bytes: bytes.length });
+    }
+  }
+
+  #sendLater(): void {
+    const peers = this.#view.members.list().length;
+    const delayMs = Math.max(FLEET.GOSSIP_MS, peers * FLEET.GOSSIP_PEER_MS);
+    this.#timer = setTimeout(() => {
+      this.#send(false);
+      this.#sendLater();
+    }, delayMs);
+  }
+
+  #send(isLeaving: boolean): void {
+    const { instanceId } = this.#view.settings;
+    const bytes = loadCodec.encode(this.#view.buildMessage(isLeaving));
+    this.#view.members
+      .list()
+      .filter(({ id }) => id !== instanceId)
+      .forEach(({ address, port }) => {
+        // A lost datagram is made good by the next one.
+        this.#socket.send(bytes, port, address, () => undefined);
+      });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/quota_book.ts
@@ -0,0 +1,89 @@
+import {
+  type CustomerUse,
+  createQuota,
+  type LoadMessage,
+  notePeerUsage,
+  QUOTAS,
+  type Quota,
+  type QuotaTaken,
+  type RouteCustomer,
+  refillQuota,
+  takeQuota,
+} from "@gooseberryline/core";
+import type { LoadBook } from "./load_book.ts";
+import type { MemberBook } from "./member_book.ts";
+
+type QuotaParts = {
+  readonly instanceId: string;
+  readonly members: MemberBook;
+  readonly load: LoadBook;
+  readonly startedMs: number;
+};
+
+/** Customers' rates over the whole fleet, as this instance may spend them. */
+export class QuotaBook {
+  readonly #parts: QuotaParts;
+  readonly #quotas = new Map<string, Quota>();
+
+  constructor(parts: QuotaParts) {
+    this.#parts = parts;
+  }
+
+  take(customer: RouteCustomer, nowMs: number): QuotaTaken {
+    const taken = takeQuota(
+      this.#find(customer.name),
+      customer,
+      this.#countHeardShare(nowMs),
+      nowMs,
+    );
+    this.#quotas.set(customer.name, taken.quota);
+    return taken;
+  }
+
+  notePeer(message: LoadMessage, heardMs: number): void {
+    const { from, incarnation } = message;
+    Object.entries(message.use).forEach(([name, { admitted, tokens }]) => {
+      const usage = { incarnation, admitted, heardMs };
+      const quota = this.#find(name);
+      this.#quotas.set(name, notePeerUsage(quota, from, usage, tokens));
+    });
+  }
+
+  /** What peers are told of the customers that have limits. */
+  listUse(
+    customers: readonly RouteCustomer[],
+    nowMs: number,
+  ): Readonly<Record<string, CustomerUse>> {
+    const share = this.#countHeardShare(nowMs);
+    const entries = customers
+      .filter(({ ratePerSecond }) => ratePerSecond > 0)
+      .map((customer) => {
+        const found = this.#find(customer.name);
+        const quota = refillQuota(found, customer, share, nowMs);
+        this.#quotas.set(customer.name, quota);
+        const { admitted, tokens } = quota;
+        return [customer.name, { admitted, tokens: round(tokens) }] as const;
+      });
+    return Object.fromEntries(entries);
+  }
+
+  #find(name: string): Quota {
+    return this.#quotas.get(name) ?? createQuota(this.#parts.startedMs);
+  }
+
+  /** Part of the spenders that was heard lately, this instance included. */
+  #countHeardShare(nowMs: number): number {
+    const { members, load, instanceId } = this.#parts;
+    const others = members
+      .listSpenders("serve", nowMs)
+      .filter((id) => id !== instanceId);
+    const heard = others.filter((id) =>
+      load.isHeard(id, QUOTAS.SILENT_MS, nowMs),
+    );
+    return (heard.length + 1) / (others.length + 1);
+  }
+}
+
+function round(value: number): number {
+  return Math.round(value * 10) / 10;
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/ramp_book.ts
@@ -0,0 +1,62 @@
+import {
+  type Bucket,
+  createRamp,
+  listRampHolders,
+  type RampLimit,
+  takeTokens,
+  type UpstreamEntry,
+} from "@gooseberryline/core";
+import type { MemberBook } from "./member_book.ts";
+
+type RampParts = {
+  readonly instanceId: string;
+  readonly members: MemberBook;
+  readonly bounds: Omit<RampLimit, "perSecond">;
+};
+
+/** Cold upstreams' allowances, as far as this instance may spend them. */
+export class RampBook {
+  readonly #parts: RampParts;
+  readonly #buckets = new Map<string, Bucket>();
+
+  constructor(parts: RampParts) {
+    this.#parts = parts;
+  }
+
+  /** Whether one request may go to the upstream now; takes nothing. */
+  isOpen(entry: UpstreamEntry, perSecond: number, nowMs: number): boolean {
+    if (entry.coldUntilMs <= nowMs) {
+      this.#buckets.delete(entry.id);
+      return true;
+    }
+    const bucket = this.#find(entry, perSecond, nowMs);
+    return bucket !== undefined && takeTokens(bucket, 1, nowMs).isTaken;
+  }
+
+  /** Takes the allowance for one request. */
+  take(entry: UpstreamEntry, perSecond: number, nowMs: number): void {
+    if (entry.coldUntilMs <= nowMs) {
+      return;
+    }
+    const bucket = this.#find(entry, perSecond, nowMs);
+    if (bucket !== undefined) {
+      this.#buckets.set(entry.id, takeTokens(bucket, 1, nowMs).bucket);
+    }
+  }
+
+  #find(
+    { id }: UpstreamEntry,
+    perSecond: number,
+    nowMs: number,
+  ): Bucket | undefined {
+    const { instanceId, members, bounds } = this.#parts;
+    const limit = { ...bounds, perSecond };
+    const ids = members.list().map((member) => member.id);
+    const holders = listRampHolders(id, ids, limit);
+    if (!holders.includes(instanceId)) {
+      return undefined;
+    }
+    const known = this.#buckets.get(id);
+    return known ?? createRamp(limit, holders.length, nowMs);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -0,0 +1,164 @@
+import {
+  assertNever,
+  type MetadataEvent,
+  type MetadataItem,
+  type MetadataStore,
+} from "@gooseberryline/core";
+import type { Log } from "@gooseberryline/daemon";
+import type { RecordDialect } from "../dialect/types.ts";
+import { PrefixWatch } from "../store/prefix_watch.ts";
+import type { FleetView } from "./fleet_view.ts";
+import { memberRecord } from "./member_record.ts";
+
+type WatchesParts = {
+  readonly view: FleetView;
+  readonly store: MetadataStore;
+  readonly dialect: RecordDialect;
+  readonly log: Log;
+  readonly onConfig: () => void;
+  /** This instance is to be emptied, or no longer. */
+  readonly onRetire: (isRetired: boolean) => void;
+};
+
+/** Follows operators' records, upstreams and instances in the store. */
+export class RecordWatches {
+  readonly #parts: WatchesParts;
+  readonly #watches: readonly PrefixWatch[];
+
+  constructor(parts: WatchesParts) {
+    this.#parts = parts;
+    const { dialect, view } = parts;
+    const { directory } = view;
+    this.#watches = [
+      this.#watch(dialect.operatorPrefix, (event) => this.#noteOperator(event)),
+      this.#watch(
+        dialect.upstreamPrefix,
+        (event) => this.#noteUpstream(event),
+        (isReached) => directory.noteStore(isReached, view.readNowMs()),
+      ),
+      this.#watch(memberRecord.prefix, (event) => this.#noteMember(event)),
+    ];
+  }
+
+  /** Starts the watches; settles once each prefix was read whole. */
+  async start(): Promise<void> {
+    this.#watches.forEach((watch) => {
+      watch.start();
+    });
+    await Promise.all(this.#watches.map(({ loaded }) => loaded));
+  }
+
+  stop(): void {
+    this.#watches.forEach((watch) => {
+      watch.stop();
+    });
+  }
+
+  #watch(
+    prefix: string,
+    onEvent: (event: MetadataEvent) => void,
+    onContact: (isReached: boolean) => void = () => undefined,
+  ): PrefixWatch {
+    const { store, log } = this.#parts;
+    return new PrefixWatch({ store, prefix, log, onEvent, onContact });
+  }
+
+  #noteOperator(event: MetadataEvent): void {
+    const { dialect, view, onRetire, log } = this.#parts;
+    const isSet = event.kind === "set";
+    const key = isSet ? event.item.key : event.key;
+    const record = dialect.parseOperatorKey(key);
+    switch (record.kind) {
+      case "config":
+        if (isSet) {
+          this.#adoptConfig(event.item);
+        }
+        return;
+      case "data-centre-out":
+        log.info("data-centre", {
+          dataCentre: record.dataCentre,
+          isOut: isSet,
+        });
+        if (isSet) {
+          view.directory.takeOut(record.dataCentre);
+        } else {
+          view.directory.bringBack(record.dataCentre);
+        }
+        return;
+      case "instance-retired":
+        if (record.instanceId === view.settings.instanceId) {
+          onRetire(isSet);
+        }
+        return;
+      case "unknown":
+        log.warn("operator-record-unknown", { key });
+        return;
+      default:
+        assertNever(record);
+    }
+  }
+
+  #adoptConfig({ value, revision }: MetadataItem): void {
+    const { dialect, view, log, onConfig } = this.#parts;
+    const config = dialect.parseConfig(value);
+    if (config.kind === "unreadable") {
+      log.error("config-unreadable", { revision, reason: config.reason });
+      return;
+    }
+    if (view.adoptConfig(config.value)) {
+      log.info("config-adopted", {
+        revision: config.value.revision,
+        routes: config.value.routes.length,
+      });
+      onConfig();
+    }
+  }
+
+  #noteUpstream(event: MetadataEvent): void {
+    const { dialect, view, log } = this.#parts;
+    const { directory } = view;
+    const nowMs = view.readNowMs();
+    const key = event.kind === "set" ? event.item.key : event.key;
+    const id = key.slice(dialect.upstreamPrefix.length);
+    if (event.kind === "removed") {
+      log.info("upstream-removed", { upstream: id });
+      directory.remove(id, nowMs);
+      return;
+    }
+    const entry = dialect.parseUpstream(key, event.item.value, nowMs);
+    if (entry.kind === "unreadable") {
+      log.warn("upstream-unreadable", { upstream: id, reason: entry.reason });
+      directory.remove(id, nowMs);
+      return;
+    }
+    const { isDraining, dataCentre, coldUntilMs } = entry.value;
+    log.info("upstream-listed", {
+      upstream: id,
+      dataCentre,
+      isDraining,
+      coldMs: Math.max(0, Math.round(coldUntilMs - nowMs)),
+    });
+    directory.put(entry.value);
+  }
+
+  #noteMember(event: MetadataEvent): void {
+    const { view, log } = this.#parts;
+    if (event.kind === "removed") {
+      const id = memberRecord.parseKey(event.key);
+      log.info("member-unlisted", { instance: id });
+      view.members.remove(id, view.readNowMs());
+      return;
+    }
+    const member = memberRecord.decode(event.item.value);
+    if (member === undefined) {
+      log.warn("member-unreadable", { key: event.item.key });
+      return;
+    }
+    log.info("member-listed", {
+      instance: member.id,
+      duty: member.duty,
+      incarnation: member.incarnation,
+    });
+    view.members.put(member);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -0,0 +1,158 @@
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import { CALL_SHAPES, chooseService } from "@gooseberryline/core";
+import Koa, { type Context } from "koa";
+import type { JobDoor } from "../jobs/job_door.ts";
+import type { AttemptParts } from "../requests/attempt.ts";
+import { checkCall } from "../requests/check_call.ts";
+import { faults } from "../requests/faults.ts";
+import { RequestRun } from "../requests/request_run.ts";
+import type { CallReply } from "../requests/types.ts";
+import type { Endpoint } from "../settings/types.ts";
+import { buildReply } from "./build_reply.ts";
+import { countHeaderBytes } from "./count_header_bytes.ts";
+import { readBody } from "./read_body.ts";
+
+type ListenerParts = AttemptParts & {
+  readonly jobs: JobDoor;
+  readonly onDone: (outcome: string, tookMs: number) => void;
+};
+
+/** More than any configuration allows; the limit itself is checked later. */
+const MAX_HEADER_BYTES = 262_144;
+/** How often Node looks for callers that are late with their headers, ms. */
+const CHECK_INTERVAL_MS = 500;
+
+/** Takes callers' requests. */
+export class CallerListener {
+  readonly #parts: ListenerParts;
+  readonly #server: Server;
+  #open = 0;
+  #isStopping = false;
+
+  constructor(parts: ListenerParts) {
+    this.#parts = parts;
+    const app = new Koa();
+    app.use((ctx) => this.#handle(ctx));
+    this.#server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+        requestTimeout: 0,
+        noDelay: true,
+      },
+      app.callback(),
+    );
+  }
+
+  start({ host, port }: Endpoint): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  /** Puts the configuration's limits on callers into force. */
+  applyLimits(): void {
+    const limits = this.#parts.view.table?.config.limits;
+    if (limits !== undefined) {
+      this.#server.headersTimeout = limits.headerTimeoutMs;
+      this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    }
+  }
+
+  /** Answers go on, each as the last one of its connection. */
+  startStopping(): void {
+    this.#isStopping = true;
+  }
+
+  /** Requests under way. */
+  countOpen(): number {
+    return this.#open;
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #handle(ctx: Context): Promise<void> {
+    const { req, res } = ctx;
+    ctx.respond = false;
+    res.statusCode = 200;
+    res.shouldKeepAlive = res.shouldKeepAlive && !this.#isStopping;
+    this.#open += 1;
+    res.once("close", () => {
+      this.#open -= 1;
+    });
+    await this.#serve(req, buildReply(res), (onLeave) => {
+      res.once("close", () => {
+        if (!res.writableFinished) {
+          onLeave();
+        }
+      });
+    });
+  }
+
+  async #serve(
+    req: IncomingMessage,
+    reply: CallReply,
+    onLeave: (cancel: () => void) => void,
+  ): Promise<void> {
+    const { view, dialect, jobs, onDone } = this.#parts;
+    const receivedMs = view.readNowMs();
+    const { table } = view;
+    if (table === undefined) {
+      reply.sendFault(faults.unready("no configuration is known yet"));
+      return;
+    }
+    const { limits } = table.config;
+    if (countHeaderBytes(req.rawHeaders) > limits.headerBytes) {
+      reply.sendFault(faults.headersTooLarge());
+      return;
+    }
+    const head = dialect.readCall(req.headers);
+    const method = req.method ?? "GET";
+    const path = req.url ?? "/";
+    const jobCall = dialect.parseJobCall(method, path);
+    if (jobCall !== undefined) {
+      await jobs.answer(jobCall, head, reply);
+      return;
+    }
+    const check = checkCall(table, head, req.headers.host ?? "", path);
+    if (check.kind === "refused") {
+      reply.sendFault(check.fault);
+      return;
+    }
+    const body = await readBody(req, limits.bodyBytes);
+    if (body.kind === "too-large") {
+      reply.sendFault(faults.tooLarge(`over ${limits.bodyBytes} bytes`));
+      return;
+    }
+    if (body.kind === "aborted" || !reply.isOpen()) {
+      return;
+    }
+    const { route, customer } = check;
+    if (route.shape === CALL_SHAPES.job) {
+      await jobs.accept(route, customer, head, body.bytes, reply);
+      return;
+    }
+    const service = chooseService(route, head.requestId ?? path);
+    if (service === undefined) {
+      reply.sendFault(faults.noRoom("the route has no service", 0));
+      return;
+    }
+    const call = {
+      head,
+      route,
+      service,
+      customer,
+      method,
+      path,
+      headers: req.headers,
+      body: body.bytes,
+      receivedMs,
+    };
+    const run = new RequestRun(call, reply, { ...this.#parts, onDone });
+    onLeave(() => run.cancel());
+    run.start();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/http/status_listener.ts
@@ -0,0 +1,41 @@
+import { createServer, type Server } from "node:http";
+import Koa from "koa";
+import type { Endpoint } from "../settings/types.ts";
+
+const UNAVAILABLE = 503;
+
+/** A page of this listener: its status, and a text if it has one. */
+type Page = { readonly status: number; readonly text: string };
+
+/** Answers the platform's question whether this instance is ready. */
+export class StatusListener {
+  readonly #server: Server;
+
+  /** `pages` maps each path to what it says now. */
+  constructor(pages: Readonly<Record<string, () => Promise<Page> | Page>>) {
+    const app = new Koa();
+    app.use(async (ctx) => {
+      const page = pages[ctx.path];
+      if (page !== undefined) {
+        const { status, text } = await page();
+        ctx.status = status;
+        ctx.body = text;
+        if (status >= UNAVAILABLE) {
+          ctx.set("connection", "close");
+        }
+      }
+    });
+    this.#server = createServer(app.callback());
+  }
+
+  start({ host, port }: Endpoint): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/jobs/batch_records.ts
@@ -0,0 +1,74 @@
+import {
+  type BatchClaim,
+  type BatchItem,
+  type BatchJob,
+  type BatchProgress,
+  type BatchResult,
+  ITEM_RESULTS,
+} from "@gooseberryline/core";
+import { z } from "zod";
+
+const ITEM: z.ZodType<BatchItem> = z.object({
+  id: z.string(),
+  path: z.string(),
+  headers: z.record(z.string(), z.string()),
+  body: z.string(),
+  tokens: z.number(),
+});
+
+const JOB: z.ZodType<BatchJob> = z.object({
+  id: z.string(),
+  customer: z.string(),
+  host: z.string(),
+  prefix: z.string(),
+  submittedAtMs: z.number(),
+  dueMs: z.number(),
+  retentionMs: z.number(),
+  maxAttempts: z.number(),
+  itemIds: z.array(z.string()),
+  chunkStarts: z.array(z.number()),
+});
+
+const CLAIM: z.ZodType<BatchClaim> = z.object({
+  owner: z.string(),
+  incarnation: z.string(),
+  dueAtMs: z.number(),
+});
+
+const PROGRESS: z.ZodType<BatchProgress> = z.object({
+  listed: z.array(z.number()),
+  writer: z.string(),
+});
+
+const RESULT: z.ZodType<BatchResult> = z.object({
+  id: z.string(),
+  state: z.enum([ITEM_RESULTS.completed, ITEM_RESULTS.errored]),
+  text: z.string(),
+});
+
+/** Undefined for bytes that no instance of this version wrote. */
+function decode<Value>(
+  schema: z.ZodType<Value>,
+  value: Buffer,
+): Value | undefined {
+  try {
+    return schema.safeParse(JSON.parse(value.toString())).data;
+  } catch {
+    // Not JSON: the same as a record of another shape.
+    return undefined;
+  }
+}
+
+/** Encodes and decodes the records of jobs in the metadata store. */
+export const batchRecords = {
+  encode: (
+    record: BatchJob | BatchClaim | BatchProgress | BatchResult,
+  ): Buffer => Buffer.from(JSON.stringify(record)),
+  encodeChunk: (items: readonly BatchItem[]): Buffer =>
+    Buffer.from(JSON.stringify(items)),
+  decodeJob: (value: Buffer) => decode(JOB, value),
+  decodeClaim: (value: Buffer) => decode(CLAIM, value),
+  decodeProgress: (value: Buffer) => decode(PROGRESS, value),
+  decodeResult: (value: Buffer) => decode(RESULT, value),
+  decodeChunk: (value: Buffer) => decode(z.array(ITEM), value),
+} as const;
--- /dev/null
+++ b/packages/gateway/src/jobs/build_job.ts
@@ -0,0 +1,73 @@
+import {
+  type BatchItem,
+  type BatchJob,
+  batchKeys,
+  type FleetMember,
+  type MetadataCommit,
+  type Route,
+  rankByRendezvous,
+  splitChunks,
+} from "@gooseberryline/core";
+import { batchRecords } from "./batch_records.ts";
+
+type JobParts = {
+  readonly id: string;
+  readonly customer: string;
+  readonly route: Route;
+  readonly items: readonly BatchItem[];
+  readonly submittedAtMs: number;
+  readonly runners: readonly FleetMember[];
+  readonly writer: string;
+};
+
+/** A new job, and the one commit that accepts it. */
+export function buildJob(parts: JobParts): {
+  readonly job: BatchJob;
+  readonly commit: MetadataCommit;
+} {
+  const { id, route, items, submittedAtMs } = parts;
+  const chunks = splitChunks(items);
+  const job: BatchJob = {
+    id,
+    customer: parts.customer,
+    host: route.host,
+    prefix: route.prefix,
+    submittedAtMs,
+    dueMs: route.dueMs,
+    retentionMs: route.retentionMs,
+    maxAttempts: route.maxAttempts,
+    itemIds: items.map((item) => item.id),
+    chunkStarts: chunks.map((_, index) =>
+      chunks.slice(0, index).reduce((sum, chunk) => sum + chunk.length, 0),
+    ),
+  };
+  const claim = {
+    ...chooseOwner(id, parts.runners),
+    dueAtMs: submittedAtMs + route.dueMs,
+  };
+  const progress = { listed: [], writer: parts.writer };
+  const set = [
+    { key: batchKeys.job(id), value: batchRecords.encode(job) },
+    { key: batchKeys.claim(id), value: batchRecords.encode(claim) },
+    { key: batchKeys.progress(id), value: batchRecords.encode(progress) },
+    ...chunks.map((chunk, index) => ({
+      key: batchKeys.chunk(id, index),
+      value: batchRecords.encodeChunk(chunk),
+    })),
+  ];
+  const expect = [{ key: batchKeys.job(id), revision: 0 }];
+  return { job, commit: { expect, set, remove: [] } };
+}
+
+/** An owner from the start saves the claim; without runners there is none. */
+function chooseOwner(jobId: string, runners: readonly FleetMember[]) {
+  const [best] = rankByRendezvous(
+    jobId,
+    runners.map(({ id }) => id),
+  );
+  const owner = runners.find(({ id }) => id === best);
+  return {
+    owner: owner?.id ?? "",
+    incarnation: owner?.incarnation ?? "",
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/jobs/constants.ts
@@ -0,0 +1,21 @@
+/** Figures of jobs. */
+export const JOB_TIMES = {
+  /** Pace at which waiting items are placed, in ms. */
+  TICK_MS: 50,
+  /** A worker starts few items at an upstream until peers have heard, ms. */
+  START_WINDOW_MS: 150,
+  /** An upstream's answer to an item is awaited this long, in ms. */
+  HEAD_MS: 4_000,
+  /** A pause in an item's events that ends the run, in ms. */
+  PAUSE_MS: 2_000,
+  /** Time that an upstream is allowed for a whole item, in ms. */
+  RUN_MS: 60_000,
+  /** A failed item waits this long before it runs again, in ms. */
+  RETRY_MS: 250,
+  /** A write without an answer is tried again after this long, in ms. */
+  WRITE_RETRY_MS: 200,
+  /** Tries to accept a job before the caller is told to come again. */
+  ACCEPT_TRIES: 3,
+  /** Jobs whose records are held in memory for readers. */
+  CACHED_JOBS: 2_000,
+} as const;
--- /dev/null
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -0,0 +1,210 @@
+import {
+  assertNever,
+  type BatchResult,
+  decideItemStep,
+  ITEM_RESULTS,
+  orderItems,
+  shouldYield,
+} from "@gooseberryline/core";
+import type { AttemptParts } from "../requests/attempt.ts";
+import { JOB_TIMES } from "./constants.ts";
+import { ItemPlacer } from "./item_placer.ts";
+import { ItemRun } from "./item_run.ts";
+import type { LoadedJob } from "./owned_job.ts";
+import type { ItemRunEnd, WaitingItem } from "./types.ts";
+
+type PoolParts = AttemptParts & {
+  readonly onResult: (
+    jobId: string,
+    index: number,
+    result: BatchResult,
+  ) => void;
+};
+
+/** Items of the owned jobs: waiting for an upstream, or running at one. */
+export class ItemPool {
+  readonly #parts: PoolParts;
+  readonly #placer: ItemPlacer;
+  readonly #jobs = new Map<string, LoadedJob>();
+  #waiting: readonly WaitingItem[] = [];
+  readonly #running = new Set<ItemRun>();
+
+  constructor(parts: PoolParts) {
+    this.#parts = parts;
+    this.#placer = new ItemPlacer(parts.view);
+  }
+
+  addJob(loaded: LoadedJob): void {
+    const { job, items, claim, listed } = loaded;
+    this.#jobs.set(job.id, loaded);
+    const added = items
+      .map((item, index) => ({
+        jobId: job.id,
+        index,
+        dueAtMs: claim.dueAtMs,
+        eventCount: 0,
+        item,
+        text: { texts: [], lastEventId: undefined },
+        failures: 0,
+        tried: new Set<string>(),
+        notBeforeMs: 0,
+      }))
+      .filter(({ index }) => !listed.includes(index));
+    this.#waiting = [...this.#waiting, ...added];
+  }
+
+  /** Ends all work on a job. */
+  dropJob(jobId: string): void {
+    this.#jobs.delete(jobId);
+    this.#waiting = this.#waiting.filter((item) => item.jobId !== jobId);
+    [...this.#running]
+      .filter(({ waiting }) => waiting.jobId === jobId)
+      .forEach((run) => {
+        run.interrupt("the job is no longer this instance's");
+      });
+  }
+
+  countRunning(): number {
+    return this.#running.size;
+  }
+
+  /** Starts what there is room for, and takes back what online work needs. */
+  step(): void {
+    this.#yieldItems();
+    const nowMs = this.#parts.view.readNowMs();
+    const ready = this.#waiting.filter(
+      ({ notBeforeMs }) => notBeforeMs <= nowMs,
+    );
+    const ordered = orderItems(ready);
+    // Items are alike to the placer, so the first that waits ends the round.
+    ordered.every((item) => this.#startItem(item));
+  }
+
+  #startItem(waiting: WaitingItem): boolean {
+    const loaded = this.#jobs.get(waiting.jobId);
+    if (loaded === undefined) {
+      return true;
+    }
+    const { host, customer } = loaded.job;
+    const placement = this.#placer.place(waiting, host);
+    switch (placement.kind) {
+      case "wait":
+        return false;
+      case "no-route":
+        this.#removeWaiting(waiting);
+        this.#listErrored(waiting, "its route is gone");
+        return true;
+      case "placed": {
+        this.#removeWaiting(waiting);
+        const run: ItemRun = new ItemRun(waiting, placement.upstream, {
+          ...this.#parts,
+          host,
+          customer,
+          onEnd: (end) => this.#takeEnd(run, end),
+        });
+        this.#running.add(run);
+        return true;
+      }
+      default:
+        return assertNever(placement);
+    }
+  }
+
+  #removeWaiting(waiting: WaitingItem): void {
+    this.#waiting = this.#waiting.filter((other) => other !== waiting);
+  }
+
+  /** Of each crowded upstream the youngest item leaves. */
+  #yieldItems(): void {
+    const { view } = this.#parts;
+    const nowMs = view.readNowMs();
+    const byUpstream = new Map(
+      [...this.#running].map((run) => [run.upstream.id, run] as const),
+    );
+    byUpstream.forEach((run) => {
+      const open = view.load.countOpen(run.upstream.id, nowMs);
+      const candidate = {
+        entry: run.upstream,
+        open,
+        suspectUntilMs: 0,
+        isRampOpen: true,
+      };
+      if (shouldYield(candidate)) {
+        run.interrupt("online work needs the slot");
+      }
+    });
+  }
+
+  #takeEnd(run: ItemRun, end: ItemRunEnd): void {
+    this.#running.delete(run);
+    const { waiting, upstream } = run;
+    const loaded = this.#jobs.get(waiting.jobId);
+    if (loaded === undefined) {
+      return;
+    }
+    const { maxAttempts } = loaded.job;
+    const step = decideItemStep(end, waiting.failures, maxAttempts);
+    this.#logEnd(run, end, step.kind);
+    switch (step.kind) {
+      case "list-completed": {
+        const text = end.text.texts.join("\n");
+        const state = ITEM_RESULTS.completed;
+        this.#list(waiting, { id: waiting.item.id, state, text });
+        return;
+      }
+      case "list-errored":
+        this.#listErrored(waiting, step.reason);
+        return;
+      case "run-again":
+        this.#requeue(waiting, end, step.failures, upstream.id);
+        return;
+      default:
+        assertNever(step);
+    }
+  }
+
+  #requeue(
+    waiting: WaitingItem,
+    end: ItemRunEnd,
+    failures: number,
+    upstreamId: string,
+  ): void {
+    const nowMs = this.#parts.view.readNowMs();
+    const next = {
+      ...waiting,
+      text: end.text,
+      eventCount: end.text.texts.length,
+      failures,
+      tried: new Set([upstreamId]),
+      notBeforeMs: nowMs + JOB_TIMES.RETRY_MS,
+    };
+    this.#waiting = [...this.#waiting, next];
+  }
+
+  #listErrored(waiting: WaitingItem, reason: string): void {
+    this.#parts.log.info("item-errored", {
+      jobId: waiting.jobId,
+      itemId: waiting.item.id,
+      reason,
+    });
+    const state = ITEM_RESULTS.errored;
+    this.#list(waiting, { id: waiting.item.id, state, text: "" });
+  }
+
+  #list({ jobId, index }: WaitingItem, result: BatchResult): void {
+    this.#parts.onResult(jobId, index, result);
+  }
+
+  #logEnd(run: ItemRun, end: ItemRunEnd, step: string): void {
+    this.#parts.log.info("item-run-ended", {
+      jobId: run.waiting.jobId,
+      itemId: run.waiting.item.id,
+      upstream: run.upstream.id,
+      end: end.kind,
+      reason: "reason" in end ? end.reason : undefined,
+      status: "status" in end ? end.status : undefined,
+      events: end.text.texts.length,
+      step,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/jobs/job_runner.ts
@@ -0,0 +1,181 @@
+import {
+  type BatchResult,
+  batchKeys,
+  DUTIES,
+  type MetadataEvent,
+  type MetadataStore,
+  shouldClaim,
+} from "@gooseberryline/core";
+import type { AttemptParts } from "../requests/attempt.ts";
+import { batchRecords } from "./batch_records.ts";
+import { ClaimBook, type KnownClaim } from "./claim_book.ts";
+import { JOB_TIMES } from "./constants.ts";
+import { ItemPool } from "./item_pool.ts";
+import { loadJob } from "./load_job.ts";
+import { OwnedJob } from "./owned_job.ts";
+
+type RunnerParts = AttemptParts & { readonly store: MetadataStore };
+
+/** Claims open jobs and runs their items. */
+export class JobRunner {
+  readonly #parts: RunnerParts;
+  readonly #claims = new ClaimBook();
+  readonly #owned = new Map<string, OwnedJob>();
+  /** Jobs with a claim or a read under way. */
+  readonly #busy = new Set<string>();
+  readonly #pool: ItemPool;
+  #timer: NodeJS.Timeout | undefined;
+  #isReleasing = false;
+
+  constructor(parts: RunnerParts) {
+    this.#parts = parts;
+    const onResult = (jobId: string, index: number, result: BatchResult) =>
+      this.#owned.get(jobId)?.addResult(index, result);
+    this.#pool = new ItemPool({ ...parts, onResult });
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.#step(), JOB_TIMES.TICK_MS);
+  }
+
+  /** Takes a change of a claim. */
+  noteClaim(event: MetadataEvent): void {
+    const gone = this.#claims.note(event);
+    if (gone !== undefined) {
+      this.#drop(gone);
+    }
+  }
+
+  countRunning(): number {
+    return this.#pool.countRunning();
+  }
+
+  /** Hands all jobs back, and claims none until `resumeClaims`. */
+  async releaseAll(): Promise<void> {
+    this.#isReleasing = true;
+    const ids = [...this.#owned.keys()];
+    await Promise.all(ids.map((id) => this.#release(id)));
+  }
+
+  resumeClaims(): void {
+    this.#isReleasing = false;
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    [...this.#owned.keys()].forEach((id) => {
+      this.#drop(id);
+    });
+  }
+
+  #step(): void {
+    this.#claims.list().forEach((known) => {
+      this.#follow(known);
+    });
+    this.#pool.step();
+  }
+
+  #follow(known: KnownClaim): void {
+    const { jobId } = known;
+    if (this.#busy.has(jobId) || this.#isReleasing) {
+      return;
+    }
+    const isOwn = this.#isOwn(known);
+    const owned = this.#owned.get(jobId);
+    if (owned !== undefined) {
+      const isSame = owned.loaded.claimRevision === known.revision;
+      if (!isOwn || !isSame) {
+        this.#drop(jobId);
+      }
+    } else if (isOwn) {
+      void this.#take(known);
+    } else if (this.#shouldClaim(known)) {
+      void this.#claim(known);
+    }
+  }
+
+  #isOwn({ claim }: KnownClaim): boolean {
+    const { settings, incarnation } = this.#parts.view;
+    return (
+      claim.owner === settings.instanceId && claim.incarnation === incarnation
+    );
+  }
+
+  #shouldClaim({ jobId, claim }: KnownClaim): boolean {
+    const { view } = this.#parts;
+    const runners = view.members.list(DUTIES.run);
+    const isOwned = runners.some(
+      ({ id, incarnation }) =>
+        id === claim.owner && incarnation === claim.incarnation,
+    );
+    const nowMs = view.readNowMs();
+    const unownedMs = this.#claims.countUnownedMs(jobId, isOwned, nowMs);
+    const self = {
+      id: view.settings.instanceId,
+      incarnation: view.incarnation,
+    };
+    return shouldClaim(jobId, claim, self, runners, unownedMs);
+  }
+
+  async #claim({ jobId, claim, revision }: KnownClaim): Promise<void> {
+    const { store, view, log } = this.#parts;
+    const key = batchKeys.claim(jobId);
+    const taken = {
+      ...claim,
+      owner: view.settings.instanceId,
+      incarnation: view.incarnation,
+    };
+    this.#busy.add(jobId);
+    // A lost answer shows in the watch: the claim then is this instance's.
+    const done = await store.commit({
+      expect: [{ key, revision }],
+      set: [{ key, value: batchRecords.encode(taken) }],
+      remove: [],
+    });
+    this.#busy.delete(jobId);
+    if (done.kind === "committed") {
+      log.info("job-claimed", { jobId, from: claim.owner });
+    }
+  }
+
+  async #take({ jobId, claim, revision }: KnownClaim): Promise<void> {
+    const { store, log, view } = this.#parts;
+    this.#busy.add(jobId);
+    const loaded = await loadJob(store, jobId, claim, revision);
+    this.#busy.delete(jobId);
+    const isStill = this.#claims.get(jobId)?.revision === revision;
+    if (loaded === undefined || !isStill || this.#isReleasing) {
+      log.warn("job-not-loaded", { jobId, isStill });
+      return;
+    }
+    const writerName = `${view.settings.instanceId}/${view.incarnation}`;
+    const onLost = (): void => this.#drop(jobId);
+    const parts = { store, log, writerName, onLost };
+    this.#owned.set(jobId, new OwnedJob(loaded, parts));
+    this.#pool.addJob(loaded);
+  }
+
+  async #release(jobId: string): Promise<void> {
+    const owned = this.#owned.get(jobId);
+    const isOver = owned?.isOver === true;
+    this.#drop(jobId);
+    if (owned === undefined || isOver) {
+      return;
+    }
+    const key = batchKeys.claim(jobId);
+    const { claim, claimRevision } = owned.loaded;
+    const free = { ...claim, owner: "", incarnation: "" };
+    // Without an answer the others find the owner gone a little later.
+    await this.#parts.store.commit({
+      expect: [{ key, revision: claimRevision }],
+      set: [{ key, value: batchRecords.encode(free) }],
+      remove: [],
+    });
+  }
+
+  #drop(jobId: string): void {
+    this.#owned.get(jobId)?.abandon();
+    this.#owned.delete(jobId);
+    this.#pool.dropJob(jobId);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/jobs/load_job.ts
@@ -0,0 +1,62 @@
+import {
+  type BatchClaim,
+  type BatchItem,
+  batchKeys,
+  type MetadataItem,
+  type MetadataStore,
+} from "@gooseberryline/core";
+import { batchRecords } from "./batch_records.ts";
+import type { LoadedJob } from "./owned_job.ts";
+
+/** Loads a job that this instance owns; undefined where a read fails. */
+export async function loadJob(
+  store: MetadataStore,
+  jobId: string,
+  claim: BatchClaim,
+  claimRevision: number,
+): Promise<LoadedJob | undefined> {
+  const [job, progress, items] = await Promise.all([
+    store.readKey(batchKeys.job(jobId)),
+    store.readKey(batchKeys.progress(jobId)),
+    loadItems(store, jobId),
+  ]);
+  if (job.kind === "failed" || progress.kind === "failed") {
+    return undefined;
+  }
+  const record = job.item && batchRecords.decodeJob(job.item.value);
+  const known =
+    progress.item && batchRecords.decodeProgress(progress.item.value);
+  if (record === undefined || known === undefined || items === undefined) {
+    return undefined;
+  }
+  return {
+    job: record,
+    items,
+    claim,
+    claimRevision,
+    listed: known.listed,
+    progressRevision: progress.item?.revision ?? 0,
+  };
+}
+
+async function loadItems(
+  store: MetadataStore,
+  jobId: string,
+  after?: string,
+): Promise<readonly BatchItem[] | undefined> {
+  const page = await store.listPage(batchKeys.items(jobId), after);
+  if (page.kind === "failed") {
+    return undefined;
+  }
+  const items = page.items.flatMap(decodeChunk);
+  const last = page.items.at(-1);
+  if (!page.hasMore || last === undefined) {
+    return items;
+  }
+  const rest = await loadItems(store, jobId, last.key);
+  return rest === undefined ? undefined : [...items, ...rest];
+}
+
+function decodeChunk({ value }: MetadataItem): readonly BatchItem[] {
+  return batchRecords.decodeChunk(value) ?? [];
+}
--- /dev/null
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -0,0 +1,168 @@
+import {
+  type BatchClaim,
+  type BatchItem,
+  type BatchJob,
+  type BatchResult,
+  batchKeys,
+  type MetadataCommit,
+  type MetadataItem,
+  type MetadataStore,
+} from "@gooseberryline/core";
+import type { Log } from "@gooseberryline/daemon";
+import { batchRecords } from "./batch_records.ts";
+import { JOB_TIMES } from "./constants.ts";
+
+type OwnedParts = {
+  readonly store: MetadataStore;
+  readonly log: Log;
+  /** Tells this process's writes from those of others. */
+  readonly writerName: string;
+  readonly onLost: () => void;
+};
+
+type Finished = { readonly index: number; readonly result: BatchResult };
+
+/** A job as it stood when this instance claimed it. */
+export type LoadedJob = {
+  readonly job: BatchJob;
+  readonly items: readonly BatchItem[];
+  readonly claim: BatchClaim;
+  readonly claimRevision: number;
+  readonly listed: readonly number[];
+  readonly progressRevision: number;
+};
+
+/**
+ * Lists the results of a job that this instance owns. A write holds only
+ * while the claim is the one that was taken, so a late owner lists nothing;
+ * results that finish during a write go into the next one together.
+ */
+export class OwnedJob {
+  readonly loaded: LoadedJob;
+  readonly #parts: OwnedParts;
+  #listed: readonly number[];
+  #progressRevision: number;
+  #finished: Finished[] = [];
+  #isWriting = false;
+  #writes = 0;
+  #isOver = false;
+
+  constructor(loaded: LoadedJob, parts: OwnedParts) {
+    this.loaded = loaded;
+    this.#parts = parts;
+    this.#listed = loaded.listed;
+    this.#progressRevision = loaded.progressRevision;
+  }
+
+  /** Whether every result is listed, or the job is no longer this one's. */
+  get isOver(): boolean {
+    return this.#isOver;
+  }
+
+  /** Ends without a word; nothing more is written. */
+  abandon(): void {
+    this.#isOver = true;
+  }
+
+  addResult(index: number, result: BatchResult): void {
+    this.#finished.push({ index, result });
+    void this.#write();
+  }
+
+  async #write(): Promise<void> {
+    if (this.#isWriting || this.#isOver || this.#finished.length === 0) {
+      return;
+    }
+    this.#isWriting = true;
+    const batch = this.#finished;
+    this.#finished = [];
+    await this.#writeUntilKnown(batch);
+    this.#isWriting = false;
+    await this.#write();
+  }
+
+  async #writeUntilKnown(batch: readonly Finished[]): Promise<void> {
+    const { store, log } = this.#parts;
+    const { job } = this.loaded;
+    this.#writes += 1;
+    const writer = `${this.#parts.writerName}/${this.#writes}`;
+    const listed = [...this.#listed, ...batch.map(({ index }) => index)];
+    const commit = this.#buildCommit(batch, listed, writer);
+    while (!this.#isOver) {
+      const done = await store.commit(commit);
+      if (done.kind === "committed") {
+        this.#noteListed(listed, done.revision);
+        return;
+      }
+      if (done.kind === "conflict") {
+        this.#settleConflict(done.items, listed, writer);
+        return;
+      }
+      const reason = done.kind === "failed" ? done.reason : done.kind;
+      log.warn("results-not-written", { jobId: job.id, reason });
+      await new Promise((resolve) =>
+        setTimeout(resolve, JOB_TIMES.WRITE_RETRY_MS),
+      );
+    }
+  }
+
+  #buildCommit(
+    batch: readonly Finished[],
+    listed: readonly number[],
+    writer: string,
+  ): MetadataCommit {
+    const { job, claimRevision } = this.loaded;
+    const claimKey = batchKeys.claim(job.id);
+    const progressKey = batchKeys.progress(job.id);
+    const first = this.#listed.length;
+    const isLast = listed.length >= job.itemIds.length;
+    return {
+      expect: [
+        { key: claimKey, revision: claimRevision },
+        { key: progressKey, revision: this.#progressRevision },
+      ],
+      set: [
+        { key: progressKey, value: batchRecords.encode({ listed, writer }) },
+        ...batch.map(({ result }, offset) => ({
+          key: batchKeys.result(job.id, first + offset),
+          value: batchRecords.encode(result),
+        })),
+      ],
+      remove: isLast ? [claimKey] : [],
+    };
+  }
+
+  #noteListed(listed: readonly number[], revision: number): void {
+    const { job } = this.loaded;
+    this.#listed = listed;
+    this.#progressRevision = revision;
+    this.#isOver = this.#isOver || listed.length >= job.itemIds.length;
+    this.#parts.log.info("results-listed", {
+      jobId: job.id,
+      listed: listed.length,
+      total: job.itemIds.length,
+    });
+  }
+
+  /** A write whose answer was lost shows by its own name in the record. */
+  #settleConflict(
+    items: readonly MetadataItem[],
+    listed: readonly number[],
+    writer: string,
+  ): void {
+    const { job } = this.loaded;
+    const key = batchKeys.progress(job.id);
+    const record = items.find((item) => item.key === key);
+    const progress =
+      record === undefined
+        ? undefined
+        : batchRecords.decodeProgress(record.value);
+    if (record !== undefined && progress?.writer === writer) {
+      this.#noteListed(listed, record.revision);
+      return;
+    }
+    this.#isOver = true;
+    this.#parts.log.warn("job-lost-to-another", { jobId: job.id });
+    this.#parts.onLost();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/metrics/create_gateway_metrics.ts
@@ -0,0 +1,50 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Upper bounds of the latency histogram, in ms. */
+const LATENCY_BOUNDS_MS = [10, 25, 50, 100, 200, 300, 500, 1_000, 2_000, 5_000];
+const PREFIX = "gooseberryline_";
+
+/** What an instance counts, as text for whoever asks. */
+export type GatewayMetrics = {
+  /** Notes a request that has ended. */
+  readonly noteRequest: (outcome: string, tookMs: number) => void;
+  /** Notes a state as it is now. */
+  readonly setGauge: (name: GaugeName, value: number) => void;
+  readonly render: () => Promise<string>;
+};
+
+type GaugeName = "requests_open" | "items_running" | "upstreams_known";
+
+/** Creates the counters and histograms of an instance. */
+export function createGatewayMetrics(): GatewayMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const requests = new Counter({
+    name: `${PREFIX}requests_total`,
+    help: "requests that ended, by outcome",
+    labelNames: ["outcome"],
+    registers,
+  });
+  const latency = new Histogram({
+    name: `${PREFIX}request_ms`,
+    help: "time from a request's head to its end, ms",
+    labelNames: ["outcome"],
+    buckets: LATENCY_BOUNDS_MS,
+    registers,
+  });
+  const gauge = (name: GaugeName, help: string) =>
+    new Gauge({ name: `${PREFIX}${name}`, help, registers });
+  const gauges = {
+    requests_open: gauge("requests_open", "requests under way"),
+    items_running: gauge("items_running", "batch items under way"),
+    upstreams_known: gauge("upstreams_known", "upstreams in the directory"),
+  };
+  return {
+    noteRequest: (outcome, tookMs) => {
+      requests.inc({ outcome });
+      latency.observe({ outcome }, tookMs);
+    },
+    setGauge: (name, value) => gauges[name].set(value),
+    render: () => registry.metrics(),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/requests/attempt.ts
@@ -0,0 +1,95 @@
+import { assertNever, type UpstreamEntry } from "@gooseberryline/core";
+import type { ConnectionPool, Log } from "@gooseberryline/daemon";
+import type { CallDialect } from "../dialect/types.ts";
+import type {
+  ExchangeEnd,
+  ExchangeEvents,
+  ExchangeOrder,
+} from "../exchange/types.ts";
+import { UpstreamExchange } from "../exchange/upstream_exchange.ts";
+import type { FleetView } from "../fleet/fleet_view.ts";
+import type { Lane } from "../fleet/load_book.ts";
+
+export type AttemptParts = {
+  readonly view: FleetView;
+  readonly pool: ConnectionPool;
+  readonly dialect: CallDialect;
+  readonly log: Log;
+};
+
+/** A try of a request or an item at one upstream, counted as its load. */
+export class Attempt {
+  readonly upstream: UpstreamEntry;
+  readonly #lane: Lane;
+  readonly #parts: AttemptParts;
+  readonly #events: ExchangeEvents;
+  readonly #startedMs: number;
+  readonly #exchange: UpstreamExchange;
+  #isOver = false;
+
+  constructor(
+    upstream: UpstreamEntry,
+    lane: Lane,
+    order: ExchangeOrder,
+    parts: AttemptParts,
+    events: ExchangeEvents,
+  ) {
+    this.upstream = upstream;
+    this.#lane = lane;
+    this.#parts = parts;
+    this.#events = events;
+    this.#startedMs = parts.view.readNowMs();
+    parts.view.noteSend(upstream, lane);
+    this.#exchange = new UpstreamExchange(order, {
+      pool: parts.pool,
+      dialect: parts.dialect,
+      onHead: events.onHead,
+      onChunk: events.onChunk,
+      onEnd: (end) => this.#takeEnd(end),
+    });
+  }
+
+  /** Ends it without a word; the upstream stops its work. */
+  cancel(): void {
+    this.#exchange.cancel();
+    this.#release();
+  }
+
+  resume(): void {
+    this.#exchange.resume();
+  }
+
+  #takeEnd(end: ExchangeEnd): void {
+    this.#release();
+    this.#noteEnd(end);
+    this.#events.onEnd(end);
+  }
+
+  #release(): void {
+    if (!this.#isOver) {
+      this.#isOver = true;
+      this.#parts.view.load.noteEnd(this.upstream.id, this.#lane);
+    }
+  }
+
+  #noteEnd(end: ExchangeEnd): void {
+    const { load } = this.#parts.view;
+    const nowMs = this.#parts.view.readNowMs();
+    switch (end.kind) {
+      case "whole":
+        load.noteSuccess(this.upstream.id);
+        if (this.#lane === "online") {
+          const heldMs = nowMs - this.#startedMs;
+          load.noteServiceTime(this.upstream.service, heldMs);
+        }
+        return;
+      case "unsent":
+      case "unexecuted":
+      case "lost":
+        load.noteFailure(this.upstream.id, nowMs);
+        return;
+      default:
+        assertNever(end);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requests/check_call.ts
@@ -0,0 +1,39 @@
+import {
+  authenticateCaller,
+  findRoute,
+  type Route,
+  type RouteCustomer,
+  type RouteTable,
+} from "@gooseberryline/core";
+import type { CallHead } from "../dialect/types.ts";
+import { faults } from "./faults.ts";
+import type { CallFault } from "./types.ts";
+
+/** Whether a call may come in, and by which route. */
+export type CallCheck =
+  | {
+      readonly kind: "allowed";
+      readonly route: Route;
+      readonly customer: RouteCustomer | undefined;
+    }
+  | { readonly kind: "refused"; readonly fault: CallFault };
+
+/** Checks a call's route and key against the configuration in force. */
+export function checkCall(
+  table: RouteTable,
+  head: CallHead,
+  host: string,
+  path: string,
+): CallCheck {
+  const route = findRoute(table, host, path);
+  if (route === undefined) {
+    const fault = faults.notFound("no route matches the host and path");
+    return { kind: "refused", fault };
+  }
+  const caller = authenticateCaller(table, route, head.key);
+  if (caller.kind === "unknown") {
+    return { kind: "refused", fault: faults.unknownKey() };
+  }
+  const customer = caller.kind === "customer" ? caller.customer : undefined;
+  return { kind: "allowed", route, customer };
+}
--- /dev/null
+++ b/packages/gateway/src/requests/choose_upstream.ts
@@ -0,0 +1,30 @@
+import { type Placement, placeRequest } from "@gooseberryline/core";
+import type { FleetView } from "../fleet/fleet_view.ts";
+import { REQUESTS } from "./constants.ts";
+import type { AdmittedCall } from "./types.ts";
+
+/** Chooses the upstream of a request from what this instance knows now. */
+export function chooseUpstream(
+  view: FleetView,
+  call: AdmittedCall,
+  tried: ReadonlySet<string>,
+  leftMs: number,
+): Placement {
+  const { service, head, path, receivedMs, route } = call;
+  const nowMs = view.readNowMs();
+  const request = {
+    candidates: view.listCandidates(service),
+    tried,
+    ownDataCentre: view.settings.dataCentre,
+    affinityKey: head.affinityKey ?? head.requestId ?? path,
+    meanServiceMs: view.load.getMeanMs(service),
+    objectiveLeftMs: receivedMs + route.objectiveMs - nowMs,
+    patienceMs: Math.min(REQUESTS.PATIENCE_MS, leftMs),
+    nowMs,
+  };
+  const placement = placeRequest(request);
+  // With nothing else left, one that failed before is better than none.
+  return placement.kind !== "placed" && tried.size > 0
+    ? placeRequest({ ...request, tried: new Set() })
+    : placement;
+}
--- /dev/null
+++ b/packages/gateway/src/requests/constants.ts
@@ -0,0 +1,17 @@
+/** Figures of requests. */
+export const REQUESTS = {
+  /** Longest wait in an upstream's queue that is still offered, in ms. */
+  PATIENCE_MS: 1_200,
+  /** An answer's head is awaited this long beyond the expected wait, in ms. */
+  HEAD_SLACK_MS: 450,
+  /** A resumable stream is moved after a pause this long, in ms. */
+  MOVE_PAUSE_MS: 220,
+  /** A stream that can't be moved is given up after such a pause, in ms. */
+  LOST_PAUSE_MS: 4_000,
+  MIN_RETRY_AFTER_MS: 60,
+  MAX_RETRY_AFTER_MS: 1_500,
+  /** Without any upstream, callers come back after this, in ms. */
+  NO_UPSTREAM_RETRY_MS: 500,
+  /** Without a deadline of the caller's own, in ms. */
+  DEFAULT_DEADLINE_MS: 30_000,
+} as const;
--- /dev/null
+++ b/packages/gateway/src/requests/request_run.ts
@@ -0,0 +1,313 @@
+import {
+  type AttemptEnd,
+  assertNever,
+  CALL_SHAPES,
+  decideNextStep,
+  type NextStep,
+  type UpstreamEntry,
+} from "@gooseberryline/core";
+import type { ExchangeEnd, ExchangeHead } from "../exchange/types.ts";
+import { Attempt, type AttemptParts } from "./attempt.ts";
+import { buildOrder } from "./build_order.ts";
+import { chooseUpstream } from "./choose_upstream.ts";
+import { REQUESTS } from "./constants.ts";
+import { faults } from "./faults.ts";
+import { StreamRelay } from "./stream_relay.ts";
+import type { AdmittedCall, CallFault, CallReply } from "./types.ts";
+
+type RequestParts = AttemptParts & {
+  readonly onDone: (outcome: string, tookMs: number) => void;
+};
+
+type EndFields = Readonly<Record<string, string | number | undefined>>;
+
+const SERVER_ERROR = 500;
+
+/** One caller's request: places it, relays the answer, repeats if it may. */
+export class RequestRun {
+  readonly #call: AdmittedCall;
+  readonly #reply: CallReply;
+  readonly #parts: RequestParts;
+  readonly #relay: StreamRelay;
+  readonly #deadlineMs: number;
+  readonly #tried = new Set<string>();
+  readonly #offered: string[] = [];
+  #runs = 0;
+  #hasQuota = false;
+  #attempt: Attempt | undefined;
+  #head: ExchangeHead | undefined;
+  #body: Buffer[] = [];
+  #hasBegun = false;
+  #timer: NodeJS.Timeout | undefined;
+  #isOver = false;
+
+  constructor(call: AdmittedCall, reply: CallReply, parts: RequestParts) {
+    this.#call = call;
+    this.#reply = reply;
+    this.#parts = parts;
+    const { lastEventId, deadlineMs } = call.head;
+    const resume = (): void => this.#attempt?.resume();
+    this.#relay = new StreamRelay(reply, lastEventId, resume);
+    const askedMs = deadlineMs ?? REQUESTS.DEFAULT_DEADLINE_MS;
+    this.#deadlineMs =
+      call.receivedMs + Math.min(call.route.timeoutMs, askedMs);
+  }
+
+  start(): void {
+    this.#timer = setTimeout(() => this.#expire(), this.#countLeftMs());
+    this.#place();
+  }
+
+  /** The caller has left: the upstream stops at once. */
+  cancel(): void {
+    if (!this.#isOver) {
+      this.#dropAttempt();
+      this.#finish("caller-left", {});
+    }
+  }
+
+  #countLeftMs(): number {
+    return Math.max(0, this.#deadlineMs - this.#parts.view.readNowMs());
+  }
+
+  #place(): void {
+    const { view } = this.#parts;
+    const leftMs = this.#countLeftMs();
+    const placement = chooseUpstream(view, this.#call, this.#tried, leftMs);
+    switch (placement.kind) {
+      case "placed":
+        if (this.#takeQuota()) {
+          this.#send(placement.upstream, placement.waitMs);
+        }
+        return;
+      case "full":
+        this.#giveUp("every upstream is full", placement.freeInMs);
+        return;
+      case "none":
+        this.#giveUp("no upstream is in use", REQUESTS.NO_UPSTREAM_RETRY_MS);
+        return;
+      default:
+        assertNever(placement);
+    }
+  }
+
+  /** Takes a token of the customer's rate, once for the request. */
+  #takeQuota(): boolean {
+    const { customer } = this.#call;
+    if (this.#hasQuota || customer === undefined) {
+      return true;
+    }
+    const { view } = this.#parts;
+    const taken = view.quotas.take(customer, view.readNowMs());
+    if (taken.kind === "over") {
+      this.#refuse(faults.overRate(taken.freeInMs));
+      return false;
+    }
+    this.#hasQuota = true;
+    return true;
+  }
+
+  #send(upstream: UpstreamEntry, waitMs: number): void {
+    this.#offered.push(upstream.id);
+    this.#head = undefined;
+    this.#body = [];
+    this.#relay.restart();
+    const order = buildOrder(this.#call, this.#parts.dialect, {
+      upstream,
+      waitMs,
+      leftMs: this.#countLeftMs(),
+      runs: this.#runs,
+      lastEventId: this.#relay.lastEventId,
+    });
+    this.#attempt = new Attempt(upstream, "online", order, this.#parts, {
+      onHead: (head) => {
+        this.#head = head;
+      },
+      onChunk: (chunk) => this.#takeChunk(chunk),
+      onEnd: (end) => this.#takeEnd(end),
+    });
+  }
+
+  #takeChunk(chunk: Buffer): boolean {
+    if (!this.#isStream()) {
+      this.#body.push(chunk);
+      return true;
+    }
+    if (!this.#hasBegun && this.#head !== undefined) {
+      this.#hasBegun = true;
+      this.#reply.beginStream(this.#head);
+    }
+    const step = this.#relay.take(chunk);
+    if (step === "out-of-order") {
+      this.#dropAttempt();
+      this.#follow({ kind: "lost", reason: "events out of order" });
+      return false;
+    }
+    return step === "room";
+  }
+
+  #isStream(): boolean {
+    return (
+      this.#call.route.shape === CALL_SHAPES.stream &&
+      this.#head?.isEventStream === true
+    );
+  }
+
+  #takeEnd(end: ExchangeEnd): void {
+    const upstreamId = this.#attempt?.upstream.id;
+    this.#attempt = undefined;
+    if (end.kind !== "whole" && upstreamId !== undefined) {
+      this.#tried.add(upstreamId);
+    }
+    switch (end.kind) {
+      case "unsent":
+      case "unexecuted":
+        this.#follow(end);
+        return;
+      case "lost":
+        this.#runs += 1;
+        this.#follow(end);
+        return;
+      case "whole":
+        this.#runs += 1;
+        this.#takeWhole(upstreamId);
+        return;
+      default:
+        assertNever(end);
+    }
+  }
+
+  #takeWhole(upstreamId: string | undefined): void {
+    const status = this.#head?.status ?? 0;
+    if (this.#isStream()) {
+      if (this.#relay.isBetweenEvents()) {
+        this.#reply.endStream();
+        this.#finish("answered", { status, events: this.#relay.eventCount });
+      } else {
+        this.#follow({ kind: "lost", reason: "the last event is cut off" });
+      }
+      return;
+    }
+    const end = { kind: "lost", reason: `an answer of ${status}` } as const;
+    // A failure of an upstream may be its own: another one may do better.
+    if (status >= SERVER_ERROR && this.#decide(end).kind === "retry") {
+      this.#tried.add(upstreamId ?? "");
+      this.#follow(end);
+      return;
+    }
+    this.#sendWhole(status);
+  }
+
+  #sendWhole(status: number): void {
+    if (this.#hasBegun || this.#head === undefined) {
+      this.#reply.breakOff();
+      this.#finish("broken-off", { reason: `an answer of ${status}` });
+      return;
+    }
+    this.#reply.sendWhole(this.#head, Buffer.concat(this.#body));
+    this.#finish("answered", { status });
+  }
+
+  #decide(end: AttemptEnd): NextStep {
+    return decideNextStep(
+      this.#call.route,
+      {
+        runs: this.#runs,
+        offers: this.#offered.length,
+        hasBegun: this.#hasBegun,
+        leftMs: this.#countLeftMs(),
+      },
+      end,
+    );
+  }
+
+  #follow(end: AttemptEnd): void {
+    const next = this.#decide(end);
+    switch (next.kind) {
+      case "retry":
+        this.#logRetry(end);
+        this.#place();
+        return;
+      case "break-off":
+      case "refuse":
+      case "fail":
+        this.#giveUp(next.reason, 0);
+        return;
+      case "done":
+        return;
+      default:
+        assertNever(next);
+    }
+  }
+
+  #logRetry(end: AttemptEnd): void {
+    this.#parts.log.info("request-retry", {
+      requestId: this.#call.head.requestId,
+      upstream: this.#offered.at(-1),
+      end: end.kind,
+      reason: "reason" in end ? end.reason : `status ${end.status}`,
+      runs: this.#runs,
+      events: this.#relay.eventCount,
+    });
+  }
+
+  /** Ends a request that nothing more can be done for. */
+  #giveUp(reason: string, freeInMs: number): void {
+    if (this.#hasBegun) {
+      this.#reply.breakOff();
+      this.#finish("broken-off", { reason });
+    } else if (this.#runs > 0) {
+      this.#refuse(faults.upstreamFailed(reason));
+    } else {
+      this.#refuse(faults.noRoom(reason, freeInMs));
+    }
+  }
+
+  #expire(): void {
+    this.#dropAttempt();
+    const reason = "the time is up";
+    if (this.#hasBegun) {
+      this.#reply.breakOff();
+      this.#finish("broken-off", { reason });
+    } else {
+      this.#refuse(faults.timedOut(reason, this.#runs > 0));
+    }
+  }
+
+  #refuse(fault: CallFault): void {
+    this.#reply.sendFault(fault);
+    this.#finish("refused", { status: fault.status, reason: fault.message });
+  }
+
+  /** Ends an attempt that may have run. */
+  #dropAttempt(): void {
+    if (this.#attempt !== undefined) {
+      this.#attempt.cancel();
+      this.#tried.add(this.#attempt.upstream.id);
+      this.#attempt = undefined;
+      this.#runs += 1;
+    }
+  }
+
+  #finish(outcome: string, fields: EndFields): void {
+    if (this.#isOver) {
+      return;
+    }
+    this.#isOver = true;
+    clearTimeout(this.#timer);
+    const { log, view, onDone } = this.#parts;
+    const tookMs = Math.round(view.readNowMs() - this.#call.receivedMs);
+    log.info("request-ended", {
+      requestId: this.#call.head.requestId,
+      route: this.#call.route.name,
+      customer: this.#call.customer?.name,
+      outcome,
+      ...fields,
+      upstreams: this.#offered.join(" "),
+      runs: this.#runs,
+      revision: view.table?.config.revision,
+      tookMs,
+    });
+    onDone(outcome, tookMs);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/run_gateway.ts
@@ -0,0 +1,186 @@
+import { randomUUID } from "node:crypto";
+import { batchKeys, DUTIES, type MetadataStore } from "@gooseberryline/core";
+import { ConnectionPool, type Log } from "@gooseberryline/daemon";
+import type { Dialect } from "./dialect/types.ts";
+import { EXCHANGE } from "./exchange/constants.ts";
+import { FleetView } from "./fleet/fleet_view.ts";
+import { MembershipTask } from "./fleet/membership_task.ts";
+import { PeerLink } from "./fleet/peer_link.ts";
+import { RecordWatches } from "./fleet/record_watches.ts";
+import { CallerListener } from "./http/caller_listener.ts";
+import { StatusListener } from "./http/status_listener.ts";
+import { JobDoor } from "./jobs/job_door.ts";
+import { JobRunner } from "./jobs/job_runner.ts";
+import { createGatewayMetrics } from "./metrics/create_gateway_metrics.ts";
+import type { GatewaySettings } from "./settings/types.ts";
+import { STOP_TIMES } from "./stop_times.ts";
+import { PrefixWatch } from "./store/prefix_watch.ts";
+
+export type GatewayParts = {
+  readonly settings: GatewaySettings;
+  readonly store: MetadataStore;
+  readonly dialect: Dialect;
+  readonly log: Log;
+};
+
+/** A running gateway. */
+export type Gateway = {
+  /** Finishes what is under way within the grace time, then ends. */
+  readonly stop: () => Promise<void>;
+};
+
+const METRICS_PATH = "/metrics";
+const OK = 200;
+const UNAVAILABLE = 503;
+
+/** Runs one instance: serves callers or runs items, by its duty. */
+export async function runGateway(parts: GatewayParts): Promise<Gateway> {
+  const { settings, store, dialect, log } = parts;
+  const incarnation = randomUUID().slice(0, 8);
+  const view = new FleetView(settings, incarnation, () => performance.now());
+  const pool = new ConnectionPool(EXCHANGE.IDLE_MS);
+  const metrics = createGatewayMetrics();
+  const shared = { view, pool, dialect: dialect.calls, log, store };
+  const state = { isLoaded: false, isStopping: false };
+  const listener = new CallerListener({
+    ...shared,
+    jobs: new JobDoor(shared),
+    onDone: metrics.noteRequest,
+  });
+  const runner = new JobRunner(shared);
+  const claims = new PrefixWatch({
+    store,
+    prefix: batchKeys.claimPrefix,
+    log,
+    onEvent: (event) => runner.noteClaim(event),
+    onContact: () => undefined,
+  });
+  const watches = new RecordWatches({
+    view,
+    store,
+    dialect: dialect.records,
+    log,
+    onConfig: () => listener.applyLimits(),
+    onRetire: (isRetired) => void retire(parts, runner, isRetired),
+  });
+  const { id, host, peerPort } = { ...settings, id: settings.instanceId };
+  const membership = new MembershipTask({
+    store,
+    log,
+    member: {
+      id,
+      incarnation,
+      address: host,
+      port: peerPort,
+      dataCentre: settings.dataCentre,
+      duty: settings.duty,
+    },
+  });
+  const peers = new PeerLink(view, log);
+  const status = new StatusListener({
+    [dialect.readinessPath]: () => {
+      const isReady =
+        state.isLoaded && view.table !== undefined && !state.isStopping;
+      return { status: isReady ? OK : UNAVAILABLE, text: "" };
+    },
+  });
+  const report = new StatusListener({
+    [METRICS_PATH]: async () => {
+      metrics.setGauge("requests_open", listener.countOpen());
+      metrics.setGauge("items_running", runner.countRunning());
+      metrics.setGauge("upstreams_known", view.directory.count());
+      return { status: OK, text: await metrics.render() };
+    },
+  });
+
+  if (settings.metrics !== undefined) {
+    await report.start(settings.metrics);
+  }
+  if (settings.readiness !== undefined) {
+    await status.start(settings.readiness);
+  }
+  if (settings.callers !== undefined) {
+    await listener.start(settings.callers);
+  }
+  await peers.start();
+  membership.start();
+  if (settings.duty === DUTIES.run) {
+    claims.start();
+    runner.start();
+  }
+  log.info("started", { incarnation, duty: settings.duty });
+  void watches.start().then(() => {
+    state.isLoaded = true;
+    log.info("ready", { sinceStartMs: Math.round(performance.now()) });
+  });
+
+  const stop = async (): Promise<void> => {
+    const startedMs = view.readNowMs();
+    state.isStopping = true;
+    log.info("stopping", { open: listener.countOpen() });
+    listener.startStopping();
+    await runner.releaseAll();
+    if (settings.callers !== undefined) {
+      await drainCallers(listener, startedMs, settings.graceMs, view);
+    }
+    runner.stop();
+    claims.stop();
+    watches.stop();
+    await membership.stop();
+    peers.stop();
+    listener.stop();
+    status.stop();
+    report.stop();
+    pool.stop();
+    log.info("stopped", { tookMs: Math.round(view.readNowMs() - startedMs) });
+  };
+  return { stop };
+}
+
+/** Waits until callers have stopped coming and the last one is answered. */
+async function drainCallers(
+  listener: CallerListener,
+  startedMs: number,
+  graceMs: number,
+  view: FleetView,
+): Promise<void> {
+  const lastMs = startedMs + graceMs - STOP_TIMES.MARGIN_MS;
+  const lingerMs = startedMs + STOP_TIMES.LINGER_MS;
+  while (view.readNowMs() < lastMs) {
+    const isQuiet = listener.countOpen() === 0;
+    if (isQuiet && view.readNowMs() >= lingerMs) {
+      return;
+    }
+    await new Promise((resolve) => setTimeout(resolve, STOP_TIMES.POLL_MS));
+  }
+}
+
+/** Hands this instance's jobs to others, and reports when none is left. */
+async function retire(
+  { settings, store, dialect, log }: GatewayParts,
+  runner: JobRunner,
+  isRetired: boolean,
+): Promise<void> {
+  if (!isRetired) {
+    runner.resumeClaims();
+    return;
+  }
+  await runner.releaseAll();
+  const { records } = dialect;
+  const { key, value } = records.buildRetireStatus(settings.instanceId, true);
+  const write = async (): Promise<void> => {
+    const done = await store.commit({
+      expect: [],
+      set: [{ key, value }],
+      remove: [],
+    });
+    if (done.kind !== "committed") {
+      await new Promise((resolve) =>
+        setTimeout(resolve, STOP_TIMES.RETIRE_RETRY_MS),
+      );
+      await write();
+    }
+  };
+  await write();
+  log.info("retired", { instance: settings.instanceId });
+}
--- /dev/null
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -0,0 +1,161 @@
+import type { MetadataEvent, MetadataStore } from "@gooseberryline/core";
+import type { Log } from "@gooseberryline/daemon";
+import { WATCHING } from "./constants.ts";
+
+type WatchParts = {
+  readonly store: MetadataStore;
+  readonly prefix: string;
+  readonly log: Log;
+  readonly onEvent: (event: MetadataEvent) => void;
+  /** Called at each answer of the store, and once when it stops answering. */
+  readonly onContact: (isReached: boolean) => void;
+};
+
+/**
+ * Follows the records under a prefix: reads them all, then watches. A gap in
+ * the history leads to a fresh read, told as the changes since the last one.
+ * While the store is away the last known records stand.
+ */
+export class PrefixWatch {
+  readonly #parts: WatchParts;
+  /** Revision of each record as last told. */
+  readonly #known = new Map<string, number>();
+  #revision = 0;
+  #isCurrent = false;
+  #failures = 0;
+  #isStopped = false;
+  #onLoaded: () => void = () => undefined;
+  /** Settles once the prefix was read whole for the first time. */
+  readonly loaded: Promise<void>;
+
+  constructor(parts: WatchParts) {
+    this.#parts = parts;
+    this.loaded = new Promise((resolve) => {
+      this.#onLoaded = resolve;
+    });
+  }
+
+  start(): void {
+    void this.#follow();
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #follow(): Promise<void> {
+    while (!this.#isStopped) {
+      const isDone = this.#isCurrent ? await this.#watch() : await this.#load();
+      if (isDone) {
+        this.#noteReached();
+      } else {
+        await this.#waitBeforeRetry();
+      }
+    }
+  }
+
+  async #load(after?: string, seen = new Set<string>()): Promise<boolean> {
+    const { store, prefix } = this.#parts;
+    const page = await store.listPage(prefix, after);
+    if (page.kind === "failed") {
+      this.#noteFailure(page.reason);
+      return false;
+    }
+    // Changes made between two pages are told again by the watch.
+    this.#revision =
+      after === undefined
+        ? page.storeRevision
+        : Math.min(this.#revision, page.storeRevision);
+    page.items.forEach((item) => {
+      seen.add(item.key);
+      this.#tell({ kind: "set", item });
+    });
+    const last = page.items.at(-1);
+    if (page.hasMore && last !== undefined) {
+      return this.#load(last.key, seen);
+    }
+    this.#tellMissing(seen);
+    this.#isCurrent = true;
+    this.#onLoaded();
+    return true;
+  }
+
+  #tellMissing(seen: ReadonlySet<string>): void {
+    // Whatever was known of them is older than their removal.
+    const revision = Number.MAX_SAFE_INTEGER;
+    [...this.#known.keys()]
+      .filter((key) => !seen.has(key))
+      .forEach((key) => {
+        this.#tell({ kind: "removed", key, revision });
+      });
+  }
+
+  async #watch(): Promise<boolean> {
+    const { store, prefix, log } = this.#parts;
+    const changes = await store.watchPrefix(
+      prefix,
+      this.#revision,
+      WATCHING.WAIT_MS,
+    );
+    switch (changes.kind) {
+      case "changes":
+        changes.events.forEach((event) => {
+          this.#tell(event);
+        });
+        this.#revision = changes.storeRevision;
+        return true;
+      case "compacted":
+        log.info("watch-history-gone", { prefix, revision: this.#revision });
+        this.#isCurrent = false;
+        return true;
+      case "failed":
+        this.#noteFailure(changes.reason);
+        return false;
+    }
+  }
+
+  /** Tells a change once; an older state of a record is passed over. */
+  #tell(event: MetadataEvent): void {
+    const key = event.kind === "set" ? event.item.key : event.key;
+    const revision =
+      event.kind === "set" ? event.item.revision : event.revision;
+    const known = this.#known.get(key);
+    if (known !== undefined && known >= revision) {
+      return;
+    }
+    if (event.kind === "set") {
+      this.#known.set(key, revision);
+    } else {
+      this.#known.delete(key);
+    }
+    this.#parts.onEvent(event);
+  }
+
+  #noteReached(): void {
+    if (this.#failures > 0) {
+      this.#parts.log.info("watch-regained", {
+        prefix: this.#parts.prefix,
+        failures: this.#failures,
+      });
+    }
+    this.#failures = 0;
+    this.#parts.onContact(true);
+  }
+
+  #noteFailure(reason: string): void {
+    if (this.#failures === 0) {
+      const { log, prefix } = this.#parts;
+      log.warn("watch-lost", { prefix, revision: this.#revision, reason });
+    }
+    this.#failures += 1;
+    this.#parts.onContact(false);
+  }
+
+  #waitBeforeRetry(): Promise<void> {
+    const doubled = WATCHING.FIRST_RETRY_MS * 2 ** (this.#failures - 1);
+    const delayMs = Math.min(WATCHING.MAX_RETRY_MS, doubled);
+    // Spread, so that instances do not return to a recovering store at once.
+    const spreadMs = delayMs * (0.5 + Math.random());
+    return new Promise((resolve) => setTimeout(resolve, spreadMs));
+  }
+}
