--- a/packages/core/src/attempts/decide_next_step.ts
+++ b/packages/core/src/attempts/decide_next_step.ts
@@ -21,17 +21,17 @@
     case "answered":
       return { kind: "done" };
     case "unsent":
-      return repeatUnrun(policy, progress, end.reason);
+      return retryUnrun(policy, progress, end.reason);
     case "unexecuted":
-      return repeatUnrun(policy, progress, `declined with ${end.status}`);
+      return retryUnrun(policy, progress, `declined with ${end.status}`);
     case "lost":
-      return repeatLost(policy, progress, end.reason);
+      return retryLost(policy, progress, end.reason);
     default:
       return assertNever(end);
   }
 }
 
-function repeatUnrun(
+function retryUnrun(
   policy: RepeatPolicy,
   progress: RequestProgress,
   reason: string,
@@ -40,10 +40,10 @@
   if (progress.offers < maxOffers && progress.leftMs > ATTEMPTS.MIN_LEFT_MS) {
     return { kind: "retry" };
   }
-  return giveUp(progress, reason);
+  return abandonRequest(progress, reason);
 }
 
-function repeatLost(
+function retryLost(
   policy: RepeatPolicy,
   progress: RequestProgress,
   reason: string,
@@ -55,10 +55,10 @@
   if (isRepeatable && isAllowed && progress.leftMs > ATTEMPTS.MIN_LEFT_MS) {
     return { kind: "retry" };
   }
-  return giveUp(progress, reason);
+  return abandonRequest(progress, reason);
 }
 
-function giveUp(progress: RequestProgress, reason: string): NextStep {
+function abandonRequest(progress: RequestProgress, reason: string): NextStep {
   if (progress.hasBegun) {
     return { kind: "break-off", reason };
   }
--- a/packages/core/src/placing/place_request.ts
+++ b/packages/core/src/placing/place_request.ts
@@ -22,7 +22,7 @@
     .filter(({ entry }) => !entry.isDraining)
     .filter(({ entry }) => !request.tried.has(entry.id))
     .filter(({ isRampOpen }) => isRampOpen)
-    .map((candidate) => rateCandidate(candidate, request));
+    .map((candidate) => describeCandidate(candidate, request));
   if (usable.length === 0) {
     return request.candidates.some(({ entry }) => !entry.isDraining)
       ? { kind: "full", freeInMs: request.meanServiceMs }
@@ -47,7 +47,7 @@
   );
 }
 
-function rateCandidate(candidate: Candidate, request: PlaceRequest): Rated {
+function describeCandidate(candidate: Candidate, request: PlaceRequest): Rated {
   const { entry, open } = candidate;
   const isCold = entry.coldUntilMs > request.nowMs;
   return {
--- a/packages/gateway/src/fleet/quota_book.ts
+++ b/packages/gateway/src/fleet/quota_book.ts
@@ -62,7 +62,7 @@
         const quota = refillQuota(found, customer, share, nowMs);
         this.#quotas.set(customer.name, quota);
         const { admitted, tokens } = quota;
-        return [customer.name, { admitted, tokens: round(tokens) }] as const;
+        return [customer.name, { admitted, tokens: toTenths(tokens) }] as const;
       });
     return Object.fromEntries(entries);
   }
@@ -84,6 +84,6 @@
   }
 }
 
-function round(value: number): number {
+function toTenths(value: number): number {
   return Math.round(value * 10) / 10;
 }
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -2,25 +2,29 @@
   type AttemptEnd,
   assertNever,
   CALL_SHAPES,
-  decideNextStep,
   type NextStep,
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import type { ExchangeEnd, ExchangeHead } from "../exchange/types.ts";
+import { admitCustomer } from "./admit_customer.ts";
 import { Attempt, type AttemptParts } from "./attempt.ts";
 import { buildOrder } from "./build_order.ts";
 import { chooseUpstream } from "./choose_upstream.ts";
 import { REQUESTS } from "./constants.ts";
 import { faults } from "./faults.ts";
 import { StreamRelay } from "./stream_relay.ts";
-import type { AdmittedCall, CallFault, CallReply } from "./types.ts";
+import { TryLedger } from "./try_ledger.ts";
+import type {
+  AdmittedCall,
+  CallFault,
+  CallReply,
+  RequestFields,
+} from "./types.ts";
 
 type RequestParts = AttemptParts & {
   readonly onDone: (outcome: string, tookMs: number) => void;
 };
 
-type EndFields = Readonly<Record<string, string | number | undefined>>;
-
 const SERVER_ERROR = 500;
 
 /** One caller's request: places it, relays the answer, repeats if it may. */
@@ -30,10 +34,8 @@
   readonly #parts: RequestParts;
   readonly #relay: StreamRelay;
   readonly #deadlineMs: number;
-  readonly #tried = new Set<string>();
-  readonly #offered: string[] = [];
-  #runs = 0;
-  #hasQuota = false;
+  readonly #ledger: TryLedger;
+  #isAdmitted = false;
   #attempt: Attempt | undefined;
   #head: ExchangeHead | undefined;
   #body: Buffer[] = [];
@@ -45,6 +47,7 @@
     this.#call = call;
     this.#reply = reply;
     this.#parts = parts;
+    this.#ledger = new TryLedger(call, parts.view);
     const { lastEventId, deadlineMs } = call.head;
     const resume = (): void => this.#attempt?.resume();
     this.#relay = new StreamRelay(reply, lastEventId, resume);
@@ -73,12 +76,15 @@
   #place(): void {
     const { view } = this.#parts;
     const leftMs = this.#countLeftMs();
-    const placement = chooseUpstream(view, this.#call, this.#tried, leftMs);
+    const placement = chooseUpstream(
+      view,
+      this.#call,
+      this.#ledger.failed,
+      leftMs,
+    );
     switch (placement.kind) {
       case "placed":
-        if (this.#takeQuota()) {
-          this.#send(placement.upstream, placement.waitMs);
-        }
+        this.#admit(placement.upstream, placement.waitMs);
         return;
       case "full":
         this.#giveUp("every upstream is full", placement.freeInMs);
@@ -92,23 +98,21 @@
   }
 
   /** Takes a token of the customer's rate, once for the request. */
-  #takeQuota(): boolean {
-    const { customer } = this.#call;
-    if (this.#hasQuota || customer === undefined) {
-      return true;
-    }
+  #admit(upstream: UpstreamEntry, waitMs: number): void {
     const { view } = this.#parts;
-    const taken = view.quotas.take(customer, view.readNowMs());
-    if (taken.kind === "over") {
-      this.#refuse(faults.overRate(taken.freeInMs));
-      return false;
+    const fault = this.#isAdmitted
+      ? undefined
+      : admitCustomer(view, this.#call.customer);
+    if (fault !== undefined) {
+      this.#refuse(fault);
+      return;
     }
-    this.#hasQuota = true;
-    return true;
+    this.#isAdmitted = true;
+    this.#send(upstream, waitMs);
   }
 
   #send(upstream: UpstreamEntry, waitMs: number): void {
-    this.#offered.push(upstream.id);
+    this.#ledger.noteOffer(upstream.id);
     this.#head = undefined;
     this.#body = [];
     this.#relay.restart();
@@ -116,7 +120,7 @@
       upstream,
       waitMs,
       leftMs: this.#countLeftMs(),
-      runs: this.#runs,
+      runs: this.#ledger.runs,
       lastEventId: this.#relay.lastEventId,
     });
     this.#attempt = new Attempt(upstream, "online", order, this.#parts, {
@@ -154,30 +158,19 @@
   }
 
   #takeEnd(end: ExchangeEnd): void {
-    const upstreamId = this.#attempt?.upstream.id;
     this.#attempt = undefined;
-    if (end.kind !== "whole" && upstreamId !== undefined) {
-      this.#tried.add(upstreamId);
+    if (end.kind === "whole" || end.kind === "lost") {
+      this.#ledger.noteRun();
     }
-    switch (end.kind) {
-      case "unsent":
-      case "unexecuted":
-        this.#follow(end);
-        return;
-      case "lost":
-        this.#runs += 1;
-        this.#follow(end);
-        return;
-      case "whole":
-        this.#runs += 1;
-        this.#takeWhole(upstreamId);
-        return;
-      default:
-        assertNever(end);
+    if (end.kind === "whole") {
+      this.#takeWhole();
+      return;
     }
+    this.#ledger.noteFailure();
+    this.#follow(end);
   }
 
-  #takeWhole(upstreamId: string | undefined): void {
+  #takeWhole(): void {
     const status = this.#head?.status ?? 0;
     if (this.#isStream()) {
       if (this.#relay.isBetweenEvents()) {
@@ -191,7 +184,7 @@
     const end = { kind: "lost", reason: `an answer of ${status}` } as const;
     // A failure of an upstream may be its own: another one may do better.
     if (status >= SERVER_ERROR && this.#decide(end).kind === "retry") {
-      this.#tried.add(upstreamId ?? "");
+      this.#ledger.noteFailure();
       this.#follow(end);
       return;
     }
@@ -209,23 +202,14 @@
   }
 
   #decide(end: AttemptEnd): NextStep {
-    return decideNextStep(
-      this.#call.route,
-      {
-        runs: this.#runs,
-        offers: this.#offered.length,
-        hasBegun: this.#hasBegun,
-        leftMs: this.#countLeftMs(),
-      },
-      end,
-    );
+    return this.#ledger.decide(end, this.#hasBegun, this.#countLeftMs());
   }
 
   #follow(end: AttemptEnd): void {
     const next = this.#decide(end);
     switch (next.kind) {
       case "retry":
-        this.#logRetry(end);
+        this.#noteRetry(end);
         this.#place();
         return;
       case "break-off":
@@ -240,37 +224,30 @@
     }
   }
 
-  #logRetry(end: AttemptEnd): void {
-    this.#parts.log.info("request-retry", {
-      requestId: this.#call.head.requestId,
-      upstream: this.#offered.at(-1),
-      end: end.kind,
-      reason: "reason" in end ? end.reason : `status ${end.status}`,
-      runs: this.#runs,
-      events: this.#relay.eventCount,
-    });
-  }
-
   /** Ends a request that nothing more can be done for. */
   #giveUp(reason: string, freeInMs: number): void {
-    if (this.#hasBegun) {
-      this.#reply.breakOff();
-      this.#finish("broken-off", { reason });
-    } else if (this.#runs > 0) {
-      this.#refuse(faults.upstreamFailed(reason));
-    } else {
-      this.#refuse(faults.noRoom(reason, freeInMs));
-    }
+    const mayHaveRun = this.#ledger.runs > 0;
+    this.#endFailed(
+      reason,
+      mayHaveRun
+        ? faults.upstreamFailed(reason)
+        : faults.noRoom(reason, freeInMs),
+    );
   }
 
   #expire(): void {
     this.#dropAttempt();
     const reason = "the time is up";
+    this.#endFailed(reason, faults.timedOut(reason, this.#ledger.runs > 0));
+  }
+
+  /** An answer that has begun can't become an error any more. */
+  #endFailed(reason: string, fault: CallFault): void {
     if (this.#hasBegun) {
       this.#reply.breakOff();
       this.#finish("broken-off", { reason });
     } else {
-      this.#refuse(faults.timedOut(reason, this.#runs > 0));
+      this.#refuse(fault);
     }
   }
 
@@ -283,13 +260,22 @@
   #dropAttempt(): void {
     if (this.#attempt !== undefined) {
       this.#attempt.cancel();
-      this.#tried.add(this.#attempt.upstream.id);
       this.#attempt = undefined;
-      this.#runs += 1;
+      this.#ledger.noteFailure();
+      this.#ledger.noteRun();
     }
   }
 
-  #finish(outcome: string, fields: EndFields): void {
+  #noteRetry(end: AttemptEnd): void {
+    this.#parts.log.info("request-retry", {
+      ...this.#ledger.describe(),
+      end: end.kind,
+      reason: "reason" in end ? end.reason : `status ${end.status}`,
+      events: this.#relay.eventCount,
+    });
+  }
+
+  #finish(outcome: string, fields: RequestFields): void {
     if (this.#isOver) {
       return;
     }
@@ -298,14 +284,9 @@
     const { log, view, onDone } = this.#parts;
     const tookMs = Math.round(view.readNowMs() - this.#call.receivedMs);
     log.info("request-ended", {
-      requestId: this.#call.head.requestId,
-      route: this.#call.route.name,
-      customer: this.#call.customer?.name,
+      ...this.#ledger.describe(),
       outcome,
       ...fields,
-      upstreams: this.#offered.join(" "),
-      runs: this.#runs,
-      revision: view.table?.config.revision,
       tookMs,
     });
     onDone(outcome, tookMs);
--- /dev/null
+++ b/packages/gateway/src/requests/try_ledger.ts
@@ -0,0 +1,67 @@
+import {
+  type AttemptEnd,
+  decideNextStep,
+  type NextStep,
+} from "@gooseberryline/core";
+import type { FleetView } from "../fleet/fleet_view.ts";
+import type { AdmittedCall, RequestFields } from "./types.ts";
+
+/** Where a request has been, and what that leaves it to do. */
+export class TryLedger {
+  readonly #call: AdmittedCall;
+  readonly #view: FleetView;
+  readonly #offered: string[] = [];
+  readonly #failed = new Set<string>();
+  #runs = 0;
+
+  constructor(call: AdmittedCall, view: FleetView) {
+    this.#call = call;
+    this.#view = view;
+  }
+
+  /** Upstreams that may have run it. */
+  get runs(): number {
+    return this.#runs;
+  }
+
+  /** Upstreams to pass over. */
+  get failed(): ReadonlySet<string> {
+    return this.#failed;
+  }
+
+  noteOffer(upstreamId: string): void {
+    this.#offered.push(upstreamId);
+  }
+
+  /** The last upstream may have run it. */
+  noteRun(): void {
+    this.#runs += 1;
+  }
+
+  /** The last upstream is passed over from now on. */
+  noteFailure(): void {
+    const last = this.#offered.at(-1);
+    if (last !== undefined) {
+      this.#failed.add(last);
+    }
+  }
+
+  decide(end: AttemptEnd, hasBegun: boolean, leftMs: number): NextStep {
+    const offers = this.#offered.length;
+    const progress = { runs: this.#runs, offers, hasBegun, leftMs };
+    return decideNextStep(this.#call.route, progress, end);
+  }
+
+  /** Fields that each log line about the request bears. */
+  describe(): RequestFields {
+    const { head, route, customer } = this.#call;
+    return {
+      requestId: head.requestId,
+      route: route.name,
+      customer: customer?.name,
+      upstreams: this.#offered.join(" "),
+      runs: this.#runs,
+      revision: this.#view.table?.config.revision,
+    };
+  }
+}
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -43,3 +43,8 @@
   /** Closes the connection, so that the answer can't look whole. */
   readonly breakOff: () => void;
 };
+
+/** Fields of a log line about a request. */
+export type RequestFields = Readonly<
+  Record<string, string | number | undefined>
+>;
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -61,7 +61,7 @@
     dialect: dialect.records,
     log,
     onConfig: () => listener.applyLimits(),
-    onRetire: (isRetired) => void retire(parts, runner, isRetired),
+    onRetire: (isRetired) => void emptyInstance(parts, runner, isRetired),
   });
   const { id, host, peerPort } = { ...settings, id: settings.instanceId };
   const membership = new MembershipTask({
@@ -156,7 +156,7 @@
 }
 
 /** Hands this instance's jobs to others, and reports when none is left. */
-async function retire(
+async function emptyInstance(
   { settings, store, dialect, log }: GatewayParts,
   runner: JobRunner,
   isRetired: boolean,
--- a/packages/measure/src/style/style_test.ts
+++ b/packages/measure/src/style/style_test.ts
@@ -6,16 +6,20 @@
 const MAX_LINES = 300;
 const PREDICATES = ["is", "has", "can", "should", "holds"];
 
-const sources = readdirSync(join(ROOT, "packages"), {
-  recursive: true,
-  encoding: "utf8",
-})
-  .filter((path) => /^\w+\/src\/.*\.ts$/.test(path))
-  .filter((path) => !path.includes("generated"))
-  .map((path) => ({
-    path,
-    text: readFileSync(join(ROOT, "packages", path), "utf8"),
-  }));
+function listSources(folder: string) {
+  return readdirSync(join(ROOT, folder), { recursive: true, encoding: "utf8" })
+    .filter((path) => !path.includes("node_modules"))
+    .filter((path) => /^(\w+\/)?src\/.*\.ts$/.test(path))
+    .filter((path) => !path.includes("generated"))
+    .map((path) => ({
+      path: join(folder, path),
+      text: readFileSync(join(ROOT, folder, path), "utf8"),
+    }));
+}
+
+const adapter = listSources("platform");
+const product = listSources("packages");
+const sources = [...product, ...adapter];
 
 const verbs = readFileSync(join(ROOT, "docs", "VERBS.md"), "utf8")
   .split("\n")
@@ -63,3 +67,25 @@
     .map(({ path }) => path);
   expect(silent).toEqual([]);
 });
+
+test("no name of the platform's wire stands outside the adapter", () => {
+  // Names that only the platform uses; the last are keys of its records.
+  const names =
+    /x-gooseberryline-(?!profile)|["'`]\/gooseberryline\/|kv-(?:key|range|watch|txn|lease|keep)|store-revision|api-keys|cold-left-ms|max-attempts|timeout-ms|"op\/|"servers\/|has-more|set-keys/i;
+  const strays = product
+    .filter(({ path }) => !path.endsWith("style_test.ts"))
+    .flatMap(({ path, text }) =>
+      text
+        .split("\n")
+        .filter((line) => names.test(line))
+        .map((line) => `${path}: ${line.trim()}`),
+    );
+  expect(strays).toEqual([]);
+});
+
+test("the adapter stays small", () => {
+  const lines = adapter
+    .filter(({ path }) => !path.endsWith("_test.ts"))
+    .reduce((sum, { text }) => sum + text.split("\n").length, 0);
+  expect(lines).toBeLessThanOrEqual(2_000);
+});
