--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -31,6 +31,8 @@
   readonly sequence: number;
   /** Work of the sender at each upstream. */
   readonly open: Readonly<Record<string, OpenWork>>;
+  /** Items that wait for an upstream at the sender. */
+  readonly waitingItems: number;
   /** Upstreams that failed the sender lately. */
   readonly suspects: readonly string[];
   readonly use: Readonly<Record<string, CustomerUse>>;
--- /dev/null
+++ b/packages/core/src/placing/count_item_starts_test.ts
@@ -0,0 +1,41 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { PLACING } from "./constants.ts";
+import { countItemStarts } from "./count_item_starts.ts";
+
+const entry = {
+  id: "u1",
+  service: "s",
+  address: "127.0.0.1:1",
+  dataCentre: "a",
+  slots: 8,
+  isDraining: false,
+  coldUntilMs: 0,
+};
+
+test("workers together start what is free, whatever the round", () => {
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 0, max: 10 }),
+      fc.integer({ min: 0, max: 10 }),
+      fc.integer({ min: 1, max: 9 }),
+      fc.nat(),
+      (online, batch, workers, round) => {
+        const ids = Array.from({ length: workers }, (_, index) => `w${index}`);
+        const open = { online, batch };
+        const started = ids
+          .map((id) => countItemStarts({ entry, open }, id, ids, round))
+          .reduce((sum, count) => sum + count, 0);
+        const used = online + batch + PLACING.BATCH_RESERVE;
+        expect(started).toBe(Math.max(0, entry.slots - used));
+      },
+    ),
+    { seed: 1 },
+  );
+});
+
+test("a worker that nobody has heard of yet counts itself", () => {
+  const open = { online: 0, batch: 0 };
+  const free = entry.slots - PLACING.BATCH_RESERVE;
+  expect(countItemStarts({ entry, open }, "w1", [], 0)).toBe(free);
+});
--- /dev/null
+++ b/packages/core/src/placing/count_item_yields_test.ts
@@ -0,0 +1,44 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { countItemYields } from "./count_item_yields.ts";
+
+const entry = {
+  id: "u1",
+  service: "s",
+  address: "127.0.0.1:1",
+  dataCentre: "a",
+  slots: 8,
+  isDraining: false,
+  coldUntilMs: 0,
+};
+
+test("workers together take back the excess, no more", () => {
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1, max: 12 }),
+      fc.array(fc.integer({ min: 0, max: 6 }), { minLength: 1, maxLength: 6 }),
+      (online, items) => {
+        const workers = items.map((count, index) => ({
+          workerId: `w${index}`,
+          items: count,
+        }));
+        const batch = items.reduce((sum, count) => sum + count, 0);
+        const open = { online, batch };
+        const taken = workers
+          .map(({ workerId }) =>
+            countItemYields({ entry, open }, workerId, workers),
+          )
+          .reduce((sum, count) => sum + count, 0);
+        const excess = Math.max(0, online + batch - entry.slots);
+        expect(taken).toBe(Math.min(batch, excess));
+      },
+    ),
+    { seed: 1 },
+  );
+});
+
+test("batch alone takes nothing back", () => {
+  const open = { online: 0, batch: 12 };
+  const workers = [{ workerId: "w1", items: 12 }];
+  expect(countItemYields({ entry, open }, "w1", workers)).toBe(0);
+});
--- a/packages/core/src/placing/place_item.ts
+++ b/packages/core/src/placing/place_item.ts
@@ -1,9 +1,8 @@
-import { PLACING } from "./constants.ts";
 import type { Candidate, UpstreamEntry } from "./types.ts";
 
 /**
- * Places a batch item at the emptiest upstream that has more free slots than
- * the reserve for online arrivals; none where no upstream has.
+ * Places a batch item at the emptiest upstream among `candidates`, those at
+ * which this worker may start one; none where there is no such.
  */
 export function placeItem(
   candidates: readonly Candidate[],
@@ -17,9 +16,8 @@
     .filter(({ suspectUntilMs }) => suspectUntilMs <= nowMs)
     .map(({ entry, open }) => ({
       entry,
-      free: entry.slots - open.online - open.batch - PLACING.BATCH_RESERVE,
+      free: entry.slots - open.online - open.batch,
     }))
-    .filter(({ free }) => free > 0)
     .sort((a, b) => b.free - a.free);
   return best?.entry;
 }
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -100,6 +100,7 @@
       incarnation: this.incarnation,
       sequence: this.#sequence,
       open: this.load.listOwn(),
+      waitingItems: this.load.waitingItems,
       suspects: this.load.listSuspects(nowMs),
       use: isServing ? this.quotas.listUse(customers, nowMs) : {},
       isLeaving,
--- a/packages/gateway/src/fleet/load_book.ts
+++ b/packages/gateway/src/fleet/load_book.ts
@@ -14,6 +14,8 @@
   readonly #peers = new Map<string, Heard>();
   readonly #suspects = new Map<string, Suspicion>();
   readonly #meansMs = new Map<string, number>();
+  /** Items of this instance that wait for an upstream. */
+  waitingItems = 0;
 
   noteStart(upstreamId: string, lane: Lane): void {
     this.#change(upstreamId, lane, 1);
@@ -91,6 +93,24 @@
       .reduce((latest, untilMs) => Math.max(latest, untilMs), own);
   }
 
+  /** Ids of peers that have items waiting, as last heard. */
+  listBusyWorkers(nowMs: number): readonly string[] {
+    return [...this.#peers.values()]
+      .filter(({ heardMs }) => nowMs - heardMs <= FLEET.LOAD_AGE_MS)
+      .filter(({ message }) => message.waitingItems > 0)
+      .map(({ message }) => message.from);
+  }
+
+  /** Batch items of each peer at an upstream, as last heard. */
+  listPeerItems(upstreamId: string, nowMs: number) {
+    return [...this.#peers.values()]
+      .filter(({ heardMs }) => nowMs - heardMs <= FLEET.LOAD_AGE_MS)
+      .map(({ message }) => ({
+        workerId: message.from,
+        items: message.open[upstreamId]?.batch ?? 0,
+      }));
+  }
+
   listOwn(): Readonly<Record<string, OpenWork>> {
     return Object.fromEntries(this.#own);
   }
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -9,6 +9,7 @@
   incarnation: z.string(),
   sequence: z.number(),
   open: z.record(z.string(), WORK),
+  waitingItems: z.number(),
   suspects: z.array(z.string()),
   use: z.record(z.string(), USE),
   isLeaving: z.boolean(),
--- a/packages/gateway/src/jobs/item_placer.ts
+++ b/packages/gateway/src/jobs/item_placer.ts
@@ -1,6 +1,5 @@
 import {
   chooseService,
-  DUTIES,
   findRoute,
   placeItem,
   type UpstreamEntry,
@@ -19,10 +18,11 @@
 /** Finds upstreams for items in the room that online work leaves. */
 export class ItemPlacer {
   readonly #view: FleetView;
-  readonly #pace = new StartPace();
+  readonly #pace: StartPace;
 
   constructor(view: FleetView) {
     this.#view = view;
+    this.#pace = new StartPace(view.settings.instanceId);
   }
 
   place({ item, tried }: WaitingItem, host: string): ItemPlacement {
@@ -36,7 +36,7 @@
       return { kind: "no-route" };
     }
     const nowMs = this.#view.readNowMs();
-    const workers = this.#view.members.list(DUTIES.run).length;
+    const workers = this.#view.load.listBusyWorkers(nowMs);
     const listed = this.#view.listCandidates(service);
     const candidates = this.#pace.filter(listed, workers, nowMs);
     // One that failed before is better than none.
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -1,10 +1,10 @@
 import {
   assertNever,
   type BatchResult,
+  countItemYields,
   decideItemStep,
   ITEM_RESULTS,
   orderItems,
-  shouldYield,
 } from "@gooseberryline/core";
 import type { AttemptParts } from "../requests/attempt.ts";
 import { JOB_TIMES } from "./constants.ts";
@@ -78,6 +78,7 @@
     const ordered = orderItems(ready);
     // Items are alike to the placer, so the first that waits ends the round.
     ordered.every((item) => this.#startItem(item));
+    this.#parts.view.load.waitingItems = this.#waiting.length;
   }
 
   #startItem(waiting: WaitingItem): boolean {
@@ -114,27 +115,35 @@
     this.#waiting = this.#waiting.filter((other) => other !== waiting);
   }
 
-  /** Of each crowded upstream the youngest item leaves. */
+  /** The youngest items leave an upstream that online work crowds. */
   #yieldItems(): void {
-    const { view } = this.#parts;
-    const nowMs = view.readNowMs();
-    const byUpstream = new Map(
-      [...this.#running].map((run) => [run.upstream.id, run] as const),
-    );
-    byUpstream.forEach((run) => {
-      const open = view.load.countOpen(run.upstream.id, nowMs);
-      const candidate = {
-        entry: run.upstream,
-        open,
-        suspectUntilMs: 0,
-        isRampOpen: true,
-      };
-      if (shouldYield(candidate)) {
+    const runs = [...this.#running];
+    const ids = new Set(runs.map(({ upstream }) => upstream.id));
+    ids.forEach((id) => {
+      const own = runs.filter(({ upstream }) => upstream.id === id);
+      own.slice(own.length - this.#countYields(own)).forEach((run) => {
         run.interrupt("online work needs the slot");
-      }
+      });
     });
   }
 
+  /** How many of these items, all at one upstream, are to leave it. */
+  #countYields(own: readonly ItemRun[]): number {
+    const { load, settings } = this.#parts.view;
+    const nowMs = this.#parts.view.readNowMs();
+    const [first] = own;
+    if (first === undefined) {
+      return 0;
+    }
+    const { upstream: entry } = first;
+    const open = load.countOpen(entry.id, nowMs);
+    const workerId = settings.instanceId;
+    return countItemYields({ entry, open }, workerId, [
+      { workerId, items: own.length },
+      ...load.listPeerItems(entry.id, nowMs),
+    ]);
+  }
+
   #takeEnd(run: ItemRun, end: ItemRunEnd): void {
     this.#running.delete(run);
     const { waiting, upstream } = run;
