--- a/packages/gateway/src/fleet/constants.ts
+++ b/packages/gateway/src/fleet/constants.ts
@@ -18,6 +18,8 @@
   KEEP_MS: 1_000,
   /** Load messages to each peer are this far apart, in ms. */
   GOSSIP_MS: 100,
+  /** News that peers act upon at once wait this long for more, in ms. */
+  NEWS_MS: 5,
   /** Time per peer that the pace of load messages allows, in ms. */
   GOSSIP_PEER_MS: 8,
 } as const;
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -25,6 +25,8 @@
   readonly #readNowMs: () => number;
   #table: RouteTable | undefined;
   #sequence = 0;
+  /** Called when online work takes a slot that batch work has to leave. */
+  onCrowded: () => void = () => undefined;
 
   constructor(
     settings: GatewaySettings,
@@ -76,6 +78,10 @@
   noteSend(entry: UpstreamEntry, lane: Lane): void {
     this.#ramps.take(entry, this.#getColdRate(entry.service), this.readNowMs());
     this.load.noteStart(entry.id, lane);
+    const { online, batch } = this.load.countOpen(entry.id, this.readNowMs());
+    if (lane === "online" && batch > 0 && online + batch > entry.slots) {
+      this.onCrowded();
+    }
   }
 
   noteMessage(message: LoadMessage): void {
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -10,11 +10,13 @@
   readonly #log: Log;
   readonly #socket: Socket;
   #timer: NodeJS.Timeout | undefined;
+  #hasNews = false;
   #strays = 0;
 
   constructor(view: FleetView, log: Log) {
     this.#view = view;
     this.#log = log;
+    view.onCrowded = () => this.#sendSoon();
     this.#socket = createSocket("udp4");
     this.#socket.on("message", (bytes) => this.#take(bytes));
     this.#socket.on("error", (error) => {
@@ -51,13 +53,25 @@
     }
   }
 
+  /** Tells peers soon of what they can't wait for until the next message. */
+  #sendSoon(): void {
+    if (!this.#hasNews) {
+      this.#hasNews = true;
+      clearTimeout(this.#timer);
+      this.#timer = setTimeout(() => this.#step(), FLEET.NEWS_MS);
+    }
+  }
+
   #sendLater(): void {
     const peers = this.#view.members.list().length;
     const delayMs = Math.max(FLEET.GOSSIP_MS, peers * FLEET.GOSSIP_PEER_MS);
-    this.#timer = setTimeout(() => {
-      this.#send(false);
-      this.#sendLater();
-    }, delayMs);
+    this.#timer = setTimeout(() => this.#step(), delayMs);
+  }
+
+  #step(): void {
+    this.#hasNews = false;
+    this.#send(false);
+    this.#sendLater();
   }
 
   #send(isLeaving: boolean): void {
