--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -137,10 +137,7 @@
       this.#body.push(chunk);
       return true;
     }
-    if (!this.#hasBegun && this.#head !== undefined) {
-      this.#hasBegun = true;
-      this.#reply.beginStream(this.#head);
-    }
+    this.#begin();
     const step = this.#relay.take(chunk);
     if (step === "out-of-order") {
       this.#dropAttempt();
@@ -150,6 +147,13 @@
     return step === "room";
   }
 
+  #begin(): void {
+    if (!this.#hasBegun && this.#head !== undefined) {
+      this.#hasBegun = true;
+      this.#reply.beginStream(this.#head);
+    }
+  }
+
   #isStream(): boolean {
     return (
       this.#call.route.shape === CALL_SHAPES.stream &&
@@ -174,6 +178,8 @@
     const status = this.#head?.status ?? 0;
     if (this.#isStream()) {
       if (this.#relay.isBetweenEvents()) {
+        // A stream asked for after its last event has a head and no events.
+        this.#begin();
         this.#reply.endStream();
         this.#finish("answered", { status, events: this.#relay.eventCount });
       } else {
--- /dev/null
+++ b/packages/gateway/src/testing/run_request.ts
@@ -0,0 +1,172 @@
+import { CALL_SHAPES, type Route } from "@gooseberryline/core";
+import { ConnectionPool } from "@gooseberryline/daemon";
+import type { CallDialect } from "../dialect/types.ts";
+import { FleetView } from "../fleet/fleet_view.ts";
+import { RequestRun } from "../requests/request_run.ts";
+import type { CallReply } from "../requests/types.ts";
+
+/** What a caller of a test got. */
+export type TestAnswer = {
+  status: number | undefined;
+  headers: readonly string[];
+  body: string;
+  end: "open" | "whole" | "broken-off" | "fault";
+  run: string | undefined;
+};
+
+type RunParts = {
+  /** Addresses of the upstreams, in the order in which they are tried. */
+  readonly addresses: readonly string[];
+  readonly route?: Partial<Route>;
+  readonly lastEventId?: number;
+};
+
+/** A request of a test: what its caller gets, and how to leave it. */
+export type TestRun = {
+  readonly answer: TestAnswer;
+  /** Settles with how the request ended. */
+  readonly ended: Promise<string>;
+  readonly leave: () => void;
+};
+
+const SERVICE = "service";
+const ROUTE: Route = {
+  name: "route",
+  host: "host",
+  prefix: "/",
+  shape: CALL_SHAPES.stream,
+  isIdempotent: true,
+  isResumable: true,
+  isPublic: true,
+  targets: [{ service: SERVICE, weight: 1 }],
+  maxAttempts: 2,
+  timeoutMs: 3_000,
+  objectiveMs: 300,
+  priority: 0,
+  dueMs: 0,
+  retentionMs: 0,
+};
+
+const dialect: CallDialect = {
+  readCall: () => ({
+    requestId: undefined,
+    key: undefined,
+    deadlineMs: undefined,
+    lastEventId: undefined,
+    affinityKey: undefined,
+    waitMs: 0,
+  }),
+  buildHeaders: (_, { requestId, upstreamId, lastEventId }) => ({
+    "request-id": requestId ?? "",
+    upstream: upstreamId,
+    ...(lastEventId === undefined ? {} : { "last-event": `${lastEventId}` }),
+  }),
+  readAnswer: (headers) => ({
+    requestId: headers["request-id"]?.toString(),
+    isUnexecuted: headers["not-run"] !== undefined,
+  }),
+  parseJobCall: () => undefined,
+  parseJob: () => ({ kind: "unreadable", reason: "not in this test" }),
+  encodeResults: () => "",
+};
+
+const silent = () => undefined;
+const log = { info: silent, warn: silent, error: silent };
+
+/** Runs one request before the given upstreams. */
+export function runRequest({
+  addresses,
+  route,
+  lastEventId,
+}: RunParts): TestRun {
+  const view = new FleetView(
+    {
+      instanceId: "i1",
+      dataCentre: "a",
+      duty: "serve",
+      host: "127.0.0.1",
+      peerPort: 0,
+      callers: undefined,
+      readiness: undefined,
+      metrics: undefined,
+      graceMs: 1_000,
+      ramp: { over: 1, slack: 1 },
+    },
+    "1",
+    () => performance.now(),
+  );
+  addresses.forEach((address, index) => {
+    view.directory.put({
+      id: `u${index}`,
+      service: SERVICE,
+      address,
+      // The first is the nearest one.
+      dataCentre: index === 0 ? "a" : `b${index}`,
+      slots: 8,
+      isDraining: false,
+      coldUntilMs: 0,
+    });
+  });
+  const answer: TestAnswer = {
+    status: undefined,
+    headers: [],
+    body: "",
+    end: "open",
+    run: undefined,
+  };
+  const call = {
+    head: { ...dialect.readCall({}), requestId: "r1", lastEventId },
+    route: { ...ROUTE, ...route },
+    service: SERVICE,
+    customer: undefined,
+    method: "POST",
+    path: "/x",
+    headers: {},
+    body: Buffer.from("prompt"),
+    receivedMs: view.readNowMs(),
+  };
+  const pool = new ConnectionPool(1_000);
+  let onEnded: (outcome: string) => void = silent;
+  const ended = new Promise<string>((resolve) => {
+    onEnded = resolve;
+  });
+  const run = new RequestRun(call, buildTestReply(answer), {
+    view,
+    pool,
+    dialect,
+    log,
+    onDone: (outcome) => {
+      pool.stop();
+      onEnded(outcome);
+    },
+  });
+  run.start();
+  return { answer, ended, leave: () => run.cancel() };
+}
+
+function buildTestReply(answer: TestAnswer): CallReply {
+  return {
+    isOpen: () => true,
+    sendFault: ({ status, run }) => {
+      Object.assign(answer, { status, run, end: "fault" });
+    },
+    sendWhole: ({ status, rawHeaders }, body) => {
+      const headers = rawHeaders;
+      Object.assign(answer, { status, headers, end: "whole" });
+      answer.body = body.toString();
+    },
+    beginStream: ({ status, rawHeaders }) => {
+      Object.assign(answer, { status, headers: rawHeaders });
+    },
+    writeStream: (bytes) => {
+      answer.body += bytes.toString();
+      return true;
+    },
+    endStream: () => {
+      answer.end = "whole";
+    },
+    breakOff: () => {
+      answer.end = "broken-off";
+    },
+  };
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,12 +1,21 @@
 import { fileURLToPath } from "node:url";
 import { defineConfig } from "vitest/config";
 
-const PACKAGES = ["core", "protocol", "fakes", "daemon", "cli", "measure"];
+const PACKAGES = [
+  "core",
+  "protocol",
+  "fakes",
+  "daemon",
+  "cli",
+  "gateway",
+  "measure",
+];
 
 /** Tests of real sockets, files and timers. */
 const REAL_TIME = [
   "packages/daemon/src/**/*_test.ts",
   "packages/protocol/src/**/*_test.ts",
+  "packages/gateway/src/**/*_test.ts",
   "packages/measure/src/{admin,caller,demo,system}/**/*_test.ts",
   "packages/measure/src/jobs/fleet_*_test.ts",
 ];
@@ -40,7 +49,7 @@
         extends: true,
         test: {
           name: "virtual-time",
-          include: ["packages/*/src/**/*_test.ts"],
+          include: ["packages/*/src/**/*_test.ts", "platform/src/**/*_test.ts"],
           exclude: REAL_TIME,
           maxWorkers: 8,
           sequence: { groupOrder: 1 },
