--- /dev/null
+++ b/packages/core/src/fleet/list_silent_data_centres_test.ts
@@ -0,0 +1,25 @@
+import { expect, test } from "vitest";
+import { listSilentDataCentres } from "./list_silent_data_centres.ts";
+import type { FleetMember } from "./types.ts";
+
+function createMember(id: string, dataCentre: string): FleetMember {
+  const place = { address: "127.0.0.1", port: 1, dataCentre };
+  return { id, incarnation: "1", duty: "serve", ...place };
+}
+
+const members = [
+  createMember("a1", "a"),
+  createMember("b1", "b"),
+  createMember("b2", "b"),
+  createMember("c1", "c"),
+];
+
+test("a data centre is silent once none of it is heard", () => {
+  const heard = new Set(["a1", "b2"]);
+  const silent = listSilentDataCentres(members, (id) => heard.has(id));
+  expect([...silent]).toEqual(["c"]);
+});
+
+test("without any voice nothing is told", () => {
+  expect(listSilentDataCentres(members, () => false).size).toBe(0);
+});
--- a/packages/core/src/placing/place_request.ts
+++ b/packages/core/src/placing/place_request.ts
@@ -33,6 +33,7 @@
   );
   return (
     pickWithin(trusted, request, countAllowedMs(request)) ??
+    pickWithin(trusted, request, request.patienceMs) ??
     pickWithin(usable, request, request.patienceMs) ?? {
       kind: "full",
       freeInMs: Math.min(...usable.map(({ waitMs }) => waitMs)),
--- a/packages/gateway/src/exchange/constants.ts
+++ b/packages/gateway/src/exchange/constants.ts
@@ -1,7 +1,7 @@
 /** Figures of exchanges with upstreams. */
 export const EXCHANGE = {
-  /** Some round trips between data centres; a lost packet is resent later. */
-  CONNECT_MS: 300,
+  /** Many round trips between data centres, and short beside an objective. */
+  CONNECT_MS: 120,
   /** Idle connections are closed before upstreams do, in ms. */
   IDLE_MS: 4_000,
 } as const;
--- a/packages/gateway/src/fleet/constants.ts
+++ b/packages/gateway/src/fleet/constants.ts
@@ -18,6 +18,10 @@
   KEEP_MS: 1_000,
   /** Load messages to each peer are this far apart, in ms. */
   GOSSIP_MS: 100,
+  /** A data centre all of whose instances are unheard is avoided, in ms. */
+  SILENT_MS: 350,
+  /** Load messages that may be lost before a data centre counts as silent. */
+  SILENT_MESSAGES: 3.5,
   /** News that peers act upon at once wait this long for more, in ms. */
   NEWS_MS: 5,
   /** Time per peer that the pace of load messages allows, in ms. */
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -2,11 +2,14 @@
   buildRouteTable,
   type Candidate,
   type LoadMessage,
+  listSilentDataCentres,
   type RouteTable,
   type ServingConfig,
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import type { GatewaySettings } from "../settings/types.ts";
+import { FLEET } from "./constants.ts";
+import { countGossipMs } from "./count_gossip_ms.ts";
 import { type Lane, LoadBook } from "./load_book.ts";
 import { MemberBook } from "./member_book.ts";
 import { QuotaBook } from "./quota_book.ts";
@@ -66,10 +69,13 @@
   listCandidates(service: string): readonly Candidate[] {
     const nowMs = this.readNowMs();
     const perSecond = this.#getColdRate(service);
+    const silent = this.#listSilent(nowMs);
     return this.directory.list(service, nowMs).map((entry) => ({
       entry,
       open: this.load.countOpen(entry.id, nowMs),
-      suspectUntilMs: this.load.getSuspectUntilMs(entry.id, nowMs),
+      suspectUntilMs: silent.has(entry.dataCentre)
+        ? Number.POSITIVE_INFINITY
+        : this.load.getSuspectUntilMs(entry.id, nowMs),
       isRampOpen: this.#ramps.isOpen(entry, perSecond, nowMs),
     }));
   }
@@ -113,6 +119,19 @@
     };
   }
 
+  #listSilent(nowMs: number): ReadonlySet<string> {
+    const members = this.members.list();
+    const others = members.filter(({ id }) => id !== this.settings.instanceId);
+    const gossipMs = countGossipMs(members.length);
+    const withinMs = Math.max(
+      FLEET.SILENT_MS,
+      gossipMs * FLEET.SILENT_MESSAGES,
+    );
+    return listSilentDataCentres(others, (id) =>
+      this.load.isHeard(id, withinMs, nowMs),
+    );
+  }
+
   #getColdRate(service: string): number {
     return this.#table?.services.get(service)?.coldPerSecond ?? 1;
   }
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -1,6 +1,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import type { Log } from "@gooseberryline/daemon";
 import { FLEET } from "./constants.ts";
+import { countGossipMs } from "./count_gossip_ms.ts";
 import type { FleetView } from "./fleet_view.ts";
 import { loadCodec } from "./load_codec.ts";
 
@@ -63,8 +64,7 @@
   }
 
   #sendLater(): void {
-    const peers = this.#view.members.list().length;
-    const delayMs = Math.max(FLEET.GOSSIP_MS, peers * FLEET.GOSSIP_PEER_MS);
+    const delayMs = countGossipMs(this.#view.members.list().length);
     this.#timer = setTimeout(() => this.#step(), delayMs);
   }
 
--- a/packages/gateway/src/requests/build_order.ts
+++ b/packages/gateway/src/requests/build_order.ts
@@ -27,7 +27,8 @@
 ): ExchangeOrder {
   const { head, route, method, path, headers, body } = call;
   const canMove = route.isIdempotent && runs + 1 < route.maxAttempts;
-  const quickMs = waitMs * 2 + REQUESTS.HEAD_SLACK_MS;
+  const slackMs = route.objectiveMs * REQUESTS.HEAD_SHARE;
+  const quickMs = waitMs * 2 + Math.max(REQUESTS.MIN_HEAD_MS, slackMs);
   return {
     address: upstream.address,
     method,
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -2,8 +2,10 @@
 export const REQUESTS = {
   /** Longest wait in an upstream's queue that is still offered, in ms. */
   PATIENCE_MS: 1_200,
-  /** An answer's head is awaited this long beyond the expected wait, in ms. */
-  HEAD_SLACK_MS: 450,
+  /** Share of the objective that an answer's head is awaited for. */
+  HEAD_SHARE: 0.5,
+  /** Shortest such time, in ms. */
+  MIN_HEAD_MS: 120,
   /** A resumable stream is moved after a pause this long, in ms. */
   MOVE_PAUSE_MS: 220,
   /** A stream that can't be moved is given up after such a pause, in ms. */
