--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -112,7 +112,7 @@
   }
 
   #send(upstream: UpstreamEntry, waitMs: number): void {
-    this.#ledger.noteOffer(upstream.id);
+    this.#ledger.noteOffer(upstream.id, waitMs);
     this.#head = undefined;
     this.#body = [];
     this.#relay.restart();
@@ -150,6 +150,7 @@
   #begin(): void {
     if (!this.#hasBegun && this.#head !== undefined) {
       this.#hasBegun = true;
+      this.#ledger.noteFirst();
       this.#reply.beginStream(this.#head);
     }
   }
--- a/packages/gateway/src/requests/try_ledger.ts
+++ b/packages/gateway/src/requests/try_ledger.ts
@@ -13,6 +13,8 @@
   readonly #offered: string[] = [];
   readonly #failed = new Set<string>();
   #runs = 0;
+  #waitMs = 0;
+  #firstMs: number | undefined;
 
   constructor(call: AdmittedCall, view: FleetView) {
     this.#call = call;
@@ -29,8 +31,16 @@
     return this.#failed;
   }
 
-  noteOffer(upstreamId: string): void {
+  /** Notes an offer, with the wait that was expected there, in ms. */
+  noteOffer(upstreamId: string, waitMs: number): void {
     this.#offered.push(upstreamId);
+    this.#waitMs = Math.round(waitMs);
+  }
+
+  /** Notes that the answer has begun. */
+  noteFirst(): void {
+    const nowMs = this.#view.readNowMs();
+    this.#firstMs = Math.round(nowMs - this.#call.receivedMs);
   }
 
   /** The last upstream may have run it. */
@@ -61,6 +71,8 @@
       customer: customer?.name,
       upstreams: this.#offered.join(" "),
       runs: this.#runs,
+      waitMs: this.#waitMs,
+      firstMs: this.#firstMs,
       revision: this.#view.table?.config.revision,
     };
   }
