--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -36,6 +36,8 @@
   /** Upstreams that failed the sender lately. */
   readonly suspects: readonly string[];
   readonly use: Readonly<Record<string, CustomerUse>>;
+  /** Listed instances that the sender does not hear itself. */
+  readonly unheard: readonly string[];
   /** Said once by an instance that stops. */
   readonly isLeaving: boolean;
 };
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -24,6 +24,7 @@
 export type * from "./config/types.ts";
 export { splitEvents } from "./events/split_events.ts";
 export type * from "./events/types.ts";
+export { listRelayTargets } from "./fleet/list_relay_targets.ts";
 export { listSilentDataCentres } from "./fleet/list_silent_data_centres.ts";
 export type * from "./fleet/types.ts";
 export { DUTIES } from "./fleet/types.ts";
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -1,7 +1,9 @@
 import {
   buildRouteTable,
   type Candidate,
+  type FleetMember,
   type LoadMessage,
+  listRelayTargets,
   listSilentDataCentres,
   type RouteTable,
   type ServingConfig,
@@ -90,20 +92,35 @@
     }
   }
 
-  noteMessage(message: LoadMessage): void {
+  /** Takes a peer's message; false for one that was known. */
+  noteMessage(message: LoadMessage, isDirect: boolean): boolean {
     const nowMs = this.readNowMs();
-    if (!this.load.notePeer(message, nowMs)) {
-      return;
+    if (!this.load.notePeer(message, nowMs, isDirect)) {
+      return false;
     }
     if (message.isLeaving) {
       this.members.forget(message.from, message.incarnation);
     } else {
       this.quotas.notePeer(message, nowMs);
     }
+    return true;
+  }
+
+  /** Peers that are to get another one's message from here. */
+  listRelayTargets(origin: string): readonly FleetMember[] {
+    const { instanceId } = this.settings;
+    const nowMs = this.readNowMs();
+    const unheardBy = this.load.listUnheardBy(this.#countSilentMs(), nowMs);
+    const ids = listRelayTargets(origin, instanceId, unheardBy);
+    return this.members.list().filter(({ id }) => ids.includes(id));
   }
 
   buildMessage(isLeaving: boolean): LoadMessage {
     const nowMs = this.readNowMs();
+    const silentMs = this.#countSilentMs();
+    const unheard = this.#listOthers()
+      .map(({ id }) => id)
+      .filter((id) => !this.load.isDirect(id, silentMs, nowMs));
     this.#sequence += 1;
     const isServing = this.settings.duty === "serve";
     const customers = this.#table?.config.customers ?? [];
@@ -115,23 +132,29 @@
       waitingItems: this.load.waitingItems,
       suspects: this.load.listSuspects(nowMs),
       use: isServing ? this.quotas.listUse(customers, nowMs) : {},
+      unheard,
       isLeaving,
     };
   }
 
   #listSilent(nowMs: number): ReadonlySet<string> {
-    const members = this.members.list();
-    const others = members.filter(({ id }) => id !== this.settings.instanceId);
-    const gossipMs = countGossipMs(members.length);
-    const withinMs = Math.max(
-      FLEET.SILENT_MS,
-      gossipMs * FLEET.SILENT_MESSAGES,
-    );
-    return listSilentDataCentres(others, (id) =>
-      this.load.isHeard(id, withinMs, nowMs),
+    const withinMs = this.#countSilentMs();
+    return listSilentDataCentres(this.#listOthers(), (id) =>
+      this.load.isDirect(id, withinMs, nowMs),
     );
   }
 
+  #listOthers(): readonly FleetMember[] {
+    const { instanceId } = this.settings;
+    return this.members.list().filter(({ id }) => id !== instanceId);
+  }
+
+  /** After this long without a message an instance is out of touch. */
+  #countSilentMs(): number {
+    const gossipMs = countGossipMs(this.members.list().length);
+    return Math.max(FLEET.SILENT_MS, gossipMs * FLEET.SILENT_MESSAGES);
+  }
+
   #getColdRate(service: string): number {
     return this.#table?.services.get(service)?.coldPerSecond ?? 1;
   }
--- a/packages/gateway/src/fleet/load_book.ts
+++ b/packages/gateway/src/fleet/load_book.ts
@@ -3,7 +3,12 @@
 
 export type Lane = "online" | "batch";
 
-type Heard = { readonly message: LoadMessage; readonly heardMs: number };
+type Heard = {
+  readonly message: LoadMessage;
+  readonly heardMs: number;
+  /** When it last came from the peer itself, not by way of another. */
+  readonly directMs: number;
+};
 type Suspicion = { readonly untilMs: number; readonly failures: number };
 
 const IDLE: OpenWork = { online: 0, batch: 0 };
@@ -50,18 +55,25 @@
   }
 
   /** Takes a peer's message unless a later one of it is known. */
-  notePeer(message: LoadMessage, heardMs: number): boolean {
-    const known = this.#peers.get(message.from)?.message;
+  notePeer(message: LoadMessage, heardMs: number, isDirect: boolean): boolean {
+    const held = this.#peers.get(message.from);
+    const known = held?.message;
+    const directMs = isDirect
+      ? heardMs
+      : (held?.directMs ?? Number.NEGATIVE_INFINITY);
     const isStale =
       known?.incarnation === message.incarnation &&
       known.sequence >= message.sequence;
     if (isStale) {
+      if (held !== undefined) {
+        this.#peers.set(message.from, { ...held, directMs });
+      }
       return false;
     }
     if (message.isLeaving) {
       this.#peers.delete(message.from);
     } else {
-      this.#peers.set(message.from, { message, heardMs });
+      this.#peers.set(message.from, { message, heardMs, directMs });
     }
     return true;
   }
@@ -71,6 +83,24 @@
     return heard !== undefined && nowMs - heard.heardMs <= withinMs;
   }
 
+  /** Whether a peer's own messages reach this instance. */
+  isDirect(peerId: string, withinMs: number, nowMs: number): boolean {
+    const heard = this.#peers.get(peerId);
+    return heard !== undefined && nowMs - heard.directMs <= withinMs;
+  }
+
+  /** Of each peer whose messages come here, the instances it misses. */
+  listUnheardBy(
+    withinMs: number,
+    nowMs: number,
+  ): ReadonlyMap<string, readonly string[]> {
+    return new Map(
+      [...this.#peers]
+        .filter(([, { directMs }]) => nowMs - directMs <= withinMs)
+        .map(([id, { message }]) => [id, message.unheard] as const),
+    );
+  }
+
   /** Work at an upstream over all instances. */
   countOpen(upstreamId: string, nowMs: number): OpenWork {
     return [...this.#peers.values()]
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -12,6 +12,7 @@
   waitingItems: z.number(),
   suspects: z.array(z.string()),
   use: z.record(z.string(), USE),
+  unheard: z.array(z.string()),
   isLeaving: z.boolean(),
 });
 
--- a/packages/gateway/src/fleet/member_book.ts
+++ b/packages/gateway/src/fleet/member_book.ts
@@ -25,6 +25,11 @@
     }
   }
 
+  /** Whether an address is that of an instance as last listed. */
+  isAt(id: string, address: string): boolean {
+    return this.#known.get(id)?.member.address === address;
+  }
+
   /** Instances that are listed now. */
   list(duty?: Duty): readonly FleetMember[] {
     return [...this.#known.values()]
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -19,7 +19,9 @@
     this.#log = log;
     view.onCrowded = () => this.#sendSoon();
     this.#socket = createSocket("udp4");
-    this.#socket.on("message", (bytes) => this.#take(bytes));
+    this.#socket.on("message", (bytes, { address }) =>
+      this.#take(bytes, address),
+    );
     this.#socket.on("error", (error) => {
       log.error("peer-socket", { reason: error.message });
     });
@@ -42,10 +44,14 @@
     this.#socket.close();
   }
 
-  #take(bytes: Buffer): void {
+  #take(bytes: Buffer, sender: string): void {
     const message = loadCodec.decode(bytes);
     if (message !== undefined) {
-      this.#view.noteMessage(message);
+      const isDirect = this.#view.members.isAt(message.from, sender);
+      const isNew = this.#view.noteMessage(message, isDirect);
+      if (isNew && isDirect) {
+        this.#relay(bytes, message.from);
+      }
       return;
     }
     this.#strays += 1;
@@ -54,6 +60,13 @@
     }
   }
 
+  /** Passes a message on to the peers that its sender does not reach. */
+  #relay(bytes: Buffer, origin: string): void {
+    this.#view.listRelayTargets(origin).forEach(({ address, port }) => {
+      this.#socket.send(bytes, port, address, () => undefined);
+    });
+  }
+
   /** Tells peers soon of what they can't wait for until the next message. */
   #sendSoon(): void {
     if (!this.#hasNews) {
--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -33,6 +33,9 @@
     this.#parts = parts;
     const app = new Koa();
     app.use((ctx) => this.#handle(ctx));
+    app.on("error", (error: Error) => {
+      parts.log.info("caller-connection-lost", { reason: error.message });
+    });
     this.#server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -33,7 +33,6 @@
   readonly #reply: CallReply;
   readonly #parts: RequestParts;
   readonly #relay: StreamRelay;
-  readonly #deadlineMs: number;
   readonly #ledger: TryLedger;
   #isAdmitted = false;
   #attempt: Attempt | undefined;
@@ -48,16 +47,13 @@
     this.#reply = reply;
     this.#parts = parts;
     this.#ledger = new TryLedger(call, parts.view);
-    const { lastEventId, deadlineMs } = call.head;
+    const { lastEventId } = call.head;
     const resume = (): void => this.#attempt?.resume();
     this.#relay = new StreamRelay(reply, lastEventId, resume);
-    const askedMs = deadlineMs ?? REQUESTS.DEFAULT_DEADLINE_MS;
-    this.#deadlineMs =
-      call.receivedMs + Math.min(call.route.timeoutMs, askedMs);
   }
 
   start(): void {
-    this.#timer = setTimeout(() => this.#expire(), this.#countLeftMs());
+    this.#timer = setTimeout(() => this.#expire(), this.#ledger.countLeftMs());
     this.#place();
   }
 
@@ -69,13 +65,9 @@
     }
   }
 
-  #countLeftMs(): number {
-    return Math.max(0, this.#deadlineMs - this.#parts.view.readNowMs());
-  }
-
   #place(): void {
     const { view } = this.#parts;
-    const leftMs = this.#countLeftMs();
+    const leftMs = this.#ledger.countLeftMs();
     const placement = chooseUpstream(
       view,
       this.#call,
@@ -119,7 +111,7 @@
     const order = buildOrder(this.#call, this.#parts.dialect, {
       upstream,
       waitMs,
-      leftMs: this.#countLeftMs(),
+      leftMs: this.#ledger.countLeftMs(),
       runs: this.#ledger.runs,
       lastEventId: this.#relay.lastEventId,
     });
@@ -209,7 +201,7 @@
   }
 
   #decide(end: AttemptEnd): NextStep {
-    return this.#ledger.decide(end, this.#hasBegun, this.#countLeftMs());
+    return this.#ledger.decide(end, this.#hasBegun);
   }
 
   #follow(end: AttemptEnd): void {
--- a/packages/gateway/src/requests/request_run_test.ts
+++ b/packages/gateway/src/requests/request_run_test.ts
@@ -5,13 +5,13 @@
 
 const STREAM = { "content-type": "text/event-stream", seal: "s1" };
 
-function event(id: number): string {
+function buildEvent(id: number): string {
   return `id: ${id}\ndata: text${id}\n\n`;
 }
 
 function streamEvents(res: ServerResponse, ids: readonly number[]): void {
   res.writeHead(200, STREAM);
-  res.write(ids.map(event).join(""));
+  res.write(ids.map(buildEvent).join(""));
 }
 
 test("a stream is passed on with its head", async () => {
@@ -22,7 +22,7 @@
   const { answer, ended } = runRequest({ addresses: [upstream.address] });
   expect(await ended).toBe("answered");
   expect(answer.headers).toContain("seal");
-  expect(answer.body).toBe([1, 2, 3].map(event).join(""));
+  expect(answer.body).toBe([1, 2, 3].map(buildEvent).join(""));
   expect(answer.end).toBe("whole");
   await upstream.close();
 });
@@ -43,7 +43,7 @@
 test("a stream cut inside an event goes on after the last whole one", async () => {
   const first = await startUpstream((_, res) => {
     res.writeHead(200, STREAM);
-    res.write(`${event(1)}${event(2)}id: 3\nda`, () => res.destroy());
+    res.write(`${buildEvent(1)}${buildEvent(2)}id: 3\nda`, () => res.destroy());
   });
   const second = await startUpstream((_, res) => {
     streamEvents(res, [3, 4]);
@@ -53,14 +53,14 @@
   const { answer, ended } = runRequest({ addresses });
   expect(await ended).toBe("answered");
   expect(second.seen[0]?.["last-event"]).toBe("2");
-  expect(answer.body).toBe([1, 2, 3, 4].map(event).join(""));
+  expect(answer.body).toBe([1, 2, 3, 4].map(buildEvent).join(""));
   await Promise.all([first.close(), second.close()]);
 });
 
 test("a stream that may not be resumed is broken off", async () => {
   const first = await startUpstream((_, res) => {
     res.writeHead(200, STREAM);
-    res.write(event(1), () => res.destroy());
+    res.write(buildEvent(1), () => res.destroy());
   });
   const second = await startUpstream((_, res) => res.end());
   const { answer, ended } = runRequest({
@@ -100,7 +100,7 @@
     route: { isResumable: false, isIdempotent: false, maxAttempts: 1 },
   });
   expect(await ended).toBe("answered");
-  expect(answer.body).toBe(event(1));
+  expect(answer.body).toBe(buildEvent(1));
   await Promise.all([first.close(), second.close()]);
 });
 
@@ -113,7 +113,7 @@
   const addresses = [first.address, second.address];
   const { answer, ended } = runRequest({ addresses });
   expect(await ended).toBe("answered");
-  expect(answer.body).toBe(event(1));
+  expect(answer.body).toBe(buildEvent(1));
   await Promise.all([first.close(), second.close()]);
 });
 
@@ -128,14 +128,14 @@
   const addresses = [first.address, second.address];
   const { answer, ended } = runRequest({ addresses });
   expect(await ended).toBe("answered");
-  expect(answer.body).toBe([1, 2, 3].map(event).join(""));
+  expect(answer.body).toBe([1, 2, 3].map(buildEvent).join(""));
   await Promise.all([first.close(), second.close()]);
 });
 
 test("an answer to another request is not passed on", async () => {
   const first = await startUpstream((_, res) => {
     res.writeHead(200, { ...STREAM, "request-id": "r0" });
-    res.end(event(7));
+    res.end(buildEvent(7));
   });
   const second = await startUpstream((_, res) => {
     streamEvents(res, [1]);
@@ -144,7 +144,7 @@
   const addresses = [first.address, second.address];
   const { answer, ended } = runRequest({ addresses });
   expect(await ended).toBe("answered");
-  expect(answer.body).toBe(event(1));
+  expect(answer.body).toBe(buildEvent(1));
   await Promise.all([first.close(), second.close()]);
 });
 
--- a/packages/gateway/src/requests/try_ledger.ts
+++ b/packages/gateway/src/requests/try_ledger.ts
@@ -4,6 +4,7 @@
   type NextStep,
 } from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
+import { REQUESTS } from "./constants.ts";
 import type { AdmittedCall, RequestFields } from "./types.ts";
 
 /** Where a request has been, and what that leaves it to do. */
@@ -56,7 +57,16 @@
     }
   }
 
-  decide(end: AttemptEnd, hasBegun: boolean, leftMs: number): NextStep {
+  /** Time until the request's deadline, in ms. */
+  countLeftMs(): number {
+    const { head, route, receivedMs } = this.#call;
+    const askedMs = head.deadlineMs ?? REQUESTS.DEFAULT_DEADLINE_MS;
+    const endMs = receivedMs + Math.min(route.timeoutMs, askedMs);
+    return Math.max(0, endMs - this.#view.readNowMs());
+  }
+
+  decide(end: AttemptEnd, hasBegun: boolean): NextStep {
+    const leftMs = this.countLeftMs();
     const offers = this.#offered.length;
     const progress = { runs: this.#runs, offers, hasBegun, leftMs };
     return decideNextStep(this.#call.route, progress, end);
