--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -112,13 +112,13 @@
     const nowMs = this.readNowMs();
     const unheardBy = this.load.listUnheardBy(this.#countSilentMs(), nowMs);
     const ids = listRelayTargets(origin, instanceId, unheardBy);
-    return this.members.list().filter(({ id }) => ids.includes(id));
+    return this.listPeers().filter(({ id }) => ids.includes(id));
   }
 
   buildMessage(isLeaving: boolean): LoadMessage {
     const nowMs = this.readNowMs();
     const silentMs = this.#countSilentMs();
-    const unheard = this.#listOthers()
+    const unheard = this.listPeers()
       .map(({ id }) => id)
       .filter((id) => !this.load.isDirect(id, silentMs, nowMs));
     this.#sequence += 1;
@@ -139,14 +139,17 @@
 
   #listSilent(nowMs: number): ReadonlySet<string> {
     const withinMs = this.#countSilentMs();
-    return listSilentDataCentres(this.#listOthers(), (id) =>
+    return listSilentDataCentres(this.listPeers(), (id) =>
       this.load.isDirect(id, withinMs, nowMs),
     );
   }
 
-  #listOthers(): readonly FleetMember[] {
+  /** Peers that may be at work, also those whose lease has just ended. */
+  listPeers(): readonly FleetMember[] {
     const { instanceId } = this.settings;
-    return this.members.list().filter(({ id }) => id !== instanceId);
+    return this.members
+      .listPossible(this.readNowMs())
+      .filter(({ id }) => id !== instanceId);
   }
 
   /** After this long without a message an instance is out of touch. */
--- a/packages/gateway/src/fleet/member_book.ts
+++ b/packages/gateway/src/fleet/member_book.ts
@@ -38,14 +38,23 @@
       .filter((member) => duty === undefined || member.duty === duty);
   }
 
-  /** Ids of instances that may be spending a part of a limit. */
-  listSpenders(duty: Duty, nowMs: number): readonly string[] {
+  /**
+   * Instances that may be at work: those listed, and those whose lease ended
+   * so lately that they may only be cut off from the store.
+   */
+  listPossible(nowMs: number): readonly FleetMember[] {
     return [...this.#known.values()]
-      .filter(({ member }) => member.duty === duty)
       .filter(
         ({ leftMs }) =>
           leftMs === undefined || nowMs - leftMs < QUOTAS.FENCE_MS,
       )
-      .map(({ member }) => member.id);
+      .map(({ member }) => member);
+  }
+
+  /** Ids of instances that may be spending a part of a limit. */
+  listSpenders(duty: Duty, nowMs: number): readonly string[] {
+    return this.listPossible(nowMs)
+      .filter((member) => member.duty === duty)
+      .map(({ id }) => id);
   }
 }
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -88,14 +88,10 @@
   }
 
   #send(isLeaving: boolean): void {
-    const { instanceId } = this.#view.settings;
     const bytes = loadCodec.encode(this.#view.buildMessage(isLeaving));
-    this.#view.members
-      .list()
-      .filter(({ id }) => id !== instanceId)
-      .forEach(({ address, port }) => {
-        // A lost datagram is made good by the next one.
-        this.#socket.send(bytes, port, address, () => undefined);
-      });
+    this.#view.listPeers().forEach(({ address, port }) => {
+      // A lost datagram is made good by the next one.
+      this.#socket.send(bytes, port, address, () => undefined);
+    });
   }
 }
