--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -38,6 +38,8 @@
   readonly use: Readonly<Record<string, CustomerUse>>;
   /** Listed instances that the sender does not hear itself. */
   readonly unheard: readonly string[];
+  /** Store revision of the last change that the sender saw, by prefix. */
+  readonly seen: Readonly<Record<string, number>>;
   /** Said once by an instance that stops. */
   readonly isLeaving: boolean;
 };
--- a/packages/core/src/metadata/types.ts
+++ b/packages/core/src/metadata/types.ts
@@ -92,6 +92,8 @@
     prefix: string,
     afterRevision: number,
     waitMs: number,
+    /** Ends the wait early, with a failure. */
+    signal?: AbortSignal,
   ) => Promise<MetadataChanges>;
   readonly commit: (commit: MetadataCommit) => Promise<MetadataCommitted>;
   readonly grantLease: (ttlMs: number) => Promise<MetadataLease>;
--- /dev/null
+++ b/packages/fakes/src/metadata/create_metadata.ts
@@ -0,0 +1,132 @@
+import type { MetadataFailure, MetadataStore } from "@gooseberryline/core";
+import { MetadataState } from "./metadata_state.ts";
+import type { FakeMetadata, MetadataFaults } from "./types.ts";
+
+const POLL_MS = 5;
+
+/** Creates a stand-in for the platform's metadata store. */
+export function createMetadata(
+  readNowMs: () => number = () => performance.now(),
+): FakeMetadata {
+  const state = new MetadataState();
+  const calls: Record<string, number> = {};
+  const control = {
+    faults: {
+      isDown: false,
+      isRefusing: false,
+      lostCommits: 0,
+      isDeaf: false,
+    } as MetadataFaults,
+  };
+  const write = (
+    set: readonly { key: string; value: Buffer }[],
+    key?: string,
+  ) =>
+    state.commit({ expect: [], set, remove: key === undefined ? [] : [key] });
+  const enter = (step: string): MetadataFailure | undefined => {
+    calls[step] = (calls[step] ?? 0) + 1;
+    state.expireLeases(readNowMs());
+    const { isDown, isRefusing } = control.faults;
+    return isDown || isRefusing ? fail(step, isRefusing) : undefined;
+  };
+  const store: MetadataStore = {
+    readKey: async (key) =>
+      enter("read") ?? {
+        kind: "read",
+        item: state.read(key),
+        storeRevision: state.revision,
+      },
+    listPage: async (prefix, after) =>
+      enter("list") ?? {
+        kind: "page",
+        ...state.listPage(prefix, after),
+        storeRevision: state.revision,
+      },
+    watchPrefix: async (prefix, after, waitMs, signal) => {
+      const endMs = readNowMs() + waitMs;
+      const failure = enter("watch");
+      if (failure !== undefined) {
+        return failure;
+      }
+      while (signal?.aborted !== true) {
+        state.expireLeases(readNowMs());
+        const { isDeaf, isDown } = control.faults;
+        const events = isDeaf ? [] : state.listChanges(prefix, after);
+        if (isDown) {
+          return fail("watch", false);
+        }
+        if (events === undefined) {
+          return { kind: "compacted" };
+        }
+        if (events.length > 0 || readNowMs() >= endMs) {
+          const storeRevision = isDeaf ? after : state.revision;
+          return { kind: "changes", events, storeRevision };
+        }
+        await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+      }
+      return fail("watch", false);
+    },
+    commit: async (commit) => {
+      const failure = enter("commit");
+      if (failure !== undefined) {
+        return failure;
+      }
+      const isLeased = commit.set.every(
+        ({ leaseId }) => leaseId === undefined || state.hasLease(leaseId),
+      );
+      if (!isLeased) {
+        return { kind: "lease-gone" };
+      }
+      const items = state.commit(commit);
+      if (items !== undefined) {
+        return { kind: "conflict", items };
+      }
+      const { lostCommits } = control.faults;
+      if (lostCommits > 0) {
+        const faults = { ...control.faults, lostCommits: lostCommits - 1 };
+        control.faults = faults;
+        return fail("commit", false);
+      }
+      return { kind: "committed", revision: state.revision };
+    },
+    grantLease: async (ttlMs) =>
+      enter("lease") ?? {
+        kind: "lease",
+        leaseId: state.grantLease(ttlMs, readNowMs()),
+        ttlMs,
+      },
+    keepLease: async (leaseId) => {
+      const failure = enter("keep");
+      const ttlMs = state.keepLease(leaseId, readNowMs());
+      return (
+        failure ??
+        (ttlMs === undefined
+          ? { kind: "lease-gone" }
+          : { kind: "lease", leaseId, ttlMs })
+      );
+    },
+    endLease: async (leaseId) => {
+      const failure = enter("end-lease");
+      state.endLease(leaseId);
+      return failure ?? { kind: "lease-gone" };
+    },
+  };
+  return {
+    store,
+    calls,
+    setFaults: (faults) => {
+      control.faults = { ...control.faults, ...faults };
+    },
+    compact: () => state.compact(),
+    put: (key, value) => {
+      write([{ key, value: Buffer.from(value) }]);
+    },
+    remove: (key) => {
+      write([], key);
+    },
+  };
+}
+
+function fail(step: string, isUndone: boolean): MetadataFailure {
+  return { kind: "failed", isUndone, step, reason: "stand-in fault" };
+}
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -5,6 +5,8 @@
   EngineOptions,
   FakeEngine,
 } from "./engine/types.ts";
+export { createMetadata } from "./metadata/create_metadata.ts";
+export type * from "./metadata/types.ts";
 export { startStore } from "./platform/start_store.ts";
 export { StoreState } from "./platform/store_state.ts";
 export type * from "./platform/types.ts";
--- a/packages/gateway/src/fleet/constants.ts
+++ b/packages/gateway/src/fleet/constants.ts
@@ -2,6 +2,8 @@
 export const FLEET = {
   /** Entries that lapsed while the store was away may return this long, ms. */
   LAPSE_GRACE_MS: 2_500,
+  /** The store counts as away once calls have failed this long, in ms. */
+  STORE_AWAY_MS: 400,
   /** A peer's load older than this says nothing of the present, in ms. */
   LOAD_AGE_MS: 1_500,
   /** First time that a failing upstream is avoided, in ms; doubles. */
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -32,6 +32,10 @@
   #sequence = 0;
   /** Called when online work takes a slot that batch work has to leave. */
   onCrowded: () => void = () => undefined;
+  /** What this instance's watches have seen, by prefix. */
+  readSeen: () => LoadMessage["seen"] = () => ({});
+  /** Called with what a peer's watches have seen. */
+  onSeen: (seen: LoadMessage["seen"]) => void = () => undefined;
 
   constructor(
     settings: GatewaySettings,
@@ -102,6 +106,7 @@
       this.members.forget(message.from, message.incarnation);
     } else {
       this.quotas.notePeer(message, nowMs);
+      this.onSeen(message.seen);
     }
     return true;
   }
@@ -133,6 +138,7 @@
       suspects: this.load.listSuspects(nowMs),
       use: isServing ? this.quotas.listUse(customers, nowMs) : {},
       unheard,
+      seen: this.readSeen(),
       isLeaving,
     };
   }
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -13,6 +13,7 @@
   suspects: z.array(z.string()),
   use: z.record(z.string(), USE),
   unheard: z.array(z.string()),
+  seen: z.record(z.string(), z.number()),
   isLeaving: z.boolean(),
 });
 
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -27,15 +27,10 @@
 
   constructor(parts: WatchesParts) {
     this.#parts = parts;
-    const { dialect, view } = parts;
-    const { directory } = view;
+    const { dialect } = parts;
     this.#watches = [
       this.#watch(dialect.operatorPrefix, (event) => this.#noteOperator(event)),
-      this.#watch(
-        dialect.upstreamPrefix,
-        (event) => this.#noteUpstream(event),
-        (isReached) => directory.noteStore(isReached, view.readNowMs()),
-      ),
+      this.#watch(dialect.upstreamPrefix, (event) => this.#noteUpstream(event)),
       this.#watch(memberRecord.prefix, (event) => this.#noteMember(event)),
     ];
   }
@@ -48,19 +43,30 @@
     await Promise.all(this.#watches.map(({ loaded }) => loaded));
   }
 
+  /** What was seen of each prefix, for peers. */
+  listSeen(): Readonly<Record<string, number>> {
+    return Object.fromEntries(
+      this.#watches.map(({ prefix, seen }) => [prefix, seen]),
+    );
+  }
+
+  /** Takes what a peer has seen of each prefix. */
+  noteElsewhere(seen: Readonly<Record<string, number>>): void {
+    this.#watches.forEach((watch) => {
+      watch.noteElsewhere(seen[watch.prefix] ?? 0);
+    });
+  }
+
   stop(): void {
     this.#watches.forEach((watch) => {
       watch.stop();
     });
   }
 
-  #watch(
-    prefix: string,
-    onEvent: (event: MetadataEvent) => void,
-    onContact: (isReached: boolean) => void = () => undefined,
-  ): PrefixWatch {
-    const { store, log } = this.#parts;
-    return new PrefixWatch({ store, prefix, log, onEvent, onContact });
+  #watch(prefix: string, onEvent: (event: MetadataEvent) => void): PrefixWatch {
+    const { store, log, view } = this.#parts;
+    const countWatchers = (): number => view.members.list().length;
+    return new PrefixWatch({ store, prefix, log, onEvent, countWatchers });
   }
 
   #noteOperator(event: MetadataEvent): void {
--- a/packages/gateway/src/fleet/upstream_directory.ts
+++ b/packages/gateway/src/fleet/upstream_directory.ts
@@ -11,7 +11,7 @@
 export class UpstreamDirectory {
   readonly #held = new Map<string, Held>();
   readonly #takenOut = new Set<string>();
-  #isStoreReached = true;
+  #failingSinceMs: number | undefined;
   #storeBackMs = Number.NEGATIVE_INFINITY;
 
   put(entry: UpstreamEntry): void {
@@ -24,7 +24,7 @@
       return;
     }
     const graceEndMs = this.#storeBackMs + FLEET.LAPSE_GRACE_MS;
-    if (!this.#isStoreReached) {
+    if (this.#isStoreAway(nowMs)) {
       this.#held.set(id, { ...held, goneAtMs: Number.POSITIVE_INFINITY });
     } else if (nowMs < graceEndMs) {
       this.#held.set(id, { ...held, goneAtMs: graceEndMs });
@@ -33,17 +33,31 @@
     }
   }
 
+  /** Notes an answer of the store, or a call that had none. */
   noteStore(isReached: boolean, nowMs: number): void {
-    if (isReached && !this.#isStoreReached) {
+    if (!isReached) {
+      this.#failingSinceMs ??= nowMs;
+      return;
+    }
+    const isBack = this.#isStoreAway(nowMs);
+    this.#failingSinceMs = undefined;
+    if (isBack) {
       this.#storeBackMs = nowMs;
-      const goneAtMs = nowMs + FLEET.LAPSE_GRACE_MS;
-      [...this.#held.values()]
-        .filter((held) => held.goneAtMs !== undefined)
-        .forEach(({ entry }) => {
-          this.#held.set(entry.id, { entry, goneAtMs });
-        });
+      this.#giveLapsedTime(nowMs + FLEET.LAPSE_GRACE_MS);
     }
-    this.#isStoreReached = isReached;
+  }
+
+  #isStoreAway(nowMs: number): boolean {
+    const sinceMs = this.#failingSinceMs;
+    return sinceMs !== undefined && nowMs - sinceMs >= FLEET.STORE_AWAY_MS;
+  }
+
+  #giveLapsedTime(goneAtMs: number): void {
+    [...this.#held.values()]
+      .filter((held) => held.goneAtMs !== undefined)
+      .forEach(({ entry }) => {
+        this.#held.set(entry.id, { entry, goneAtMs });
+      });
   }
 
   takeOut(dataCentre: string): void {
--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -67,6 +67,12 @@
     this.#isStopping = true;
   }
 
+  /** Takes no more requests: new connections and idle ones are closed. */
+  stopTaking(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
   /** Requests under way. */
   countOpen(): number {
     return this.#open;
--- a/packages/gateway/src/jobs/job_door.ts
+++ b/packages/gateway/src/jobs/job_door.ts
@@ -14,12 +14,13 @@
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { faults } from "../requests/faults.ts";
 import type { CallReply } from "../requests/types.ts";
+import { waitMs } from "../wait_ms.ts";
 import { authenticateReader } from "./authenticate_reader.ts";
 import { batchRecords } from "./batch_records.ts";
 import { buildJob } from "./build_job.ts";
 import { JOB_TIMES } from "./constants.ts";
 import { JobCache } from "./job_cache.ts";
-import { readResults } from "./read_results.ts";
+import { ResultsReader } from "./results_reader.ts";
 
 type DoorParts = {
   readonly view: FleetView;
@@ -38,11 +39,13 @@
 export class JobDoor {
   readonly #parts: DoorParts;
   readonly #cache: JobCache;
+  readonly #reader: ResultsReader;
   #writes = 0;
 
   constructor(parts: DoorParts) {
     this.#parts = parts;
     this.#cache = new JobCache(parts.store);
+    this.#reader = new ResultsReader(parts.store);
   }
 
   /** Accepts a job once under its id, however often it is sent. */
@@ -194,8 +197,8 @@
     holdMs: number,
     reply: CallReply,
   ): Promise<void> {
-    const { store, dialect } = this.#parts;
-    const read = await readResults(store, job, after, holdMs);
+    const { dialect } = this.#parts;
+    const read = await this.#reader.read(job, after, holdMs);
     if (read.kind === "failed") {
       reply.sendFault(faults.unready(read.reason));
       return;
@@ -269,7 +272,3 @@
   const rawHeaders = type === undefined ? [] : ["Content-Type", type];
   return { status, headers: {}, rawHeaders, isEventStream: false };
 }
-
-function waitMs(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/packages/gateway/src/jobs/owned_job.ts
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -9,6 +9,7 @@
   type MetadataStore,
 } from "@gooseberryline/core";
 import type { Log } from "@gooseberryline/daemon";
+import { waitMs } from "../wait_ms.ts";
 import { batchRecords } from "./batch_records.ts";
 import { JOB_TIMES } from "./constants.ts";
 
@@ -100,9 +101,7 @@
       }
       const reason = done.kind === "failed" ? done.reason : done.kind;
       log.warn("results-not-written", { jobId: job.id, reason });
-      await new Promise((resolve) =>
-        setTimeout(resolve, JOB_TIMES.WRITE_RETRY_MS),
-      );
+      await waitMs(JOB_TIMES.WRITE_RETRY_MS);
     }
   }
 
--- /dev/null
+++ b/packages/gateway/src/jobs/results_reader.ts
@@ -0,0 +1,122 @@
+import {
+  assertNever,
+  BATCHES,
+  type BatchJob,
+  type BatchResult,
+  batchKeys,
+  type MetadataEvent,
+  type MetadataFailure,
+  type MetadataStore,
+} from "@gooseberryline/core";
+import { batchRecords } from "./batch_records.ts";
+import { JOB_TIMES } from "./constants.ts";
+
+type Results =
+  | { readonly kind: "read"; readonly results: readonly BatchResult[] }
+  | MetadataFailure;
+
+/** At `revision` of the store nothing stood at `position` or beyond. */
+type KnownEnd = { readonly position: number; readonly revision: number };
+
+/**
+ * Reads results of jobs. Each stands in a record of its own that never
+ * changes, so every instance reads the same. Where a reader has all that
+ * stood at the last read, one watch from there tells what came since.
+ */
+export class ResultsReader {
+  readonly #store: MetadataStore;
+  readonly #ends = new Map<string, KnownEnd>();
+
+  constructor(store: MetadataStore) {
+    this.#store = store;
+  }
+
+  /** Reads from a position on; waits up to `holdMs` where none stands yet. */
+  async read(job: BatchJob, from: number, holdMs: number): Promise<Results> {
+    if (from >= job.itemIds.length) {
+      return { kind: "read", results: [] };
+    }
+    const end = this.#ends.get(job.id);
+    return end?.position === from && holdMs > 0
+      ? this.#watch(job, end, holdMs)
+      : this.#list(job, from, holdMs);
+  }
+
+  async #list(job: BatchJob, from: number, holdMs: number): Promise<Results> {
+    const prefix = batchKeys.results(job.id);
+    const after = from === 0 ? undefined : batchKeys.result(job.id, from - 1);
+    const page = await this.#store.listPage(prefix, after);
+    if (page.kind === "failed") {
+      return page;
+    }
+    const results = takeResults(page.items.map(({ value }) => value));
+    if (!page.hasMore && results.length === page.items.length) {
+      const position = from + results.length;
+      this.#noteEnd(job.id, { position, revision: page.storeRevision });
+    }
+    if (results.length > 0 || holdMs <= 0) {
+      return { kind: "read", results };
+    }
+    const end = { position: from, revision: page.storeRevision };
+    return this.#watch(job, end, holdMs);
+  }
+
+  async #watch(
+    job: BatchJob,
+    { position, revision }: KnownEnd,
+    holdMs: number,
+  ): Promise<Results> {
+    const prefix = batchKeys.results(job.id);
+    const changes = await this.#store.watchPrefix(prefix, revision, holdMs);
+    switch (changes.kind) {
+      case "failed":
+        return changes;
+      case "compacted":
+        this.#ends.delete(job.id);
+        return this.#list(job, position, 0);
+      case "changes": {
+        const values = listValues(changes.events);
+        const results = takeResults(values);
+        if (results.length === values.length) {
+          this.#noteEnd(job.id, {
+            position: position + results.length,
+            revision: changes.storeRevision,
+          });
+        }
+        return { kind: "read", results };
+      }
+      default:
+        return assertNever(changes);
+    }
+  }
+
+  #noteEnd(jobId: string, end: KnownEnd): void {
+    this.#ends.delete(jobId);
+    this.#ends.set(jobId, end);
+    const [oldest] = this.#ends.keys();
+    if (this.#ends.size > JOB_TIMES.CACHED_JOBS && oldest !== undefined) {
+      this.#ends.delete(oldest);
+    }
+  }
+}
+
+/** Values that were set, in the order of their positions. */
+function listValues(events: readonly MetadataEvent[]): readonly Buffer[] {
+  return events
+    .flatMap((event) => (event.kind === "set" ? [event.item] : []))
+    .sort((a, b) => (a.key < b.key ? -1 : 1))
+    .map(({ value }) => value);
+}
+
+/** As many results as one answer holds, at least one if there is any. */
+function takeResults(values: readonly Buffer[]): readonly BatchResult[] {
+  const ends = values.map((_, index) =>
+    values.slice(0, index + 1).reduce((sum, { length }) => sum + length, 0),
+  );
+  return values
+    .filter(
+      (_, index) => index === 0 || (ends[index] ?? 0) <= BATCHES.MAX_READ_BYTES,
+    )
+    .map((value) => batchRecords.decodeResult(value))
+    .filter((result) => result !== undefined);
+}
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -15,6 +15,8 @@
 import type { GatewaySettings } from "./settings/types.ts";
 import { STOP_TIMES } from "./stop_times.ts";
 import { PrefixWatch } from "./store/prefix_watch.ts";
+import { watchContact } from "./store/watch_contact.ts";
+import { waitMs } from "./wait_ms.ts";
 
 export type GatewayParts = {
   readonly settings: GatewaySettings;
@@ -35,9 +37,12 @@
 
 /** Runs one instance: serves callers or runs items, by its duty. */
 export async function runGateway(parts: GatewayParts): Promise<Gateway> {
-  const { settings, store, dialect, log } = parts;
+  const { settings, dialect, log } = parts;
   const incarnation = randomUUID().slice(0, 8);
   const view = new FleetView(settings, incarnation, () => performance.now());
+  const store = watchContact(parts.store, (isReached) =>
+    view.directory.noteStore(isReached, view.readNowMs()),
+  );
   const pool = new ConnectionPool(EXCHANGE.IDLE_MS);
   const metrics = createGatewayMetrics();
   const shared = { view, pool, dialect: dialect.calls, log, store };
@@ -53,7 +58,7 @@
     prefix: batchKeys.claimPrefix,
     log,
     onEvent: (event) => runner.noteClaim(event),
-    onContact: () => undefined,
+    countWatchers: () => view.members.list(DUTIES.run).length,
   });
   const watches = new RecordWatches({
     view,
@@ -76,6 +81,8 @@
       duty: settings.duty,
     },
   });
+  view.readSeen = () => watches.listSeen();
+  view.onSeen = (seen) => watches.noteElsewhere(seen);
   const peers = new PeerLink(view, log);
   const status = new StatusListener({
     [dialect.readinessPath]: () => {
@@ -145,13 +152,11 @@
   view: FleetView,
 ): Promise<void> {
   const lastMs = startedMs + graceMs - STOP_TIMES.MARGIN_MS;
-  const lingerMs = startedMs + STOP_TIMES.LINGER_MS;
-  while (view.readNowMs() < lastMs) {
-    const isQuiet = listener.countOpen() === 0;
-    if (isQuiet && view.readNowMs() >= lingerMs) {
-      return;
-    }
-    await new Promise((resolve) => setTimeout(resolve, STOP_TIMES.POLL_MS));
+  await waitMs(STOP_TIMES.LINGER_MS);
+  // A request on a kept connection could not be finished any more.
+  listener.stopTaking();
+  while (listener.countOpen() > 0 && view.readNowMs() < lastMs) {
+    await waitMs(STOP_TIMES.POLL_MS);
   }
 }
 
@@ -175,9 +180,7 @@
       remove: [],
     });
     if (done.kind !== "committed") {
-      await new Promise((resolve) =>
-        setTimeout(resolve, STOP_TIMES.RETIRE_RETRY_MS),
-      );
+      await waitMs(STOP_TIMES.RETIRE_RETRY_MS);
       await write();
     }
   };
--- a/packages/gateway/src/store/constants.ts
+++ b/packages/gateway/src/store/constants.ts
@@ -1,7 +1,13 @@
 /** Figures of watches on the metadata store. */
 export const WATCHING = {
-  /** A silent connection of a watch is noticed this much later, in ms. */
-  WAIT_MS: 2_000,
+  /** Shortest wait of a watch, in ms. */
+  MIN_WAIT_MS: 2_000,
+  /** Longest one, in ms; the store takes up to 30 s. */
+  MAX_WAIT_MS: 20_000,
+  /** Some instance's watch ends each so many ms, and tells the others. */
+  FLEET_WAIT_MS: 500,
+  /** A change that a peer has seen is awaited this long, in ms. */
+  BEHIND_MS: 300,
   FIRST_RETRY_MS: 50,
   MAX_RETRY_MS: 800,
 } as const;
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -6,9 +6,9 @@
   readonly store: MetadataStore;
   readonly prefix: string;
   readonly log: Log;
+  /** Instances that watch the same records. */
+  readonly countWatchers: () => number;
   readonly onEvent: (event: MetadataEvent) => void;
-  /** Called at each answer of the store, and once when it stops answering. */
-  readonly onContact: (isReached: boolean) => void;
 };
 
 /**
@@ -21,7 +21,11 @@
   /** Revision of each record as last told. */
   readonly #known = new Map<string, number>();
   #revision = 0;
+  /** Store revision of the last change that was told. */
+  #seen = 0;
   #isCurrent = false;
+  #waiting: AbortController | undefined;
+  #behindTimer: NodeJS.Timeout | undefined;
   #failures = 0;
   #isStopped = false;
   #onLoaded: () => void = () => undefined;
@@ -41,6 +45,35 @@
 
   stop(): void {
     this.#isStopped = true;
+    clearTimeout(this.#behindTimer);
+    this.#waiting?.abort();
+  }
+
+  get prefix(): string {
+    return this.#parts.prefix;
+  }
+
+  get seen(): number {
+    return this.#seen;
+  }
+
+  /**
+   * Takes what a peer has seen. A watch that stays behind it has a connection
+   * that has gone silent: it is opened anew.
+   */
+  noteElsewhere(revision: number): void {
+    const isBehind = this.#isCurrent && revision > this.#revision;
+    if (!isBehind || this.#behindTimer !== undefined) {
+      return;
+    }
+    this.#behindTimer = setTimeout(() => {
+      this.#behindTimer = undefined;
+      if (revision > this.#revision) {
+        const { log, prefix } = this.#parts;
+        log.warn("watch-behind", { prefix, own: this.#revision, revision });
+        this.#waiting?.abort();
+      }
+    }, WATCHING.BEHIND_MS);
   }
 
   async #follow(): Promise<void> {
@@ -92,11 +125,17 @@
 
   async #watch(): Promise<boolean> {
     const { store, prefix, log } = this.#parts;
+    const waiting = new AbortController();
+    this.#waiting = waiting;
     const changes = await store.watchPrefix(
       prefix,
       this.#revision,
-      WATCHING.WAIT_MS,
+      this.#countWaitMs(),
+      waiting.signal,
     );
+    if (waiting.signal.aborted) {
+      return true;
+    }
     switch (changes.kind) {
       case "changes":
         changes.events.forEach((event) => {
@@ -114,6 +153,15 @@
     }
   }
 
+  /** Watches of a large fleet wait longer: one of them is enough to tell. */
+  #countWaitMs(): number {
+    const waitMs = this.#parts.countWatchers() * WATCHING.FLEET_WAIT_MS;
+    return Math.min(
+      WATCHING.MAX_WAIT_MS,
+      Math.max(WATCHING.MIN_WAIT_MS, waitMs),
+    );
+  }
+
   /** Tells a change once; an older state of a record is passed over. */
   #tell(event: MetadataEvent): void {
     const key = event.kind === "set" ? event.item.key : event.key;
@@ -123,6 +171,9 @@
     if (known !== undefined && known >= revision) {
       return;
     }
+    if (revision < Number.MAX_SAFE_INTEGER) {
+      this.#seen = Math.max(this.#seen, revision);
+    }
     if (event.kind === "set") {
       this.#known.set(key, revision);
     } else {
@@ -139,7 +190,6 @@
       });
     }
     this.#failures = 0;
-    this.#parts.onContact(true);
   }
 
   #noteFailure(reason: string): void {
@@ -148,7 +198,6 @@
       log.warn("watch-lost", { prefix, revision: this.#revision, reason });
     }
     this.#failures += 1;
-    this.#parts.onContact(false);
   }
 
   #waitBeforeRetry(): Promise<void> {
