--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -33,6 +33,8 @@
   readonly open: Readonly<Record<string, OpenWork>>;
   /** Items that wait for an upstream at the sender. */
   readonly waitingItems: number;
+  /** Time since each upstream last sent the sender anything, in ms. */
+  readonly quietMs: Readonly<Record<string, number>>;
   /** Upstreams that failed the sender lately. */
   readonly suspects: readonly string[];
   readonly use: Readonly<Record<string, CustomerUse>>;
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -48,6 +48,7 @@
 export type * from "./limits/types.ts";
 export type * from "./membership/types.ts";
 export type * from "./metadata/types.ts";
+export { PLACING } from "./placing/constants.ts";
 export { countItemStarts } from "./placing/count_item_starts.ts";
 export { countItemYields } from "./placing/count_item_yields.ts";
 export { placeItem } from "./placing/place_item.ts";
--- a/packages/core/src/placing/constants.ts
+++ b/packages/core/src/placing/constants.ts
@@ -5,7 +5,7 @@
   /** Share of the time to the objective that a queue may use up. */
   QUEUE_SHARE: 0.5,
   /** Slots of an upstream that batch work leaves to online arrivals. */
-  BATCH_RESERVE: 0,
+  BATCH_RESERVE: 1,
   /** Slow start: a cold upstream counts as this many requests fuller. */
   COLD_PENALTY: 3,
 } as const;
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -15,6 +15,11 @@
   readonly isIdempotent: boolean;
   /** Longest wait for the head, in ms. */
   readonly headWithinMs: number;
+  /**
+   * Whether the upstream has sent anything to anyone lately. One that has is
+   * only busy, and its head is awaited as long again.
+   */
+  readonly isAlive?: (sinceMs: number) => boolean;
   /** Longest pause in the body, in ms. */
   readonly pauseWithinMs: number;
 };
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -32,6 +32,8 @@
   readonly #silence: SilenceTimer;
   #answer: IncomingMessage | undefined;
   #connectTimer: NodeJS.Timeout | undefined;
+  readonly #sentMs = performance.now();
+  #isExtended = false;
   #mayBeSent = false;
   #isOver = false;
 
@@ -138,6 +140,11 @@
   }
 
   #endSilent(): void {
+    if (this.#isBusy()) {
+      this.#isExtended = true;
+      this.#silence.start(this.#order.headWithinMs);
+      return;
+    }
     const { pool } = this.#parts;
     pool.dropIdle(`http://${this.#order.address}`);
     const reason = "nothing came for too long";
@@ -149,6 +156,15 @@
     this.#request.destroy();
   }
 
+  /** Whether a silent upstream only has others to answer first. */
+  #isBusy(): boolean {
+    return (
+      this.#answer === undefined &&
+      !this.#isExtended &&
+      this.#order.isAlive?.(this.#sentMs) === true
+    );
+  }
+
   #endLost(reason: string): void {
     this.#end(
       this.#mayBeSent
--- a/packages/gateway/src/fleet/constants.ts
+++ b/packages/gateway/src/fleet/constants.ts
@@ -11,6 +11,8 @@
   MAX_SUSPECT_MS: 3_000,
   /** A peer's suspicion counts this long, in ms. */
   PEER_SUSPECT_MS: 400,
+  /** Signs of life older than this are not told, in ms. */
+  SIGN_AGE_MS: 250,
   /** Weight of one request in the mean time that a slot is held. */
   MEAN_WEIGHT: 0.05,
   /** Mean time that a slot is held before any request has ended, in ms. */
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -5,6 +5,7 @@
   type LoadMessage,
   listRelayTargets,
   listSilentDataCentres,
+  PLACING,
   type RouteTable,
   type ServingConfig,
   type UpstreamEntry,
@@ -91,7 +92,8 @@
     this.#ramps.take(entry, this.#getColdRate(entry.service), this.readNowMs());
     this.load.noteStart(entry.id, lane);
     const { online, batch } = this.load.countOpen(entry.id, this.readNowMs());
-    if (lane === "online" && batch > 0 && online + batch > entry.slots) {
+    const isCrowded = online + batch + PLACING.BATCH_RESERVE > entry.slots;
+    if (lane === "online" && batch > 0 && isCrowded) {
       this.onCrowded();
     }
   }
@@ -135,6 +137,7 @@
       sequence: this.#sequence,
       open: this.load.listOwn(),
       waitingItems: this.load.waitingItems,
+      quietMs: this.load.listQuiet(nowMs),
       suspects: this.load.listSuspects(nowMs),
       use: isServing ? this.quotas.listUse(customers, nowMs) : {},
       unheard,
--- a/packages/gateway/src/fleet/load_book.ts
+++ b/packages/gateway/src/fleet/load_book.ts
@@ -18,6 +18,7 @@
   readonly #own = new Map<string, OpenWork>();
   readonly #peers = new Map<string, Heard>();
   readonly #suspects = new Map<string, Suspicion>();
+  readonly #signs = new Map<string, number>();
   readonly #meansMs = new Map<string, number>();
   /** Items of this instance that wait for an upstream. */
   waitingItems = 0;
@@ -44,6 +45,32 @@
     this.#suspects.delete(upstreamId);
   }
 
+  /** Notes that an upstream has sent something. */
+  noteSign(upstreamId: string, nowMs: number): void {
+    this.#signs.set(upstreamId, nowMs);
+  }
+
+  /** Whether an upstream has sent anything to any instance since then. */
+  hasSign(upstreamId: string, sinceMs: number): boolean {
+    const own = this.#signs.get(upstreamId) ?? Number.NEGATIVE_INFINITY;
+    return (
+      own > sinceMs ||
+      [...this.#peers.values()].some(({ message, heardMs }) => {
+        const quietMs = message.quietMs[upstreamId];
+        return quietMs !== undefined && heardMs - quietMs > sinceMs;
+      })
+    );
+  }
+
+  /** Own signs of upstreams that are recent enough to matter to peers. */
+  listQuiet(nowMs: number): Readonly<Record<string, number>> {
+    return Object.fromEntries(
+      [...this.#signs]
+        .map(([id, atMs]) => [id, Math.round(nowMs - atMs)] as const)
+        .filter(([, quietMs]) => quietMs < FLEET.SIGN_AGE_MS),
+    );
+  }
+
   /** Notes how long a request held a slot, in ms. */
   noteServiceTime(service: string, heldMs: number): void {
     const mean = this.#meansMs.get(service) ?? FLEET.FIRST_MEAN_MS;
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -10,6 +10,7 @@
   sequence: z.number(),
   open: z.record(z.string(), WORK),
   waitingItems: z.number(),
+  quietMs: z.record(z.string(), z.number()),
   suspects: z.array(z.string()),
   use: z.record(z.string(), USE),
   unheard: z.array(z.string()),
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -40,13 +40,25 @@
     this.#events = events;
     this.#startedMs = parts.view.readNowMs();
     parts.view.noteSend(upstream, lane);
-    this.#exchange = new UpstreamExchange(order, {
-      pool: parts.pool,
-      dialect: parts.dialect,
-      onHead: events.onHead,
-      onChunk: events.onChunk,
-      onEnd: (end) => this.#takeEnd(end),
-    });
+    const { load } = parts.view;
+    const isAlive = (sinceMs: number) => load.hasSign(upstream.id, sinceMs);
+    const noteSign = () => load.noteSign(upstream.id, parts.view.readNowMs());
+    this.#exchange = new UpstreamExchange(
+      { ...order, isAlive },
+      {
+        pool: parts.pool,
+        dialect: parts.dialect,
+        onHead: (head) => {
+          noteSign();
+          events.onHead(head);
+        },
+        onChunk: (chunk) => {
+          noteSign();
+          return events.onChunk(chunk);
+        },
+        onEnd: (end) => this.#takeEnd(end),
+      },
+    );
   }
 
   /** Ends it without a word; the upstream stops its work. */
--- a/packages/gateway/src/requests/request_run_test.ts
+++ b/packages/gateway/src/requests/request_run_test.ts
@@ -176,3 +176,19 @@
   expect(answer.status).toBe(503);
   expect(answer.run).toBe("not run");
 });
+
+test("a busy upstream is awaited as long again", async () => {
+  const first = await startUpstream((_, res) => {
+    setTimeout(() => {
+      streamEvents(res, [1]);
+      res.end();
+    }, 220);
+  });
+  const second = await startUpstream((_, res) => res.end());
+  const run = runRequest({ addresses: [first.address, second.address] });
+  setTimeout(() => run.view.load.noteSign("u0", performance.now()), 50);
+  expect(await run.ended).toBe("answered");
+  expect(run.answer.body).toBe(buildEvent(1));
+  expect(second.seen).toHaveLength(0);
+  await Promise.all([first.close(), second.close()]);
+});
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -24,6 +24,7 @@
 /** A request of a test: what its caller gets, and how to leave it. */
 export type TestRun = {
   readonly answer: TestAnswer;
+  readonly view: FleetView;
   /** Settles with how the request ended. */
   readonly ended: Promise<string>;
   readonly leave: () => void;
@@ -141,7 +142,7 @@
     },
   });
   run.start();
-  return { answer, ended, leave: () => run.cancel() };
+  return { answer, view, ended, leave: () => run.cancel() };
 }
 
 function buildTestReply(answer: TestAnswer): CallReply {
