--- a/packages/gateway/src/jobs/constants.ts
+++ b/packages/gateway/src/jobs/constants.ts
@@ -10,6 +10,10 @@
   PAUSE_MS: 2_000,
   /** Time that an upstream is allowed for a whole item, in ms. */
   RUN_MS: 60_000,
+  /** Mean time that an item runs before any has ended, in ms. */
+  FIRST_RUN_MS: 4_000,
+  /** Weight of one item in that mean. */
+  RUN_WEIGHT: 0.1,
   /** A failed item waits this long before it runs again, in ms. */
   RETRY_MS: 250,
   /** A write without an answer is tried again after this long, in ms. */
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -28,6 +28,7 @@
   readonly #jobs = new Map<string, LoadedJob>();
   #waiting: readonly WaitingItem[] = [];
   readonly #running = new Set<ItemRun>();
+  #meanRunMs: number = JOB_TIMES.FIRST_RUN_MS;
 
   constructor(parts: PoolParts) {
     this.#parts = parts;
@@ -42,7 +43,7 @@
         jobId: job.id,
         index,
         dueAtMs: claim.dueAtMs,
-        eventCount: 0,
+        ranMs: 0,
         item,
         text: { texts: [], lastEventId: undefined },
         failures: 0,
@@ -75,12 +76,16 @@
     const ready = this.#waiting.filter(
       ({ notBeforeMs }) => notBeforeMs <= nowMs,
     );
-    const ordered = orderItems(ready);
+    const ordered = orderItems(ready, this.#readClock());
     // Items are alike to the placer, so the first that waits ends the round.
     ordered.every((item) => this.#startItem(item));
     this.#parts.view.load.waitingItems = this.#waiting.length;
   }
 
+  #readClock() {
+    return { nowMs: Date.now(), meanRunMs: this.#meanRunMs };
+  }
+
   #startItem(waiting: WaitingItem): boolean {
     const loaded = this.#jobs.get(waiting.jobId);
     if (loaded === undefined) {
@@ -115,15 +120,18 @@
     this.#waiting = this.#waiting.filter((other) => other !== waiting);
   }
 
-  /** The youngest items leave an upstream that online work crowds. */
+  /** Of the items at an upstream that online work crowds the last leave. */
   #yieldItems(): void {
     const runs = [...this.#running];
     const ids = new Set(runs.map(({ upstream }) => upstream.id));
     ids.forEach((id) => {
       const own = runs.filter(({ upstream }) => upstream.id === id);
-      own.slice(own.length - this.#countYields(own)).forEach((run) => {
-        run.interrupt("online work needs the slot");
-      });
+      const entries = own.map((run) => ({ ...run.waiting, run }));
+      orderItems(entries, this.#readClock())
+        .slice(own.length - this.#countYields(own))
+        .forEach(({ run }) => {
+          run.interrupt("online work needs the slot");
+        });
     });
   }
 
@@ -146,7 +154,7 @@
 
   #takeEnd(run: ItemRun, end: ItemRunEnd): void {
     this.#running.delete(run);
-    const { waiting, upstream } = run;
+    const { waiting } = run;
     const loaded = this.#jobs.get(waiting.jobId);
     if (loaded === undefined) {
       return;
@@ -156,6 +164,8 @@
     this.#logEnd(run, end, step.kind);
     switch (step.kind) {
       case "list-completed": {
+        const ranMs = waiting.ranMs + run.countRanMs();
+        this.#meanRunMs += (ranMs - this.#meanRunMs) * JOB_TIMES.RUN_WEIGHT;
         const text = end.text.texts.join("\n");
         const state = ITEM_RESULTS.completed;
         this.#list(waiting, { id: waiting.item.id, state, text });
@@ -165,26 +175,22 @@
         this.#listErrored(waiting, step.reason);
         return;
       case "run-again":
-        this.#requeue(waiting, end, step.failures, upstream.id);
+        this.#requeue(run, end, step.failures);
         return;
       default:
         assertNever(step);
     }
   }
 
-  #requeue(
-    waiting: WaitingItem,
-    end: ItemRunEnd,
-    failures: number,
-    upstreamId: string,
-  ): void {
+  #requeue(run: ItemRun, end: ItemRunEnd, failures: number): void {
+    const { waiting, upstream } = run;
     const nowMs = this.#parts.view.readNowMs();
     const next = {
       ...waiting,
       text: end.text,
-      eventCount: end.text.texts.length,
+      ranMs: waiting.ranMs + run.countRanMs(),
       failures,
-      tried: new Set([upstreamId]),
+      tried: new Set([upstream.id]),
       notBeforeMs: nowMs + JOB_TIMES.RETRY_MS,
     };
     this.#waiting = [...this.#waiting, next];
--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -28,12 +28,14 @@
   #lastEventId: number | undefined;
   #head: ExchangeHead | undefined;
   #held: Buffer = NO_BYTES;
+  readonly #startedMs: number;
   #isOver = false;
 
   constructor(waiting: WaitingItem, upstream: UpstreamEntry, parts: RunParts) {
     this.waiting = waiting;
     this.upstream = upstream;
     this.#parts = parts;
+    this.#startedMs = parts.view.readNowMs();
     this.#texts = [...waiting.text.texts];
     this.#lastEventId = waiting.text.lastEventId;
     this.#attempt = new Attempt(upstream, "batch", this.#buildOrder(), parts, {
@@ -53,6 +55,11 @@
     }
   }
 
+  /** Time since its start, in ms. */
+  countRanMs(): number {
+    return this.#parts.view.readNowMs() - this.#startedMs;
+  }
+
   #buildOrder() {
     const { dialect, host, customer } = this.#parts;
     const { item } = this.waiting;
--- a/packages/gateway/src/jobs/types.ts
+++ b/packages/gateway/src/jobs/types.ts
@@ -12,7 +12,8 @@
   readonly jobId: string;
   readonly index: number;
   readonly dueAtMs: number;
-  readonly eventCount: number;
+  /** Time that it has run so far, in ms. */
+  readonly ranMs: number;
   readonly item: BatchItem;
   readonly text: ItemText;
   /** Runs that an upstream answered with a failure. */
