--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -27,6 +27,8 @@
 export type LoadMessage = {
   readonly from: string;
   readonly incarnation: string;
+  /** Time since the sender started, in ms. */
+  readonly ageMs: number;
   /** Rises with each message of an incarnation. */
   readonly sequence: number;
   /** Work of the sender at each upstream. */
--- a/packages/core/src/quotas/types.ts
+++ b/packages/core/src/quotas/types.ts
@@ -22,6 +22,7 @@
 export type Quota = {
   readonly tokens: number;
   readonly atMs: number;
+  readonly createdMs: number;
   /** Own admissions since the start. */
   readonly admitted: number;
   readonly peers: ReadonlyMap<string, PeerUsage>;
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -19,6 +19,9 @@
 import { RampBook } from "./ramp_book.ts";
 import { UpstreamDirectory } from "./upstream_directory.ts";
 
+/** Of what a window may hold beyond a limit, the part spent at a start. */
+const FIRST_TOKENS_SHARE = 0.5;
+
 /** All that this instance knows of the fleet and its configuration. */
 export class FleetView {
   readonly settings: GatewaySettings;
@@ -30,6 +33,7 @@
   readonly #ramps: RampBook;
   readonly #readNowMs: () => number;
   #table: RouteTable | undefined;
+  readonly #startedMs: number;
   #sequence = 0;
   /** Called when online work takes a slot that batch work has to leave. */
   onCrowded: () => void = () => undefined;
@@ -49,7 +53,14 @@
     const { instanceId, ramp } = settings;
     const { members, load } = this;
     const startedMs = readNowMs();
-    this.quotas = new QuotaBook({ instanceId, members, load, startedMs });
+    this.#startedMs = startedMs;
+    this.quotas = new QuotaBook({
+      instanceId,
+      members,
+      load,
+      startedMs,
+      firstTokens: settings.quotaSlack * FIRST_TOKENS_SHARE,
+    });
     this.#ramps = new RampBook({ instanceId, members, bounds: ramp });
   }
 
@@ -134,6 +145,7 @@
     return {
       from: this.settings.instanceId,
       incarnation: this.incarnation,
+      ageMs: Math.round(nowMs - this.#startedMs),
       sequence: this.#sequence,
       open: this.load.listOwn(),
       waitingItems: this.load.waitingItems,
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -7,6 +7,7 @@
 const SCHEMA = z.object({
   from: z.string(),
   incarnation: z.string(),
+  ageMs: z.number(),
   sequence: z.number(),
   open: z.record(z.string(), WORK),
   waitingItems: z.number(),
--- a/packages/gateway/src/fleet/quota_book.ts
+++ b/packages/gateway/src/fleet/quota_book.ts
@@ -18,6 +18,8 @@
   readonly members: MemberBook;
   readonly load: LoadBook;
   readonly startedMs: number;
+  /** Tokens of a bucket at the start of this process. */
+  readonly firstTokens: number;
 };
 
 /** Customers' rates over the whole fleet, as this instance may spend them. */
@@ -41,11 +43,14 @@
   }
 
   notePeer(message: LoadMessage, heardMs: number): void {
-    const { from, incarnation } = message;
+    const { from, incarnation, ageMs } = message;
     Object.entries(message.use).forEach(([name, { admitted, tokens }]) => {
       const usage = { incarnation, admitted, heardMs };
       const quota = this.#find(name);
-      this.#quotas.set(name, notePeerUsage(quota, from, usage, tokens));
+      this.#quotas.set(
+        name,
+        notePeerUsage(quota, from, usage, { tokens, ageMs }),
+      );
     });
   }
 
@@ -68,7 +73,8 @@
   }
 
   #find(name: string): Quota {
-    return this.#quotas.get(name) ?? createQuota(this.#parts.startedMs);
+    const { startedMs, firstTokens } = this.#parts;
+    return this.#quotas.get(name) ?? createQuota(startedMs, firstTokens);
   }
 
   /** Part of the spenders that was heard lately, this instance included. */
--- a/packages/gateway/src/settings/types.ts
+++ b/packages/gateway/src/settings/types.ts
@@ -18,6 +18,8 @@
   readonly metrics: Endpoint | undefined;
   /** From the signal to stop until the process is killed, in ms. */
   readonly graceMs: number;
+  /** Requests that a window may hold beyond a customer's limit. */
+  readonly quotaSlack: number;
   /** What a cold upstream may be sent beyond its rate. */
   readonly ramp: Omit<RampLimit, "perSecond">;
 };
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -91,6 +91,7 @@
       readiness: undefined,
       metrics: undefined,
       graceMs: 1_000,
+      quotaSlack: 20,
       ramp: { over: 1, slack: 1 },
     },
     "1",
