--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -37,6 +37,8 @@
   #sequence = 0;
   /** Called when online work takes a slot that batch work has to leave. */
   onCrowded: () => void = () => undefined;
+  /** Called when a peer's load has changed. */
+  onLoad: () => void = () => undefined;
   /** What this instance's watches have seen, by prefix. */
   readSeen: () => LoadMessage["seen"] = () => ({});
   /** Called with what a peer's watches have seen. */
@@ -103,7 +105,8 @@
     this.#ramps.take(entry, this.#getColdRate(entry.service), this.readNowMs());
     this.load.noteStart(entry.id, lane);
     const { online, batch } = this.load.countOpen(entry.id, this.readNowMs());
-    const isCrowded = online + batch + PLACING.BATCH_RESERVE > entry.slots;
+    const free = entry.slots - online - batch;
+    const isCrowded = free <= PLACING.BATCH_RESERVE;
     if (lane === "online" && batch > 0 && isCrowded) {
       this.onCrowded();
     }
@@ -121,6 +124,7 @@
       this.quotas.notePeer(message, nowMs);
       this.onSeen(message.seen);
     }
+    this.onLoad();
     return true;
   }
 
--- a/packages/gateway/src/jobs/constants.ts
+++ b/packages/gateway/src/jobs/constants.ts
@@ -2,6 +2,8 @@
 export const JOB_TIMES = {
   /** Pace at which waiting items are placed, in ms. */
   TICK_MS: 50,
+  /** Peers' news of some ms is acted upon together. */
+  YIELD_MS: 5,
   /** A worker starts few items at an upstream until peers have heard, ms. */
   START_WINDOW_MS: 150,
   /** An upstream's answer to an item is awaited this long, in ms. */
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -71,7 +71,7 @@
 
   /** Starts what there is room for, and takes back what online work needs. */
   step(): void {
-    this.#yieldItems();
+    this.yieldItems();
     const nowMs = this.#parts.view.readNowMs();
     const ready = this.#waiting.filter(
       ({ notBeforeMs }) => notBeforeMs <= nowMs,
@@ -121,7 +121,7 @@
   }
 
   /** Of the items at an upstream that online work crowds the last leave. */
-  #yieldItems(): void {
+  yieldItems(): void {
     const runs = [...this.#running];
     const ids = new Set(runs.map(({ upstream }) => upstream.id));
     ids.forEach((id) => {
--- a/packages/gateway/src/jobs/job_runner.ts
+++ b/packages/gateway/src/jobs/job_runner.ts
@@ -25,6 +25,7 @@
   readonly #busy = new Set<string>();
   readonly #pool: ItemPool;
   #timer: NodeJS.Timeout | undefined;
+  #yieldTimer: NodeJS.Timeout | undefined;
   #isReleasing = false;
 
   constructor(parts: RunnerParts) {
@@ -38,6 +39,14 @@
     this.#timer = setInterval(() => this.#step(), JOB_TIMES.TICK_MS);
   }
 
+  /** Takes back soon what online work needs, as peers tell it. */
+  noteLoad(): void {
+    this.#yieldTimer ??= setTimeout(() => {
+      this.#yieldTimer = undefined;
+      this.#pool.yieldItems();
+    }, JOB_TIMES.YIELD_MS);
+  }
+
   /** Takes a change of a claim. */
   noteClaim(event: MetadataEvent): void {
     const gone = this.#claims.note(event);
@@ -63,6 +72,7 @@
 
   stop(): void {
     clearInterval(this.#timer);
+    clearTimeout(this.#yieldTimer);
     [...this.#owned.keys()].forEach((id) => {
       this.#drop(id);
     });
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -81,6 +81,7 @@
       duty: settings.duty,
     },
   });
+  view.onLoad = () => runner.noteLoad();
   view.readSeen = () => watches.listSeen();
   view.onSeen = (seen) => watches.noteElsewhere(seen);
   const peers = new PeerLink(view, log);
