--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -122,7 +122,7 @@
     log.info("ready", { sinceStartMs: Math.round(performance.now()) });
   });
 
-  const stop = async (): Promise<void> => {
+  const endAll = async (): Promise<void> => {
     const startedMs = view.readNowMs();
     state.isStopping = true;
     log.info("stopping", { open: listener.countOpen() });
@@ -142,7 +142,13 @@
     pool.stop();
     log.info("stopped", { tookMs: Math.round(view.readNowMs() - startedMs) });
   };
-  return { stop };
+  const ending: { promise?: Promise<void> } = {};
+  return {
+    stop: () => {
+      ending.promise ??= endAll();
+      return ending.promise;
+    },
+  };
 }
 
 /** Waits until callers have stopped coming and the last one is answered. */
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -16,6 +16,7 @@
   "packages/daemon/src/**/*_test.ts",
   "packages/protocol/src/**/*_test.ts",
   "packages/gateway/src/**/*_test.ts",
+  "platform/src/**/*_test.ts",
   "packages/measure/src/{admin,caller,demo,system}/**/*_test.ts",
   "packages/measure/src/jobs/fleet_*_test.ts",
 ];
