--- /dev/null
+++ b/packages/core/src/batches/batches_test.ts
@@ -0,0 +1,66 @@
+import { expect, test } from "vitest";
+import { BATCHES } from "./constants.ts";
+import { decideItemStep } from "./decide_item_step.ts";
+import { shouldClaim } from "./should_claim.ts";
+import { splitChunks } from "./split_chunks.ts";
+
+const runners = ["w1", "w2", "w3"].map((id) => ({ id, incarnation: "1" }));
+const free = { owner: "", incarnation: "", dueAtMs: 0 };
+
+test("one worker claims a free job at once, the next ones later", () => {
+  const waits = runners.map((self) =>
+    [0, 1, 2, 3].findIndex((step) =>
+      shouldClaim("j1", free, self, runners, step * BATCHES.CLAIM_STEP_MS),
+    ),
+  );
+  expect([...waits].sort()).toEqual([0, 1, 2]);
+});
+
+test("a job whose owner runs is left alone", () => {
+  const claim = { ...free, owner: "w1", incarnation: "1" };
+  const claims = runners.map((self) =>
+    shouldClaim("j1", claim, self, runners, 60_000),
+  );
+  expect(claims).toEqual([false, false, false]);
+});
+
+test("an owner that started anew no longer owns", () => {
+  const claim = { ...free, owner: "w1", incarnation: "0" };
+  const claims = runners.map((self) =>
+    shouldClaim("j1", claim, self, runners, 60_000),
+  );
+  expect(claims).toContain(true);
+});
+
+test("an owner that has just lapsed may come back", () => {
+  const claim = { ...free, owner: "w9", incarnation: "1" };
+  const claims = runners.map((self) =>
+    shouldClaim("j1", claim, self, runners, BATCHES.OWNER_GRACE_MS - 1),
+  );
+  expect(claims).toEqual([false, false, false]);
+});
+
+test.each([
+  ["completed", { kind: "completed" }, 0, "list-completed"],
+  ["can't be done", { kind: "status", status: 422 }, 0, "list-errored"],
+  ["first failure", { kind: "status", status: 500 }, 0, "run-again"],
+  ["last failure", { kind: "status", status: 500 }, 2, "list-errored"],
+  ["another status", { kind: "status", status: 502 }, 2, "run-again"],
+  ["interrupted", { kind: "interrupted" }, 2, "run-again"],
+] as const)("an item: %s", (_, end, failures, expected) => {
+  expect(decideItemStep(end, failures, 3).kind).toBe(expected);
+});
+
+test("chunks keep the order and fit a record", () => {
+  const items = Array.from({ length: 50 }, (_, index) => ({
+    id: `${index}`,
+    path: "/p",
+    headers: {},
+    body: "x".repeat(40_000),
+    tokens: 1,
+  }));
+  const chunks = splitChunks(items);
+  expect(chunks.flat()).toEqual(items);
+  const sizes = chunks.map((chunk) => JSON.stringify(chunk).length);
+  expect(Math.max(...sizes)).toBeLessThan(BATCHES.CHUNK_BYTES * 1.1);
+});
--- /dev/null
+++ b/packages/gateway/src/jobs/owned_job_test.ts
@@ -0,0 +1,164 @@
+import { batchKeys, ITEM_RESULTS } from "@gooseberryline/core";
+import { createMetadata } from "@gooseberryline/fakes";
+import { expect, test } from "vitest";
+import { waitMs } from "../wait_ms.ts";
+import { batchRecords } from "./batch_records.ts";
+import { buildJob } from "./build_job.ts";
+import { loadJob } from "./load_job.ts";
+import { OwnedJob } from "./owned_job.ts";
+import { ResultsReader } from "./results_reader.ts";
+
+const silent = (): undefined => undefined;
+const log = { info: silent, warn: silent, error: silent };
+
+const route = {
+  name: "r",
+  host: "h",
+  prefix: "/b/",
+  shape: "job",
+  isIdempotent: true,
+  isResumable: false,
+  isPublic: false,
+  targets: [],
+  maxAttempts: 3,
+  timeoutMs: 1_000,
+  objectiveMs: 300,
+  priority: 0,
+  dueMs: 10_000,
+  retentionMs: 60_000,
+} as const;
+
+async function startJob() {
+  const metadata = createMetadata();
+  const { store } = metadata;
+  const items = ["a", "b", "c"].map((id) => ({
+    id,
+    path: "/b/x",
+    headers: {},
+    body: "",
+    tokens: 1,
+  }));
+  const { job, commit } = buildJob({
+    id: "j1",
+    customer: "t1",
+    route,
+    items,
+    submittedAtMs: 0,
+    runners: [],
+    writer: "w",
+  });
+  await store.commit(commit);
+  const own = async (writerName: string) => {
+    const claim = await store.readKey(batchKeys.claim("j1"));
+    const item = claim.kind === "read" ? claim.item : undefined;
+    const known = item && batchRecords.decodeClaim(item.value);
+    const loaded =
+      known && (await loadJob(store, "j1", known, item?.revision ?? 0));
+    if (loaded === undefined) {
+      throw new Error("the job can't be loaded");
+    }
+    const state = { isLost: false };
+    const onLost = (): void => {
+      state.isLost = true;
+    };
+    const owned = new OwnedJob(loaded, { store, log, writerName, onLost });
+    return { owned, state };
+  };
+  const reader = new ResultsReader(store);
+  const readIds = async (from = 0, holdMs = 0): Promise<readonly string[]> => {
+    const read = await reader.read(job, from, holdMs);
+    return read.kind === "read" ? read.results.map(({ id }) => id) : [];
+  };
+  return { metadata, job, own, readIds };
+}
+
+function createResult(id: string) {
+  return { id, state: ITEM_RESULTS.completed, text: `text ${id}` };
+}
+
+async function settle(check: () => boolean): Promise<void> {
+  if (!check()) {
+    await waitMs(5);
+    await settle(check);
+  }
+}
+
+test("results stand in the order in which they were listed", async () => {
+  const { own, readIds, metadata } = await startJob();
+  const { owned } = await own("w1");
+  owned.addResult(2, createResult("c"));
+  owned.addResult(0, createResult("a"));
+  owned.addResult(1, createResult("b"));
+  await settle(() => owned.isOver);
+  expect(await readIds()).toEqual(["c", "a", "b"]);
+  const claim = await metadata.store.readKey(batchKeys.claim("j1"));
+  expect(claim).toMatchObject({ item: undefined });
+});
+
+test("a write whose answer is lost stands once", async () => {
+  const { own, readIds, metadata } = await startJob();
+  const { owned, state } = await own("w1");
+  metadata.setFaults({ lostCommits: 2 });
+  owned.addResult(0, createResult("a"));
+  await waitMs(10);
+  owned.addResult(1, createResult("b"));
+  owned.addResult(2, createResult("c"));
+  await settle(() => owned.isOver);
+  expect(state.isLost).toBe(false);
+  expect(await readIds()).toEqual(["a", "b", "c"]);
+});
+
+test("a late owner lists nothing", async () => {
+  const { own, readIds, metadata } = await startJob();
+  const late = await own("w1");
+  const claim = { owner: "w2", incarnation: "1", dueAtMs: 0 };
+  const value = batchRecords.encode(claim).toString();
+  metadata.put(batchKeys.claim("j1"), value);
+  const next = await own("w2");
+  late.owned.addResult(0, createResult("a"));
+  await settle(() => late.state.isLost);
+  expect(await readIds()).toEqual([]);
+  next.owned.addResult(1, createResult("b"));
+  await settle(() => (metadata.calls.commit ?? 0) >= 3);
+  await waitMs(10);
+  expect(await readIds()).toEqual(["b"]);
+});
+
+test("an ended job lists nothing more", async () => {
+  const { own, readIds, metadata } = await startJob();
+  const { owned, state } = await own("w1");
+  metadata.remove(batchKeys.claim("j1"));
+  owned.addResult(0, createResult("a"));
+  await settle(() => state.isLost);
+  expect(await readIds()).toEqual([]);
+});
+
+test("with the store away results wait", async () => {
+  const { own, readIds, metadata } = await startJob();
+  const { owned } = await own("w1");
+  metadata.setFaults({ isDown: true });
+  owned.addResult(0, createResult("a"));
+  await waitMs(50);
+  metadata.setFaults({ isDown: false });
+  owned.addResult(1, createResult("b"));
+  owned.addResult(2, createResult("c"));
+  await settle(() => owned.isOver);
+  expect(await readIds()).toEqual(["a", "b", "c"]);
+});
+
+test("a reader that has all needs one call for what comes next", async () => {
+  const { own, readIds, metadata } = await startJob();
+  const { owned } = await own("w1");
+  owned.addResult(0, createResult("a"));
+  await waitMs(20);
+  expect(await readIds(0, 100)).toEqual(["a"]);
+  const before = metadata.calls.list;
+  const next = readIds(1, 1_000);
+  owned.addResult(1, createResult("b"));
+  expect(await next).toEqual(["b"]);
+  expect(metadata.calls.list).toBe(before);
+  metadata.compact();
+  owned.addResult(2, createResult("c"));
+  await waitMs(20);
+  expect(await readIds(2, 100)).toEqual(["c"]);
+});
--- /dev/null
+++ b/packages/gateway/src/store/prefix_watch_test.ts
@@ -0,0 +1,83 @@
+import { createMetadata } from "@gooseberryline/fakes";
+import { expect, test } from "vitest";
+import { waitMs } from "../wait_ms.ts";
+import { PrefixWatch } from "./prefix_watch.ts";
+
+const silent = (): undefined => undefined;
+const log = { info: silent, warn: silent, error: silent };
+
+async function startWatch() {
+  const metadata = createMetadata();
+  const known = new Map<string, string>();
+  metadata.put("a/1", "one");
+  const watch = new PrefixWatch({
+    store: metadata.store,
+    prefix: "a/",
+    log,
+    countWatchers: () => 1,
+    onEvent: (event) => {
+      if (event.kind === "set") {
+        known.set(event.item.key, event.item.value.toString());
+      } else {
+        known.delete(event.key);
+      }
+    },
+  });
+  watch.start();
+  await watch.loaded;
+  const settle = async (check: () => boolean): Promise<void> => {
+    if (!check()) {
+      await waitMs(10);
+      await settle(check);
+    }
+  };
+  return { metadata, known, watch, settle };
+}
+
+test("records are read whole, then followed", async () => {
+  const { metadata, known, watch, settle } = await startWatch();
+  expect(known.get("a/1")).toBe("one");
+  metadata.put("a/2", "two");
+  metadata.put("b/1", "other");
+  metadata.remove("a/1");
+  await settle(() => known.has("a/2") && !known.has("a/1"));
+  expect([...known]).toEqual([["a/2", "two"]]);
+  watch.stop();
+});
+
+test("what changed in a lost history is told by a fresh read", async () => {
+  const { metadata, known, watch, settle } = await startWatch();
+  metadata.setFaults({ isDeaf: true });
+  metadata.put("a/2", "two");
+  metadata.remove("a/1");
+  metadata.compact();
+  metadata.setFaults({ isDeaf: false });
+  await settle(() => known.has("a/2") && !known.has("a/1"));
+  watch.stop();
+});
+
+test("while the store is away the last known records stand", async () => {
+  const { metadata, known, watch, settle } = await startWatch();
+  metadata.setFaults({ isDown: true });
+  await waitMs(150);
+  expect(known.get("a/1")).toBe("one");
+  metadata.setFaults({ isDown: false });
+  metadata.put("a/1", "new");
+  await settle(() => known.get("a/1") === "new");
+  watch.stop();
+});
+
+test("a silent watch is opened anew once a peer has seen more", async () => {
+  const { metadata, known, watch, settle } = await startWatch();
+  // The watch that is waiting hears nothing; a new one would.
+  metadata.setFaults({ isDeaf: true });
+  metadata.put("a/2", "two");
+  const heard = metadata.store.listPage("a/");
+  const page = await heard;
+  const revision = page.kind === "page" ? page.storeRevision : 0;
+  watch.noteElsewhere(revision);
+  await waitMs(320);
+  metadata.setFaults({ isDeaf: false });
+  await settle(() => known.get("a/2") === "two");
+  watch.stop();
+});
