--- a/packages/core/src/fleet/list_silent_data_centres_test.ts
+++ b/packages/core/src/fleet/list_silent_data_centres_test.ts
@@ -3,7 +3,7 @@
 import type { FleetMember } from "./types.ts";
 
 function createMember(id: string, dataCentre: string): FleetMember {
-  const place = { address: "127.0.0.1", port: 1, dataCentre };
+  const place = { address: "127.0.0.1", port: 1, relayPort: 2, dataCentre };
   return { id, incarnation: "1", duty: "serve", ...place };
 }
 
--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -11,7 +11,10 @@
   readonly id: string;
   readonly incarnation: string;
   readonly address: string;
+  /** UDP port of load messages. */
   readonly port: number;
+  /** TCP port at which it makes calls of the store for peers. */
+  readonly relayPort: number;
   readonly dataCentre: string;
   readonly duty: Duty;
 };
@@ -26,9 +29,13 @@
 /** What an instance tells its peers several times a second; may be lost. */
 export type LoadMessage = {
   readonly from: string;
+  readonly dataCentre: string;
+  readonly duty: Duty;
   readonly incarnation: string;
   /** Time since the sender started, in ms. */
   readonly ageMs: number;
+  /** Whether the store answers the sender itself. */
+  readonly hasStore: boolean;
   /** Rises with each message of an incarnation. */
   readonly sequence: number;
   /** Work of the sender at each upstream. */
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -37,6 +37,8 @@
   #sequence = 0;
   /** Called when online work takes a slot that batch work has to leave. */
   onCrowded: () => void = () => undefined;
+  /** Whether the store answers this instance itself. */
+  hasStore = false;
   /** Called when a peer's load has changed. */
   onLoad: () => void = () => undefined;
   /** What this instance's watches have seen, by prefix. */
@@ -128,6 +130,16 @@
     return true;
   }
 
+  /** A peer that hears this instance and reaches the store itself. */
+  chooseStorePeer(): FleetMember | undefined {
+    const nowMs = this.readNowMs();
+    const withinMs = this.#countSilentMs();
+    const peers = this.listPeers().filter(({ id }) =>
+      this.load.canReachStore(id, withinMs, nowMs),
+    );
+    return peers[Math.floor(Math.random() * peers.length)];
+  }
+
   /** Peers that are to get another one's message from here. */
   listRelayTargets(origin: string): readonly FleetMember[] {
     const { instanceId } = this.settings;
@@ -148,8 +160,11 @@
     const customers = this.#table?.config.customers ?? [];
     return {
       from: this.settings.instanceId,
+      dataCentre: this.settings.dataCentre,
+      duty: this.settings.duty,
       incarnation: this.incarnation,
       ageMs: Math.round(nowMs - this.#startedMs),
+      hasStore: this.hasStore,
       sequence: this.#sequence,
       open: this.load.listOwn(),
       waitingItems: this.load.waitingItems,
--- a/packages/gateway/src/fleet/load_book.ts
+++ b/packages/gateway/src/fleet/load_book.ts
@@ -116,6 +116,14 @@
     return heard !== undefined && nowMs - heard.directMs <= withinMs;
   }
 
+  /** Whether a peer in touch says that the store answers it. */
+  canReachStore(peerId: string, withinMs: number, nowMs: number): boolean {
+    return (
+      this.isDirect(peerId, withinMs, nowMs) &&
+      this.#peers.get(peerId)?.message.hasStore === true
+    );
+  }
+
   /** Of each peer whose messages come here, the instances it misses. */
   listUnheardBy(
     withinMs: number,
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -1,4 +1,4 @@
-import type { LoadMessage } from "@gooseberryline/core";
+import { DUTIES, type LoadMessage } from "@gooseberryline/core";
 import { z } from "zod";
 
 const WORK = z.object({ online: z.number(), batch: z.number() });
@@ -6,8 +6,11 @@
 
 const SCHEMA = z.object({
   from: z.string(),
+  dataCentre: z.string(),
+  duty: z.enum([DUTIES.serve, DUTIES.run]),
   incarnation: z.string(),
   ageMs: z.number(),
+  hasStore: z.boolean(),
   sequence: z.number(),
   open: z.record(z.string(), WORK),
   waitingItems: z.number(),
--- a/packages/gateway/src/fleet/member_book.ts
+++ b/packages/gateway/src/fleet/member_book.ts
@@ -25,6 +25,16 @@
     }
   }
 
+  /**
+   * Takes an instance that is heard and not listed yet: one that starts while
+   * it is cut off from the store learns of its peers in this way.
+   */
+  putHeard(member: FleetMember): void {
+    if (!this.#known.has(member.id)) {
+      this.#known.set(member.id, { member });
+    }
+  }
+
   /** Whether an address is that of an instance as last listed. */
   isAt(id: string, address: string): boolean {
     return this.#known.get(id)?.member.address === address;
--- a/packages/gateway/src/fleet/member_record.ts
+++ b/packages/gateway/src/fleet/member_record.ts
@@ -8,6 +8,7 @@
   incarnation: z.string(),
   address: z.string(),
   port: z.number(),
+  relayPort: z.number(),
   dataCentre: z.string(),
   duty: z.enum([DUTIES.serve, DUTIES.run]),
 });
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -1,4 +1,5 @@
 import { createSocket, type Socket } from "node:dgram";
+import type { LoadMessage } from "@gooseberryline/core";
 import type { Log } from "@gooseberryline/daemon";
 import { FLEET } from "./constants.ts";
 import { countGossipMs } from "./count_gossip_ms.ts";
@@ -47,6 +48,7 @@
   #take(bytes: Buffer, sender: string): void {
     const message = loadCodec.decode(bytes);
     if (message !== undefined) {
+      this.#learn(message, sender);
       const isDirect = this.#view.members.isAt(message.from, sender);
       const isNew = this.#view.noteMessage(message, isDirect);
       if (isNew && isDirect) {
@@ -60,6 +62,17 @@
     }
   }
 
+  /** All instances use the same ports. */
+  #learn(message: LoadMessage, address: string): void {
+    const { peerPort, relayPort } = this.#view.settings;
+    const { from: id, incarnation, dataCentre, duty, isLeaving } = message;
+    if (!isLeaving) {
+      const ports = { port: peerPort, relayPort };
+      const member = { id, incarnation, address, dataCentre, duty, ...ports };
+      this.#view.members.putHeard(member);
+    }
+  }
+
   /** Passes a message on to the peers that its sender does not reach. */
   #relay(bytes: Buffer, origin: string): void {
     this.#view.listRelayTargets(origin).forEach(({ address, port }) => {
--- a/packages/gateway/src/fleet/upstream_directory_test.ts
+++ b/packages/gateway/src/fleet/upstream_directory_test.ts
@@ -19,7 +19,7 @@
 }
 
 /** The store is away from 1,000 to 4,000 ms. */
-function loseStore(directory: UpstreamDirectory): void {
+function dropStore(directory: UpstreamDirectory): void {
   directory.noteStore(false, 1_000);
   directory.noteStore(false, 3_900);
 }
@@ -32,7 +32,7 @@
 
 test("one that went with the store away stays for a while after", () => {
   const directory = createDirectory();
-  loseStore(directory);
+  dropStore(directory);
   directory.remove("u1", 3_950);
   expect(directory.list("s", 3_960)).toHaveLength(1);
   directory.noteStore(true, 4_000);
@@ -42,7 +42,7 @@
 
 test("one that registers again in that time stays", () => {
   const directory = createDirectory();
-  loseStore(directory);
+  dropStore(directory);
   directory.noteStore(true, 4_000);
   directory.remove("u1", 4_010);
   directory.put(entry);
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -15,6 +15,8 @@
 import type { GatewaySettings } from "./settings/types.ts";
 import { STOP_TIMES } from "./stop_times.ts";
 import { PrefixWatch } from "./store/prefix_watch.ts";
+import { RelayListener } from "./store/relay_listener.ts";
+import { RelayedStore } from "./store/relayed_store.ts";
 import { watchContact } from "./store/watch_contact.ts";
 import { waitMs } from "./wait_ms.ts";
 
@@ -40,9 +42,18 @@
   const { settings, dialect, log } = parts;
   const incarnation = randomUUID().slice(0, 8);
   const view = new FleetView(settings, incarnation, () => performance.now());
-  const store = watchContact(parts.store, (isReached) =>
+  const relayed = new RelayedStore({
+    direct: parts.store,
+    choosePeer: () => view.chooseStorePeer(),
+    readNowMs: () => view.readNowMs(),
+    onDirect: (isReached) => {
+      view.hasStore = isReached;
+    },
+  });
+  const store = watchContact(relayed.build(), (isReached) =>
     view.directory.noteStore(isReached, view.readNowMs()),
   );
+  const relay = new RelayListener(parts.store);
   const pool = new ConnectionPool(EXCHANGE.IDLE_MS);
   const metrics = createGatewayMetrics();
   const shared = { view, pool, dialect: dialect.calls, log, store };
@@ -77,6 +88,7 @@
       incarnation,
       address: host,
       port: peerPort,
+      relayPort: settings.relayPort,
       dataCentre: settings.dataCentre,
       duty: settings.duty,
     },
@@ -110,6 +122,7 @@
   if (settings.callers !== undefined) {
     await listener.start(settings.callers);
   }
+  await relay.start({ host, port: settings.relayPort });
   await peers.start();
   membership.start();
   if (settings.duty === DUTIES.run) {
@@ -136,6 +149,7 @@
     watches.stop();
     await membership.stop();
     peers.stop();
+    relay.stop();
     listener.stop();
     status.stop();
     report.stop();
--- a/packages/gateway/src/settings/types.ts
+++ b/packages/gateway/src/settings/types.ts
@@ -12,6 +12,8 @@
   readonly host: string;
   /** UDP port of load messages. */
   readonly peerPort: number;
+  /** TCP port of calls of the store for peers. */
+  readonly relayPort: number;
   /** Callers' requests; absent on instances that only run items. */
   readonly callers: Endpoint | undefined;
   readonly readiness: Endpoint | undefined;
--- /dev/null
+++ b/packages/gateway/src/store/relay_codec.ts
@@ -0,0 +1,78 @@
+import type { MetadataCommit } from "@gooseberryline/core";
+import { z } from "zod";
+
+/** A call of the store that a peer makes for another instance. */
+export type RelayCall =
+  | { readonly kind: "read"; readonly key: string }
+  | {
+      readonly kind: "list";
+      readonly prefix: string;
+      readonly after?: string | undefined;
+    }
+  | {
+      readonly kind: "watch";
+      readonly prefix: string;
+      readonly after: number;
+      readonly waitMs: number;
+    }
+  | { readonly kind: "commit"; readonly commit: MetadataCommit }
+  | { readonly kind: "grant-lease"; readonly ttlMs: number }
+  | { readonly kind: "keep-lease"; readonly leaseId: string }
+  | { readonly kind: "end-lease"; readonly leaseId: string };
+
+const BYTES = z.instanceof(Buffer);
+
+const CALL: z.ZodType<RelayCall> = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("read"), key: z.string() }),
+  z.object({
+    kind: z.literal("list"),
+    prefix: z.string(),
+    after: z.string().optional(),
+  }),
+  z.object({
+    kind: z.literal("watch"),
+    prefix: z.string(),
+    after: z.number(),
+    waitMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal("commit"),
+    commit: z.object({
+      expect: z.array(z.object({ key: z.string(), revision: z.number() })),
+      set: z.array(
+        z.object({
+          key: z.string(),
+          value: BYTES,
+          leaseId: z.string().exactOptional(),
+        }),
+      ),
+      remove: z.array(z.string()),
+    }),
+  }),
+  z.object({ kind: z.literal("grant-lease"), ttlMs: z.number() }),
+  z.object({ kind: z.literal("keep-lease"), leaseId: z.string() }),
+  z.object({ kind: z.literal("end-lease"), leaseId: z.string() }),
+]);
+
+/** Bytes inside JSON. */
+const WRAPPED = z.strictObject({ base64: z.string() });
+
+/** JSON in which bytes stand as base64. */
+export const relayCodec = {
+  encode: (value: unknown): string =>
+    JSON.stringify(value, function wrap(this: unknown, key, plain) {
+      // `plain` is what the bytes' own toJSON made of them.
+      const raw = (this as Record<string, unknown>)[key];
+      return Buffer.isBuffer(raw) ? { base64: raw.toString("base64") } : plain;
+    }),
+  /** Throws for what is no JSON. */
+  decode: (text: string): unknown =>
+    JSON.parse(text, (_, value) => {
+      const wrapped = WRAPPED.safeParse(value);
+      return wrapped.success
+        ? Buffer.from(wrapped.data.base64, "base64")
+        : value;
+    }),
+  parseCall: (value: unknown): RelayCall | undefined =>
+    CALL.safeParse(value).data,
+} as const;
--- /dev/null
+++ b/packages/gateway/src/store/relay_listener.ts
@@ -0,0 +1,85 @@
+import { createServer, type Server } from "node:http";
+import {
+  assertNever,
+  type MetadataFailure,
+  type MetadataStore,
+} from "@gooseberryline/core";
+import Koa from "koa";
+import getRawBody from "raw-body";
+import type { Endpoint } from "../settings/types.ts";
+import { type RelayCall, relayCodec } from "./relay_codec.ts";
+
+/** Larger than any commit of a job. */
+const MAX_BODY_BYTES = 16_777_216;
+const BAD_REQUEST = 400;
+
+/** Makes calls of the store for peers that do not reach it themselves. */
+export class RelayListener {
+  readonly #store: MetadataStore;
+  readonly #server: Server;
+
+  /** `store` is the store as this instance reaches it itself. */
+  constructor(store: MetadataStore) {
+    this.#store = store;
+    const app = new Koa();
+    app.use(async (ctx) => {
+      const body = await getRawBody(ctx.req, { limit: MAX_BODY_BYTES });
+      const call = parseCall(body);
+      if (call === undefined) {
+        ctx.status = BAD_REQUEST;
+        return;
+      }
+      const left = new AbortController();
+      ctx.res.once("close", () => left.abort());
+      ctx.body = relayCodec.encode(await this.#make(call, left.signal));
+    });
+    app.silent = true;
+    this.#server = createServer(app.callback());
+  }
+
+  start({ host, port }: Endpoint): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #make(
+    call: RelayCall,
+    signal: AbortSignal,
+  ): Promise<{ readonly kind: string } | MetadataFailure> {
+    const store = this.#store;
+    switch (call.kind) {
+      case "read":
+        return store.readKey(call.key);
+      case "list":
+        return store.listPage(call.prefix, call.after);
+      case "watch":
+        return store.watchPrefix(call.prefix, call.after, call.waitMs, signal);
+      case "commit":
+        return store.commit(call.commit);
+      case "grant-lease":
+        return store.grantLease(call.ttlMs);
+      case "keep-lease":
+        return store.keepLease(call.leaseId);
+      case "end-lease":
+        return store.endLease(call.leaseId);
+      default:
+        return assertNever(call);
+    }
+  }
+}
+
+/** Undefined for a body that no instance of this version sent. */
+function parseCall(body: Buffer): RelayCall | undefined {
+  try {
+    return relayCodec.parseCall(relayCodec.decode(body.toString()));
+  } catch {
+    // Not JSON: the same as a call of another shape.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/store/relayed_store.ts
@@ -0,0 +1,135 @@
+import { Agent } from "node:http";
+import type {
+  FleetMember,
+  MetadataFailure,
+  MetadataStore,
+} from "@gooseberryline/core";
+import { type Got, got } from "got";
+import { type RelayCall, relayCodec } from "./relay_codec.ts";
+
+/** The store is tried directly again after this long, in ms. */
+const RETRY_DIRECT_MS = 1_000;
+const CALL_MS = 2_000;
+/** Beyond its wait a watch is answered soon. */
+const WATCH_SLACK_MS = 1_000;
+
+type RelayParts = {
+  /** The store as this instance reaches it itself. */
+  readonly direct: MetadataStore;
+  /** A peer that reaches the store; undefined where none says so. */
+  readonly choosePeer: () => FleetMember | undefined;
+  readonly readNowMs: () => number;
+  /** Whether the store answers this instance itself. */
+  readonly onDirect: (isReached: boolean) => void;
+};
+
+type Answer = { readonly kind: string };
+
+/**
+ * The store, reached through a peer while it turns this instance away or is
+ * cut off from it. A commit whose outcome is not known is never sent again
+ * here: whoever made it decides.
+ */
+export class RelayedStore {
+  readonly #parts: RelayParts;
+  readonly #client: Got;
+  #directFromMs = Number.NEGATIVE_INFINITY;
+
+  constructor(parts: RelayParts) {
+    this.#parts = parts;
+    this.#client = got.extend({
+      retry: { limit: 0 },
+      agent: { http: new Agent({ keepAlive: true, scheduling: "lifo" }) },
+    });
+  }
+
+  /** The calls of the store. */
+  build(): MetadataStore {
+    const { direct } = this.#parts;
+    return {
+      readKey: (key) =>
+        this.#call(() => direct.readKey(key), { kind: "read", key }),
+      listPage: (prefix, after) =>
+        this.#call(() => direct.listPage(prefix, after), {
+          kind: "list",
+          prefix,
+          after,
+        }),
+      watchPrefix: (prefix, after, waitMs, signal) =>
+        this.#call(
+          () => direct.watchPrefix(prefix, after, waitMs, signal),
+          { kind: "watch", prefix, after, waitMs },
+          signal,
+        ),
+      commit: (commit) =>
+        this.#call(() => direct.commit(commit), { kind: "commit", commit }),
+      grantLease: (ttlMs) =>
+        this.#call(() => direct.grantLease(ttlMs), {
+          kind: "grant-lease",
+          ttlMs,
+        }),
+      keepLease: (leaseId) =>
+        this.#call(() => direct.keepLease(leaseId), {
+          kind: "keep-lease",
+          leaseId,
+        }),
+      endLease: (leaseId) =>
+        this.#call(() => direct.endLease(leaseId), {
+          kind: "end-lease",
+          leaseId,
+        }),
+    };
+  }
+
+  async #call<Result extends Answer>(
+    makeDirect: () => Promise<Result>,
+    call: RelayCall,
+    signal?: AbortSignal,
+  ): Promise<Result | MetadataFailure> {
+    const { choosePeer, readNowMs } = this.#parts;
+    const peer = choosePeer();
+    if (peer !== undefined && readNowMs() < this.#directFromMs) {
+      return this.#relay<Result>(peer, call, signal);
+    }
+    const answer = await makeDirect();
+    if (signal?.aborted === true) {
+      return answer;
+    }
+    this.#noteDirect(answer.kind !== "failed");
+    const isRepeatable =
+      call.kind !== "commit" || ("isUndone" in answer && answer.isUndone);
+    return answer.kind === "failed" && isRepeatable && peer !== undefined
+      ? this.#relay<Result>(peer, call, signal)
+      : answer;
+  }
+
+  #noteDirect(isReached: boolean): void {
+    const { readNowMs, onDirect } = this.#parts;
+    this.#directFromMs = isReached
+      ? Number.NEGATIVE_INFINITY
+      : readNowMs() + RETRY_DIRECT_MS;
+    onDirect(isReached);
+  }
+
+  async #relay<Result extends Answer>(
+    { address, relayPort }: FleetMember,
+    call: RelayCall,
+    signal?: AbortSignal,
+  ): Promise<Result | MetadataFailure> {
+    const waitMs = call.kind === "watch" ? call.waitMs + WATCH_SLACK_MS : 0;
+    try {
+      const text = await this.#client
+        .post(`http://${address}:${relayPort}/`, {
+          body: relayCodec.encode(call),
+          timeout: { request: CALL_MS + waitMs },
+          ...(signal === undefined ? {} : { signal }),
+        })
+        .text();
+      // A peer runs the same program: its answer has the call's shape.
+      return relayCodec.decode(text) as Result;
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      return { kind: "failed", isUndone: false, step: call.kind, reason };
+    }
+  }
+}
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -87,6 +87,7 @@
       duty: "serve",
       host: "127.0.0.1",
       peerPort: 0,
+      relayPort: 0,
       callers: undefined,
       readiness: undefined,
       metrics: undefined,
