--- a/packages/gateway/src/jobs/constants.ts
+++ b/packages/gateway/src/jobs/constants.ts
@@ -16,6 +16,8 @@
   FIRST_RUN_MS: 4_000,
   /** Weight of one item in that mean. */
   RUN_WEIGHT: 0.1,
+  /** Pace at which old jobs are looked for, in ms. */
+  SWEEP_MS: 60_000,
   /** A failed item waits this long before it runs again, in ms. */
   RETRY_MS: 250,
   /** A write without an answer is tried again after this long, in ms. */
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -130,7 +130,7 @@
       orderItems(entries, this.#readClock())
         .slice(own.length - this.#countYields(own))
         .forEach(({ run }) => {
-          run.interrupt("online work needs the slot");
+          run.yieldSlot();
         });
     });
   }
@@ -190,8 +190,9 @@
       text: end.text,
       ranMs: waiting.ranMs + run.countRanMs(),
       failures,
-      tried: new Set([upstream.id]),
-      notBeforeMs: nowMs + JOB_TIMES.RETRY_MS,
+      tried: run.isYielded ? waiting.tried : new Set([upstream.id]),
+      // One that only made room is not at fault and may start anywhere.
+      notBeforeMs: run.isYielded ? 0 : nowMs + JOB_TIMES.RETRY_MS,
     };
     this.#waiting = [...this.#waiting, next];
   }
--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -29,6 +29,7 @@
   #head: ExchangeHead | undefined;
   #held: Buffer = NO_BYTES;
   readonly #startedMs: number;
+  #isYielded = false;
   #isOver = false;
 
   constructor(waiting: WaitingItem, upstream: UpstreamEntry, parts: RunParts) {
@@ -47,6 +48,17 @@
     });
   }
 
+  /** Whether it made room for online work. */
+  get isYielded(): boolean {
+    return this.#isYielded;
+  }
+
+  /** Makes room for online work. */
+  yieldSlot(): void {
+    this.#isYielded = true;
+    this.interrupt("online work needs the slot");
+  }
+
   /** Takes the item back; its text so far is kept. */
   interrupt(reason: string): void {
     if (!this.#isOver) {
--- /dev/null
+++ b/packages/gateway/src/jobs/job_sweeper_test.ts
@@ -0,0 +1,70 @@
+import { BATCHES, batchKeys } from "@gooseberryline/core";
+import { createMetadata } from "@gooseberryline/fakes";
+import { expect, test } from "vitest";
+import { FleetView } from "../fleet/fleet_view.ts";
+import { batchRecords } from "./batch_records.ts";
+import { JobSweeper } from "./job_sweeper.ts";
+
+const silent = (): undefined => undefined;
+const log = { info: silent, warn: silent, error: silent };
+
+const settings = {
+  instanceId: "w1",
+  dataCentre: "a",
+  duty: "run",
+  host: "127.0.0.1",
+  peerPort: 0,
+  relayPort: 0,
+  callers: undefined,
+  readiness: undefined,
+  metrics: undefined,
+  graceMs: 0,
+  quotaSlack: 0,
+  ramp: { over: 1, slack: 1 },
+} as const;
+
+async function startSweeper() {
+  const metadata = createMetadata();
+  const { store } = metadata;
+  const view = new FleetView(settings, "1", () => 0);
+  const itemIds = Array.from({ length: 40 }, (_, index) => `${index}`);
+  const job = {
+    id: "j1",
+    customer: "t1",
+    host: "h",
+    prefix: "/",
+    submittedAtMs: 1_000,
+    dueMs: 10_000,
+    retentionMs: 60_000,
+    maxAttempts: 1,
+    itemIds,
+    chunkStarts: [0],
+  };
+  const put = (key: string, value: Buffer): void =>
+    metadata.put(key, value.toString());
+  put(batchKeys.job("j1"), batchRecords.encode(job));
+  put(batchKeys.chunk("j1", 0), batchRecords.encodeChunk([]));
+  itemIds.forEach((id, at) => {
+    const result = { id, state: "completed", text: "" } as const;
+    put(batchKeys.result("j1", at), batchRecords.encode(result));
+  });
+  const endMs = job.submittedAtMs + job.retentionMs + BATCHES.KEEP_MS;
+  const countRecords = async (): Promise<number> => {
+    const page = await store.listPage("jobs/");
+    return page.kind === "page" ? page.items.length : -1;
+  };
+  const sweeper = new JobSweeper({ view, store, log });
+  return { sweeper, endMs, countRecords };
+}
+
+test("a job stays as long as anyone may ask for it", async () => {
+  const { sweeper, endMs, countRecords } = await startSweeper();
+  await sweeper.sweep(endMs);
+  expect(await countRecords()).toBe(42);
+});
+
+test("past that all its records go", async () => {
+  const { sweeper, endMs, countRecords } = await startSweeper();
+  await sweeper.sweep(endMs + 1);
+  expect(await countRecords()).toBe(0);
+});
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -11,6 +11,7 @@
 import { StatusListener } from "./http/status_listener.ts";
 import { JobDoor } from "./jobs/job_door.ts";
 import { JobRunner } from "./jobs/job_runner.ts";
+import { JobSweeper } from "./jobs/job_sweeper.ts";
 import { createGatewayMetrics } from "./metrics/create_gateway_metrics.ts";
 import type { GatewaySettings } from "./settings/types.ts";
 import { STOP_TIMES } from "./stop_times.ts";
@@ -64,6 +65,7 @@
     onDone: metrics.noteRequest,
   });
   const runner = new JobRunner(shared);
+  const sweeper = new JobSweeper(shared);
   const claims = new PrefixWatch({
     store,
     prefix: batchKeys.claimPrefix,
@@ -128,6 +130,7 @@
   if (settings.duty === DUTIES.run) {
     claims.start();
     runner.start();
+    sweeper.start();
   }
   log.info("started", { incarnation, duty: settings.duty });
   void watches.start().then(() => {
@@ -145,6 +148,7 @@
       await drainCallers(listener, startedMs, settings.graceMs, view);
     }
     runner.stop();
+    sweeper.stop();
     claims.stop();
     watches.stop();
     await membership.stop();
