--- a/packages/fakes/src/metadata/create_metadata.ts
+++ b/packages/fakes/src/metadata/create_metadata.ts
@@ -16,6 +16,7 @@
       isRefusing: false,
       lostCommits: 0,
       isDeaf: false,
+      silentWatches: 0,
     } as MetadataFaults,
   };
   const write = (
@@ -48,9 +49,16 @@
       if (failure !== undefined) {
         return failure;
       }
+      const { silentWatches } = control.faults;
+      const isSilent = silentWatches > 0;
+      if (isSilent) {
+        const left = { silentWatches: silentWatches - 1 };
+        control.faults = { ...control.faults, ...left };
+      }
       while (signal?.aborted !== true) {
         state.expireLeases(readNowMs());
-        const { isDeaf, isDown } = control.faults;
+        const { isDown } = control.faults;
+        const isDeaf = isSilent || control.faults.isDeaf;
         const events = isDeaf ? [] : state.listChanges(prefix, after);
         if (isDown) {
           return fail("watch", false);
--- a/packages/fakes/src/metadata/types.ts
+++ b/packages/fakes/src/metadata/types.ts
@@ -11,6 +11,8 @@
   readonly lostCommits: number;
   /** Watches hear nothing. */
   readonly isDeaf: boolean;
+  /** So many of the next watches hear nothing until they end. */
+  readonly silentWatches: number;
 };
 
 export type FakeMetadata = {
--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -9,7 +9,9 @@
 import type { CallReply } from "../requests/types.ts";
 import type { Endpoint } from "../settings/types.ts";
 import { buildReply } from "./build_reply.ts";
+import { closeServer } from "./close_server.ts";
 import { countHeaderBytes } from "./count_header_bytes.ts";
+import { listenAt } from "./listen_at.ts";
 import { readBody } from "./read_body.ts";
 
 type ListenerParts = AttemptParts & {
@@ -47,10 +49,8 @@
     );
   }
 
-  start({ host, port }: Endpoint): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.listen(port, host, resolve);
-    });
+  start(endpoint: Endpoint): Promise<void> {
+    return listenAt(this.#server, endpoint);
   }
 
   /** Puts the configuration's limits on callers into force. */
@@ -79,8 +79,7 @@
   }
 
   stop(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    closeServer(this.#server);
   }
 
   async #handle(ctx: Context): Promise<void> {
--- a/packages/gateway/src/http/status_listener.ts
+++ b/packages/gateway/src/http/status_listener.ts
@@ -1,6 +1,8 @@
 import { createServer, type Server } from "node:http";
 import Koa from "koa";
 import type { Endpoint } from "../settings/types.ts";
+import { closeServer } from "./close_server.ts";
+import { listenAt } from "./listen_at.ts";
 
 const UNAVAILABLE = 503;
 
@@ -28,14 +30,11 @@
     this.#server = createServer(app.callback());
   }
 
-  start({ host, port }: Endpoint): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.listen(port, host, resolve);
-    });
+  start(endpoint: Endpoint): Promise<void> {
+    return listenAt(this.#server, endpoint);
   }
 
   stop(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    closeServer(this.#server);
   }
 }
--- a/packages/gateway/src/requests/request_run_test.ts
+++ b/packages/gateway/src/requests/request_run_test.ts
@@ -182,11 +182,15 @@
     setTimeout(() => {
       streamEvents(res, [1]);
       res.end();
-    }, 220);
+    }, 800);
   });
   const second = await startUpstream((_, res) => res.end());
-  const run = runRequest({ addresses: [first.address, second.address] });
-  setTimeout(() => run.view.load.noteSign("u0", performance.now()), 50);
+  // Its head is awaited 600 ms, and as long again.
+  const run = runRequest({
+    addresses: [first.address, second.address],
+    route: { objectiveMs: 1_200 },
+  });
+  setTimeout(() => run.view.load.noteSign("u0", performance.now()), 100);
   expect(await run.ended).toBe("answered");
   expect(run.answer.body).toBe(buildEvent(1));
   expect(second.seen).toHaveLength(0);
--- a/packages/gateway/src/store/prefix_watch_test.ts
+++ b/packages/gateway/src/store/prefix_watch_test.ts
@@ -1,20 +1,22 @@
 import { createMetadata } from "@gooseberryline/fakes";
 import { expect, test } from "vitest";
 import { waitMs } from "../wait_ms.ts";
+import { WATCHING } from "./constants.ts";
 import { PrefixWatch } from "./prefix_watch.ts";
 
 const silent = (): undefined => undefined;
 const log = { info: silent, warn: silent, error: silent };
 
-async function startWatch() {
+async function startWatch({ silentWatches = 0, watchers = 1 } = {}) {
   const metadata = createMetadata();
+  metadata.setFaults({ silentWatches });
   const known = new Map<string, string>();
   metadata.put("a/1", "one");
   const watch = new PrefixWatch({
     store: metadata.store,
     prefix: "a/",
     log,
-    countWatchers: () => 1,
+    countWatchers: () => watchers,
     onEvent: (event) => {
       if (event.kind === "set") {
         known.set(event.item.key, event.item.value.toString());
@@ -68,16 +70,17 @@
 });
 
 test("a silent watch is opened anew once a peer has seen more", async () => {
-  const { metadata, known, watch, settle } = await startWatch();
-  // The watch that is waiting hears nothing; a new one would.
-  metadata.setFaults({ isDeaf: true });
+  const { metadata, known, watch, settle } = await startWatch({
+    silentWatches: 1,
+    watchers: 240,
+  });
+  const startedMs = performance.now();
   metadata.put("a/2", "two");
-  const heard = metadata.store.listPage("a/");
-  const page = await heard;
-  const revision = page.kind === "page" ? page.storeRevision : 0;
-  watch.noteElsewhere(revision);
-  await waitMs(320);
-  metadata.setFaults({ isDeaf: false });
+  const page = await metadata.store.listPage("a/");
+  watch.noteElsewhere(page.kind === "page" ? page.storeRevision : 0);
   await settle(() => known.get("a/2") === "two");
+  // By itself the watch would have waited this long.
+  expect(performance.now() - startedMs).toBeLessThan(WATCHING.MAX_WAIT_MS);
+  expect(metadata.calls.watch).toBeGreaterThan(1);
   watch.stop();
 });
--- a/packages/gateway/src/store/relay_listener.ts
+++ b/packages/gateway/src/store/relay_listener.ts
@@ -6,6 +6,8 @@
 } from "@gooseberryline/core";
 import Koa from "koa";
 import getRawBody from "raw-body";
+import { closeServer } from "../http/close_server.ts";
+import { listenAt } from "../http/listen_at.ts";
 import type { Endpoint } from "../settings/types.ts";
 import { type RelayCall, relayCodec } from "./relay_codec.ts";
 
@@ -37,15 +39,12 @@
     this.#server = createServer(app.callback());
   }
 
-  start({ host, port }: Endpoint): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.listen(port, host, resolve);
-    });
+  start(endpoint: Endpoint): Promise<void> {
+    return listenAt(this.#server, endpoint);
   }
 
   stop(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    closeServer(this.#server);
   }
 
   #make(
