--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -1,6 +1,7 @@
 import {
   buildRouteTable,
   type Candidate,
+  type Duty,
   type FleetMember,
   type LoadMessage,
   listRelayTargets,
@@ -184,6 +185,13 @@
     );
   }
 
+  /** This instance's place among those of a duty, or among all. */
+  getTurn(duty?: Duty): { readonly rank: number; readonly count: number } {
+    const ids = this.members.list(duty).map(({ id }) => id);
+    const rank = ids.filter((id) => id < this.settings.instanceId).length;
+    return { rank, count: Math.max(1, ids.length) };
+  }
+
   /** Peers that may be at work, also those whose lease has just ended. */
   listPeers(): readonly FleetMember[] {
     const { instanceId } = this.settings;
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -65,8 +65,8 @@
 
   #watch(prefix: string, onEvent: (event: MetadataEvent) => void): PrefixWatch {
     const { store, log, view } = this.#parts;
-    const countWatchers = (): number => view.members.list().length;
-    return new PrefixWatch({ store, prefix, log, onEvent, countWatchers });
+    const getTurn = () => view.getTurn();
+    return new PrefixWatch({ store, prefix, log, onEvent, getTurn });
   }
 
   #noteOperator(event: MetadataEvent): void {
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -71,7 +71,7 @@
     prefix: batchKeys.claimPrefix,
     log,
     onEvent: (event) => runner.noteClaim(event),
-    countWatchers: () => view.members.list(DUTIES.run).length,
+    getTurn: () => view.getTurn(DUTIES.run),
   });
   const watches = new RecordWatches({
     view,
--- a/packages/gateway/src/store/constants.ts
+++ b/packages/gateway/src/store/constants.ts
@@ -1,6 +1,8 @@
 /** Figures of watches on the metadata store. */
 export const WATCHING = {
-  /** Shortest wait of a watch, in ms. */
+  /** Shortest wait after a change, in ms. */
+  FIRST_WAIT_MS: 1_000,
+  /** Shortest wait after one that heard nothing, in ms. */
   MIN_WAIT_MS: 2_000,
   /** Longest one, in ms; the store takes up to 30 s. */
   MAX_WAIT_MS: 20_000,
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -2,12 +2,15 @@
 import type { Log } from "@gooseberryline/daemon";
 import { WATCHING } from "./constants.ts";
 
+/** Place of an instance among `count` watchers, from 0. */
+export type WatchTurn = { readonly rank: number; readonly count: number };
+
 type WatchParts = {
   readonly store: MetadataStore;
   readonly prefix: string;
   readonly log: Log;
-  /** Instances that watch the same records. */
-  readonly countWatchers: () => number;
+  /** This instance among those that watch the same records. */
+  readonly getTurn: () => WatchTurn;
   readonly onEvent: (event: MetadataEvent) => void;
 };
 
@@ -24,6 +27,8 @@
   /** Store revision of the last change that was told. */
   #seen = 0;
   #isCurrent = false;
+  /** Whether the last watch, or a read, brought a change. */
+  #isFresh = true;
   #waiting: AbortController | undefined;
   #behindTimer: NodeJS.Timeout | undefined;
   #failures = 0;
@@ -109,6 +114,7 @@
     }
     this.#tellMissing(seen);
     this.#isCurrent = true;
+    this.#isFresh = true;
     this.#onLoaded();
     return true;
   }
@@ -116,11 +122,14 @@
   #tellMissing(seen: ReadonlySet<string>): void {
     // Whatever was known of them is older than their removal.
     const revision = Number.MAX_SAFE_INTEGER;
-    [...this.#known.keys()]
-      .filter((key) => !seen.has(key))
-      .forEach((key) => {
-        this.#tell({ kind: "removed", key, revision });
-      });
+    const missing = [...this.#known.keys()].filter((key) => !seen.has(key));
+    missing.forEach((key) => {
+      this.#tell({ kind: "removed", key, revision });
+    });
+    if (missing.length > 0) {
+      // When they went is not known; peers have to look as well.
+      this.#seen = Math.max(this.#seen, this.#revision);
+    }
   }
 
   async #watch(): Promise<boolean> {
@@ -138,6 +147,7 @@
     }
     switch (changes.kind) {
       case "changes":
+        this.#isFresh = changes.events.length > 0;
         changes.events.forEach((event) => {
           this.#tell(event);
         });
@@ -153,13 +163,17 @@
     }
   }
 
-  /** Watches of a large fleet wait longer: one of them is enough to tell. */
+  /**
+   * Watches of a large fleet wait longer: one that ends tells the others. A
+   * change sets all off together, so after one they end in turn.
+   */
   #countWaitMs(): number {
-    const waitMs = this.#parts.countWatchers() * WATCHING.FLEET_WAIT_MS;
-    return Math.min(
-      WATCHING.MAX_WAIT_MS,
-      Math.max(WATCHING.MIN_WAIT_MS, waitMs),
-    );
+    const { rank, count } = this.#parts.getTurn();
+    const [turn, leastMs] = this.#isFresh
+      ? [rank + 1, WATCHING.FIRST_WAIT_MS]
+      : [count, WATCHING.MIN_WAIT_MS];
+    const waitMs = Math.max(leastMs, turn * WATCHING.FLEET_WAIT_MS);
+    return Math.min(WATCHING.MAX_WAIT_MS, waitMs);
   }
 
   /** Tells a change once; an older state of a record is passed over. */
