--- a/packages/gateway/src/store/constants.ts
+++ b/packages/gateway/src/store/constants.ts
@@ -1,9 +1,9 @@
 /** Figures of watches on the metadata store. */
 export const WATCHING = {
-  /** Shortest wait after a change, in ms. */
-  FIRST_WAIT_MS: 1_000,
-  /** Shortest wait after one that heard nothing, in ms. */
-  MIN_WAIT_MS: 2_000,
+  /** Shortest wait of a watch, in ms. */
+  MIN_WAIT_MS: 50,
+  /** Turns of a small fleet's round, so that its watches wait long enough. */
+  MIN_TURNS: 4,
   /** Longest one, in ms; the store takes up to 30 s. */
   MAX_WAIT_MS: 20_000,
   /** Some instance's watch ends each so many ms, and tells the others. */
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -1,6 +1,7 @@
 import type { MetadataEvent, MetadataStore } from "@gooseberryline/core";
 import type { Log } from "@gooseberryline/daemon";
 import { WATCHING } from "./constants.ts";
+import { countTurnMs } from "./count_turn_ms.ts";
 
 /** Place of an instance among `count` watchers, from 0. */
 export type WatchTurn = { readonly rank: number; readonly count: number };
@@ -27,8 +28,6 @@
   /** Store revision of the last change that was told. */
   #seen = 0;
   #isCurrent = false;
-  /** Whether the last watch, or a read, brought a change. */
-  #isFresh = true;
   #waiting: AbortController | undefined;
   #behindTimer: NodeJS.Timeout | undefined;
   #failures = 0;
@@ -114,7 +113,6 @@
     }
     this.#tellMissing(seen);
     this.#isCurrent = true;
-    this.#isFresh = true;
     this.#onLoaded();
     return true;
   }
@@ -133,13 +131,13 @@
   }
 
   async #watch(): Promise<boolean> {
-    const { store, prefix, log } = this.#parts;
+    const { store, prefix, log, getTurn } = this.#parts;
     const waiting = new AbortController();
     this.#waiting = waiting;
     const changes = await store.watchPrefix(
       prefix,
       this.#revision,
-      this.#countWaitMs(),
+      countTurnMs(getTurn(), Date.now()),
       waiting.signal,
     );
     if (waiting.signal.aborted) {
@@ -147,7 +145,6 @@
     }
     switch (changes.kind) {
       case "changes":
-        this.#isFresh = changes.events.length > 0;
         changes.events.forEach((event) => {
           this.#tell(event);
         });
@@ -163,19 +160,6 @@
     }
   }
 
-  /**
-   * Watches of a large fleet wait longer: one that ends tells the others. A
-   * change sets all off together, so after one they end in turn.
-   */
-  #countWaitMs(): number {
-    const { rank, count } = this.#parts.getTurn();
-    const [turn, leastMs] = this.#isFresh
-      ? [rank + 1, WATCHING.FIRST_WAIT_MS]
-      : [count, WATCHING.MIN_WAIT_MS];
-    const waitMs = Math.max(leastMs, turn * WATCHING.FLEET_WAIT_MS);
-    return Math.min(WATCHING.MAX_WAIT_MS, waitMs);
-  }
-
   /** Tells a change once; an older state of a record is passed over. */
   #tell(event: MetadataEvent): void {
     const key = event.kind === "set" ? event.item.key : event.key;
