--- a/packages/fakes/src/metadata/create_metadata.ts
+++ b/packages/fakes/src/metadata/create_metadata.ts
@@ -67,7 +67,7 @@
           return { kind: "compacted" };
         }
         if (events.length > 0 || readNowMs() >= endMs) {
-          const storeRevision = isDeaf ? after : state.revision;
+          const storeRevision = state.revision;
           return { kind: "changes", events, storeRevision };
         }
         await new Promise((resolve) => setTimeout(resolve, POLL_MS));
--- a/packages/gateway/src/jobs/results_reader.ts
+++ b/packages/gateway/src/jobs/results_reader.ts
@@ -77,7 +77,8 @@
       case "changes": {
         const values = listValues(changes.events);
         const results = takeResults(values);
-        if (results.length === values.length) {
+        // One that heard nothing may have been kept from changes.
+        if (results.length > 0 && results.length === values.length) {
           this.#noteEnd(job.id, {
             position: position + results.length,
             revision: changes.storeRevision,
--- a/packages/gateway/src/store/prefix_watch_test.ts
+++ b/packages/gateway/src/store/prefix_watch_test.ts
@@ -96,3 +96,16 @@
   expect(watch.seen).toBeGreaterThan(before);
   watch.stop();
 });
+
+// Seen on ipacp scale-1: a watch that ended while it was kept from changes
+// named a later revision, and the next one went on from there.
+test("a change that an empty watch has passed over is still told", async () => {
+  const { metadata, known, watch, settle } = await startWatch();
+  metadata.setFaults({ isDeaf: true });
+  metadata.put("a/2", "two");
+  const before = metadata.calls.watch ?? 0;
+  await settle(() => (metadata.calls.watch ?? 0) > before);
+  metadata.setFaults({ isDeaf: false });
+  await settle(() => known.get("a/2") === "two");
+  watch.stop();
+});
