--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -25,8 +25,6 @@
   /** Revision of each record as last told. */
   readonly #known = new Map<string, number>();
   #revision = 0;
-  /** What the last watch named that heard nothing. */
-  #quietRevision: number | undefined;
   /** Store revision of the last change that was told. */
   #seen = 0;
   #isCurrent = false;
@@ -95,7 +93,6 @@
 
   async #load(after?: string, seen = new Set<string>()): Promise<boolean> {
     const { store, prefix } = this.#parts;
-    this.#quietRevision = undefined;
     const page = await store.listPage(prefix, after);
     if (page.kind === "failed") {
       this.#noteFailure(page.reason);
@@ -151,7 +148,11 @@
         changes.events.forEach((event) => {
           this.#tell(event);
         });
-        this.#noteWatched(changes.events.length > 0, changes.storeRevision);
+        // One that heard nothing may have been kept from changes: the next one
+        // starts from the same revision.
+        if (changes.events.length > 0) {
+          this.#revision = changes.storeRevision;
+        }
         return true;
       case "compacted":
         log.info("watch-history-gone", { prefix, revision: this.#revision });
@@ -163,17 +164,6 @@
     }
   }
 
-  /**
-   * A watch that heard nothing may have been kept from changes: the revision
-   * that it named counts once the next one, from before it, hears nothing too.
-   */
-  #noteWatched(hasHeard: boolean, storeRevision: number): void {
-    this.#revision = hasHeard
-      ? storeRevision
-      : (this.#quietRevision ?? this.#revision);
-    this.#quietRevision = hasHeard ? undefined : storeRevision;
-  }
-
   /** Tells a change once; an older state of a record is passed over. */
   #tell(event: MetadataEvent): void {
     const key = event.kind === "set" ? event.item.key : event.key;
