--- a/packages/gateway/src/store/constants.ts
+++ b/packages/gateway/src/store/constants.ts
@@ -4,8 +4,8 @@
   MIN_WAIT_MS: 50,
   /** Turns of a small fleet's round, so that its watches wait long enough. */
   MIN_TURNS: 4,
-  /** Longest one, in ms; the store takes up to 30 s. */
-  MAX_WAIT_MS: 20_000,
+  /** Longest one, in ms: a change is in force within seconds all the same. */
+  MAX_WAIT_MS: 2_000,
   /** Some instance's watch ends each so many ms, and tells the others. */
   FLEET_WAIT_MS: 500,
   /** A change that a peer has seen is awaited this long, in ms. */
