--- a/packages/gateway/src/fleet/upstream_directory.ts
+++ b/packages/gateway/src/fleet/upstream_directory.ts
@@ -78,10 +78,6 @@
       .filter(({ dataCentre }) => !this.#takenOut.has(dataCentre));
   }
 
-  has(id: string): boolean {
-    return this.#held.has(id);
-  }
-
   count(): number {
     return this.#held.size;
   }
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -1,5 +1,6 @@
 import type { MetadataEvent, MetadataStore } from "@gooseberryline/core";
 import type { Log } from "@gooseberryline/daemon";
+import { waitMs } from "../wait_ms.ts";
 import { WATCHING } from "./constants.ts";
 import { countTurnMs } from "./count_turn_ms.ts";
 
@@ -207,6 +208,6 @@
     const delayMs = Math.min(WATCHING.MAX_RETRY_MS, doubled);
     // Spread, so that instances do not return to a recovering store at once.
     const spreadMs = delayMs * (0.5 + Math.random());
-    return new Promise((resolve) => setTimeout(resolve, spreadMs));
+    return waitMs(spreadMs);
   }
 }
