Begin a cut watch anew and shortly, by its own follower

Cause: after a cut a watch was handed on to a peer with its whole wait, or begun with a whole turn, some ms before the store dropped its history; the store tells a watch that waits of this at its end only.

--- a/packages/fakes/src/metadata/create_metadata.ts
+++ b/packages/fakes/src/metadata/create_metadata.ts
@@ -49,6 +49,9 @@
       if (failure !== undefined) {
         return failure;
       }
+      if (state.listChanges(prefix, after) === undefined) {
+        return { kind: "compacted" };
+      }
       const { silentWatches } = control.faults;
       const isSilent = silentWatches > 0;
       if (isSilent) {
@@ -59,14 +62,17 @@
         state.expireLeases(readNowMs());
         const { isDown } = control.faults;
         const isDeaf = isSilent || control.faults.isDeaf;
-        const events = isDeaf ? [] : state.listChanges(prefix, after);
+        const changes = state.listChanges(prefix, after);
+        const events = isDeaf ? [] : (changes ?? []);
+        const isOver = readNowMs() >= endMs;
         if (isDown) {
           return fail("watch", false);
         }
-        if (events === undefined) {
+        // One that waits already is told at its end, as by the platform.
+        if (isOver && !isDeaf && changes === undefined) {
           return { kind: "compacted" };
         }
-        if (events.length > 0 || readNowMs() >= endMs) {
+        if (events.length > 0 || isOver) {
           const storeRevision = state.revision;
           return { kind: "changes", events, storeRevision };
         }
--- a/packages/fakes/src/metadata/types.ts
+++ b/packages/fakes/src/metadata/types.ts
@@ -19,7 +19,7 @@
   /** The store as one client reaches it. */
   readonly store: MetadataStore;
   readonly setFaults: (faults: Partial<MetadataFaults>) => void;
-  /** Forgets what changed so far; watches from before are told so. */
+  /** Forgets what changed so far; a watch that waits is told at its end. */
   readonly compact: () => void;
   /** Writes as operators and upstreams do. */
   readonly put: (key: string, value: string) => void;
--- a/packages/gateway/src/store/constants.ts
+++ b/packages/gateway/src/store/constants.ts
@@ -6,6 +6,8 @@
   MIN_TURNS: 4,
   /** Longest one, in ms: a change is in force within seconds all the same. */
   MAX_WAIT_MS: 2_000,
+  /** After a failure a watch ends this soon: its history may be going, ms. */
+  PROBE_MS: 300,
   /** Some instance's watch ends each so many ms, and tells the others. */
   FLEET_WAIT_MS: 500,
   /** A change that a peer has seen is awaited this long, in ms. */
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -132,13 +132,13 @@
   }
 
   async #watch(): Promise<boolean> {
-    const { store, prefix, log, getTurn } = this.#parts;
+    const { store, prefix, log } = this.#parts;
     const waiting = new AbortController();
     this.#waiting = waiting;
     const changes = await store.watchPrefix(
       prefix,
       this.#revision,
-      countTurnMs(getTurn(), Date.now()),
+      this.#countWaitMs(),
       waiting.signal,
     );
     if (waiting.signal.aborted) {
@@ -165,6 +165,12 @@
     }
   }
 
+  /** The store tells a watch that waits of a lost history at its end only. */
+  #countWaitMs(): number {
+    const turnMs = countTurnMs(this.#parts.getTurn(), Date.now());
+    return this.#failures > 0 ? Math.min(WATCHING.PROBE_MS, turnMs) : turnMs;
+  }
+
   /** Tells a change once; an older state of a record is passed over. */
   #tell(event: MetadataEvent): void {
     const key = event.kind === "set" ? event.item.key : event.key;
--- a/packages/gateway/src/store/prefix_watch_test.ts
+++ b/packages/gateway/src/store/prefix_watch_test.ts
@@ -109,3 +109,25 @@
   await settle(() => known.get("a/2") === "two");
   watch.stop();
 });
+
+// Seen on penwhistle-post scale-1: all watches were cut, began again just
+// before the history went, and were told so at the end of their waits.
+test("a history that goes after a cut shows soon", async () => {
+  const { metadata, known, watch, settle } = await startWatch({
+    watchers: 240,
+  });
+  const countWatches = (): number => metadata.calls.watch ?? 0;
+  const first = countWatches();
+  metadata.setFaults({ isDown: true, isDeaf: true });
+  await settle(() => countWatches() > first);
+  metadata.setFaults({ isDown: false });
+  const failed = countWatches();
+  await settle(() => countWatches() > failed);
+  metadata.put("a/2", "two");
+  metadata.compact();
+  metadata.setFaults({ isDeaf: false });
+  const startedMs = performance.now();
+  await settle(() => known.has("a/2"));
+  expect(performance.now() - startedMs).toBeLessThan(WATCHING.PROBE_MS * 3);
+  watch.stop();
+});
--- a/packages/gateway/src/store/relayed_store.ts
+++ b/packages/gateway/src/store/relayed_store.ts
@@ -96,8 +96,7 @@
       return answer;
     }
     this.#noteDirect(answer.kind !== "failed");
-    const isRepeatable =
-      call.kind !== "commit" || ("isUndone" in answer && answer.isUndone);
+    const isRepeatable = canRepeat(call, answer);
     return answer.kind === "failed" && isRepeatable && peer !== undefined
       ? this.#relay<Result>(peer, call, signal)
       : answer;
@@ -133,3 +132,15 @@
     }
   }
 }
+
+/** A watch is begun anew by its follower, since time has passed meanwhile. */
+function canRepeat(call: RelayCall, answer: Answer): boolean {
+  switch (call.kind) {
+    case "watch":
+      return false;
+    case "commit":
+      return "isUndone" in answer && answer.isUndone === true;
+    default:
+      return true;
+  }
+}
--- a/packages/gateway/src/store/relayed_store_test.ts
+++ b/packages/gateway/src/store/relayed_store_test.ts
@@ -108,3 +108,13 @@
     isUndone: false,
   });
 });
+
+test("a watch that breaks off is its follower's to begin again", async () => {
+  const { store, metadata } = await startRelay(false);
+  const cut = await store.watchPrefix("a/", 0, 20_000);
+  expect(cut.kind).toBe("failed");
+  expect(metadata.calls.watch).toBeUndefined();
+  expect(await store.watchPrefix("a/", 0, 50)).toMatchObject({
+    kind: "changes",
+  });
+});
