--- a/packages/gateway/src/store/constants.ts
+++ b/packages/gateway/src/store/constants.ts
@@ -5,7 +5,7 @@
   /** Turns of a small fleet's round, so that its watches wait long enough. */
   MIN_TURNS: 4,
   /** Longest one, in ms: a change is in force within seconds all the same. */
-  MAX_WAIT_MS: 2_000,
+  MAX_WAIT_MS: 20_000,
   /** After a failure a watch ends this soon: its history may be going, ms. */
   PROBE_MS: 300,
   /** Some instance's watch ends each so many ms, and tells the others. */
