Answer polls of jobs from the owner's word

Workers tell with their load how many results of their jobs are listed; a reader who has as many is answered without a call.

--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -51,6 +51,8 @@
   readonly unheard: readonly string[];
   /** Store revision of the last change that the sender saw, by prefix. */
   readonly seen: Readonly<Record<string, number>>;
+  /** Results that are listed of each job that the sender runs, or just ran. */
+  readonly listed: Readonly<Record<string, number>>;
   /** Said once by an instance that stops. */
   readonly isLeaving: boolean;
 };
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -45,6 +45,10 @@
   readSeen: () => LoadMessage["seen"] = () => ({});
   /** Called with what a peer's watches have seen. */
   onSeen: (seen: LoadMessage["seen"]) => void = () => undefined;
+  /** How many results this instance has listed, by job. */
+  readListed: () => LoadMessage["listed"] = () => ({});
+  /** Called with how many results a peer has listed, by job. */
+  onListed: (listed: LoadMessage["listed"]) => void = () => undefined;
 
   constructor(
     settings: GatewaySettings,
@@ -124,6 +128,7 @@
     } else {
       this.quotas.notePeer(message, nowMs);
       this.onSeen(message.seen);
+      this.onListed(message.listed);
     }
     this.onLoad();
     return true;
@@ -172,6 +177,7 @@
       use: isServing ? this.quotas.listUse(customers, nowMs) : {},
       unheard,
       seen: this.readSeen(),
+      listed: this.readListed(),
       isLeaving,
     };
   }
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -19,6 +19,7 @@
   use: z.record(z.string(), USE),
   unheard: z.array(z.string()),
   seen: z.record(z.string(), z.number()),
+  listed: z.record(z.string(), z.number()),
   isLeaving: z.boolean(),
 });
 
--- a/packages/gateway/src/jobs/constants.ts
+++ b/packages/gateway/src/jobs/constants.ts
@@ -22,6 +22,10 @@
   RETRY_MS: 250,
   /** A write without an answer is tried again after this long, in ms. */
   WRITE_RETRY_MS: 200,
+  /** What an owner said of its results counts this long, in ms. */
+  NEWS_AGE_MS: 600,
+  /** A finished job's owner goes on telling of it this long, in ms. */
+  TOLD_MS: 3_000,
   /** Tries to accept a job before the caller is told to come again. */
   ACCEPT_TRIES: 3,
   /** Jobs whose records are held in memory for readers. */
--- a/packages/gateway/src/jobs/job_door.ts
+++ b/packages/gateway/src/jobs/job_door.ts
@@ -20,6 +20,7 @@
 import { buildJob } from "./build_job.ts";
 import { JOB_TIMES } from "./constants.ts";
 import { JobCache } from "./job_cache.ts";
+import type { ListingNews } from "./listing_news.ts";
 import { ResultsReader } from "./results_reader.ts";
 
 type DoorParts = {
@@ -27,6 +28,7 @@
   readonly store: MetadataStore;
   readonly dialect: CallDialect;
   readonly log: Log;
+  readonly news: ListingNews;
 };
 
 const ACCEPTED = 202;
@@ -45,7 +47,7 @@
   constructor(parts: DoorParts) {
     this.#parts = parts;
     this.#cache = new JobCache(parts.store);
-    this.#reader = new ResultsReader(parts.store);
+    this.#reader = new ResultsReader(parts.store, parts.news);
   }
 
   /** Accepts a job once under its id, however often it is sent. */
--- a/packages/gateway/src/jobs/job_runner.ts
+++ b/packages/gateway/src/jobs/job_runner.ts
@@ -21,6 +21,8 @@
   readonly #parts: RunnerParts;
   readonly #claims = new ClaimBook();
   readonly #owned = new Map<string, OwnedJob>();
+  /** Finished jobs that peers are still told of. */
+  readonly #finished = new Map<string, { count: number; untilMs: number }>();
   /** Jobs with a claim or a read under way. */
   readonly #busy = new Set<string>();
   readonly #pool: ItemPool;
@@ -59,6 +61,20 @@
     return this.#pool.countRunning();
   }
 
+  /** How many results of each own job are listed, for peers. */
+  listListed(): Readonly<Record<string, number>> {
+    const nowMs = this.#parts.view.readNowMs();
+    [...this.#finished]
+      .filter(([, { untilMs }]) => untilMs <= nowMs)
+      .forEach(([id]) => {
+        this.#finished.delete(id);
+      });
+    return Object.fromEntries([
+      ...[...this.#finished].map(([id, { count }]) => [id, count] as const),
+      ...[...this.#owned].map(([id, owned]) => [id, owned.listedCount]),
+    ]);
+  }
+
   /** Hands all jobs back, and claims none until `resumeClaims`. */
   async releaseAll(): Promise<void> {
     this.#isReleasing = true;
@@ -184,7 +200,12 @@
   }
 
   #drop(jobId: string): void {
-    this.#owned.get(jobId)?.abandon();
+    const owned = this.#owned.get(jobId);
+    if (owned !== undefined) {
+      const untilMs = this.#parts.view.readNowMs() + JOB_TIMES.TOLD_MS;
+      this.#finished.set(jobId, { count: owned.listedCount, untilMs });
+      owned.abandon();
+    }
     this.#owned.delete(jobId);
     this.#pool.dropJob(jobId);
   }
--- a/packages/gateway/src/jobs/owned_job.ts
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -60,6 +60,11 @@
     return this.#isOver;
   }
 
+  /** Results that are known to be listed. */
+  get listedCount(): number {
+    return this.#listed.length;
+  }
+
   /** Ends without a word; nothing more is written. */
   abandon(): void {
     this.#isOver = true;
--- a/packages/gateway/src/jobs/owned_job_test.ts
+++ b/packages/gateway/src/jobs/owned_job_test.ts
@@ -4,6 +4,8 @@
 import { waitMs } from "../wait_ms.ts";
 import { batchRecords } from "./batch_records.ts";
 import { buildJob } from "./build_job.ts";
+import { JOB_TIMES } from "./constants.ts";
+import { ListingNews } from "./listing_news.ts";
 import { loadJob } from "./load_job.ts";
 import { OwnedJob } from "./owned_job.ts";
 import { ResultsReader } from "./results_reader.ts";
@@ -28,10 +30,10 @@
   retentionMs: 60_000,
 } as const;
 
-async function startJob() {
+async function startJob(ids: readonly string[] = ["a", "b", "c"]) {
   const metadata = createMetadata();
   const { store } = metadata;
-  const items = ["a", "b", "c"].map((id) => ({
+  const items = ids.map((id) => ({
     id,
     path: "/b/x",
     headers: {},
@@ -64,12 +66,13 @@
     const owned = new OwnedJob(loaded, { store, log, writerName, onLost });
     return { owned, state };
   };
-  const reader = new ResultsReader(store);
+  const news = new ListingNews(() => performance.now());
+  const reader = new ResultsReader(store, news);
   const readIds = async (from = 0, holdMs = 0): Promise<readonly string[]> => {
     const read = await reader.read(job, from, holdMs);
     return read.kind === "read" ? read.results.map(({ id }) => id) : [];
   };
-  return { metadata, job, own, readIds };
+  return { metadata, job, own, readIds, news };
 }
 
 function createResult(id: string) {
@@ -162,3 +165,43 @@
   await waitMs(20);
   expect(await readIds(2, 100)).toEqual(["c"]);
 });
+
+function countReads(calls: Readonly<Record<string, number>>): number {
+  return (calls.list ?? 0) + (calls.watch ?? 0) + (calls.read ?? 0);
+}
+
+test("with news of the owner a reader who has all makes no call", async () => {
+  const { own, readIds, metadata, news } = await startJob();
+  const { owned } = await own("w1");
+  news.note({ j1: owned.listedCount });
+  const before = countReads(metadata.calls);
+  expect(await readIds(0, 200)).toEqual([]);
+  expect(countReads(metadata.calls)).toBe(before);
+  const next = readIds(0, 1_000);
+  owned.addResult(1, createResult("b"));
+  await settle(() => owned.listedCount === 1);
+  news.note({ j1: owned.listedCount });
+  expect(await next).toEqual(["b"]);
+  expect(countReads(metadata.calls)).toBe(before + 1);
+});
+
+test("news that stops says nothing of later results", async () => {
+  const { own, readIds, news } = await startJob();
+  const { owned } = await own("w1");
+  news.note({ j1: 0 });
+  const next = readIds(0, 2 * JOB_TIMES.NEWS_AGE_MS);
+  owned.addResult(1, createResult("b"));
+  expect(await next).toEqual(["b"]);
+});
+
+test("news of an owner who is behind is passed over", async () => {
+  const { own, readIds, news } = await startJob();
+  const { owned } = await own("w1");
+  owned.addResult(1, createResult("b"));
+  await settle(() => owned.listedCount === 1);
+  news.note({ j1: 1 });
+  news.note({ j1: 0 });
+  expect(await readIds(0, 100)).toEqual(["b"]);
+  news.note({ j1: 0 });
+  expect(await readIds(1, 100)).toEqual([]);
+});
--- a/packages/gateway/src/jobs/results_reader.ts
+++ b/packages/gateway/src/jobs/results_reader.ts
@@ -10,6 +10,7 @@
 } from "@gooseberryline/core";
 import { batchRecords } from "./batch_records.ts";
 import { JOB_TIMES } from "./constants.ts";
+import type { ListingNews } from "./listing_news.ts";
 
 type Results =
   | { readonly kind: "read"; readonly results: readonly BatchResult[] }
@@ -20,15 +21,18 @@
 
 /**
  * Reads results of jobs. Each stands in a record of its own that never
- * changes, so every instance reads the same. Where a reader has all that
- * stood at the last read, one watch from there tells what came since.
+ * changes, so every instance reads the same. A reader who has all that the
+ * job's owner says are listed waits for its news; where nothing is heard of
+ * the owner, one watch from the last read tells what came since.
  */
 export class ResultsReader {
   readonly #store: MetadataStore;
+  readonly #news: ListingNews;
   readonly #ends = new Map<string, KnownEnd>();
 
-  constructor(store: MetadataStore) {
+  constructor(store: MetadataStore, news: ListingNews) {
     this.#store = store;
+    this.#news = news;
   }
 
   /** Reads from a position on; waits up to `holdMs` where none stands yet. */
@@ -36,6 +40,23 @@
     if (from >= job.itemIds.length) {
       return { kind: "read", results: [] };
     }
+    const startedMs = performance.now();
+    const state = await this.#news.wait(job.id, from, holdMs);
+    switch (state) {
+      case "none":
+        return { kind: "read", results: [] };
+      case "more":
+        return this.#list(job, from, 0);
+      case "unknown": {
+        const spentMs = Math.round(performance.now() - startedMs);
+        return this.#readStore(job, from, Math.max(0, holdMs - spentMs));
+      }
+      default:
+        return assertNever(state);
+    }
+  }
+
+  #readStore(job: BatchJob, from: number, holdMs: number): Promise<Results> {
     const end = this.#ends.get(job.id);
     return end?.position === from && holdMs > 0
       ? this.#watch(job, end, holdMs)
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -12,6 +12,7 @@
 import { JobDoor } from "./jobs/job_door.ts";
 import { JobRunner } from "./jobs/job_runner.ts";
 import { JobSweeper } from "./jobs/job_sweeper.ts";
+import { ListingNews } from "./jobs/listing_news.ts";
 import { createGatewayMetrics } from "./metrics/create_gateway_metrics.ts";
 import type { GatewaySettings } from "./settings/types.ts";
 import { STOP_TIMES } from "./stop_times.ts";
@@ -59,9 +60,10 @@
   const metrics = createGatewayMetrics();
   const shared = { view, pool, dialect: dialect.calls, log, store };
   const state = { isLoaded: false, isStopping: false };
+  const news = new ListingNews(() => view.readNowMs());
   const listener = new CallerListener({
     ...shared,
-    jobs: new JobDoor(shared),
+    jobs: new JobDoor({ ...shared, news }),
     onDone: metrics.noteRequest,
   });
   const runner = new JobRunner(shared);
@@ -96,6 +98,8 @@
     },
   });
   view.onLoad = () => runner.noteLoad();
+  view.readListed = () => runner.listListed();
+  view.onListed = (listed) => news.note(listed);
   view.readSeen = () => watches.listSeen();
   view.onSeen = (seen) => watches.noteElsewhere(seen);
   const peers = new PeerLink(view, log);
