List results in commits that the store takes

A worker whose store was away for some seconds wrote all that had finished in one commit; beyond 32 entries the store refuses it, and the job stayed open for good. The stand-in now has the limit; the new test never ended before. Room is left for the removal of each item's text.

--- a/packages/fakes/src/metadata/create_metadata.ts
+++ b/packages/fakes/src/metadata/create_metadata.ts
@@ -1,4 +1,8 @@
-import type { MetadataFailure, MetadataStore } from "@gooseberryline/core";
+import {
+  BATCHES,
+  type MetadataFailure,
+  type MetadataStore,
+} from "@gooseberryline/core";
 import { MetadataState } from "./metadata_state.ts";
 import type { FakeMetadata, MetadataFaults } from "./types.ts";
 
@@ -85,7 +89,12 @@
       if (failure !== undefined) {
         return failure;
       }
-      const isLeased = commit.set.every(
+      const { expect, set, remove } = commit;
+      const entries = expect.length + set.length + remove.length;
+      if (entries > BATCHES.MAX_COMMIT_ENTRIES) {
+        return fail("commit", true);
+      }
+      const isLeased = set.every(
         ({ leaseId }) => leaseId === undefined || state.hasLease(leaseId),
       );
       if (!isLeased) {
--- a/packages/gateway/src/jobs/owned_job.ts
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -1,4 +1,5 @@
 import {
+  BATCHES,
   type BatchClaim,
   type BatchItem,
   type BatchJob,
@@ -21,6 +22,14 @@
   readonly onLost: () => void;
 };
 
+/** Entries of a commit beside those of results: claim, progress, both twice. */
+const OWN_ENTRIES = 4;
+/** A result's record, and the removal of the text that it replaces. */
+const RESULT_ENTRIES = 2;
+const MAX_RESULTS = Math.floor(
+  (BATCHES.MAX_COMMIT_ENTRIES - OWN_ENTRIES) / RESULT_ENTRIES,
+);
+
 type Finished = { readonly index: number; readonly result: BatchResult };
 
 /** A job as it stood when this instance claimed it. */
@@ -80,8 +89,8 @@
       return;
     }
     this.#isWriting = true;
-    const batch = this.#finished;
-    this.#finished = [];
+    const batch = this.#finished.slice(0, MAX_RESULTS);
+    this.#finished = this.#finished.slice(MAX_RESULTS);
     await this.#writeUntilKnown(batch);
     this.#isWriting = false;
     await this.#write();
--- a/packages/gateway/src/jobs/owned_job_test.ts
+++ b/packages/gateway/src/jobs/owned_job_test.ts
@@ -205,3 +205,16 @@
   news.note({ j1: 0 });
   expect(await readIds(1, 100)).toEqual([]);
 });
+
+test("what finished while the store was away is listed in parts", async () => {
+  const ids = Array.from({ length: 60 }, (_, index) => `i${index}`);
+  const { own, readIds, metadata } = await startJob(ids);
+  const { owned } = await own("w1");
+  metadata.setFaults({ isDown: true });
+  ids.forEach((id, index) => {
+    owned.addResult(index, createResult(id));
+  });
+  metadata.setFaults({ isDown: false });
+  await settle(() => owned.isOver);
+  expect(await readIds()).toEqual(ids);
+});
