--- a/packages/core/src/batches/batch_keys.ts
+++ b/packages/core/src/batches/batch_keys.ts
@@ -16,6 +16,9 @@
   items: (id: string) => `${ROOT}/items/${id}/`,
   chunk: (id: string, index: number) =>
     `${ROOT}/items/${id}/${nameIndex(index)}`,
+  texts: (id: string) => `${ROOT}/texts/${id}/`,
+  text: (id: string, index: number) =>
+    `${ROOT}/texts/${id}/${nameIndex(index)}`,
   results: (id: string) => `${ROOT}/results/${id}/`,
   result: (id: string, position: number) =>
     `${ROOT}/results/${id}/${nameIndex(position)}`,
--- a/packages/core/src/batches/constants.ts
+++ b/packages/core/src/batches/constants.ts
@@ -7,6 +7,14 @@
   MAX_COMMIT_ENTRIES: 32,
   /** Bytes of results in one answer. */
   MAX_READ_BYTES: 1_000_000,
+  /** Events of an item that are worth a write: about a second of its run. */
+  SAVE_EVENTS: 30,
+  /** Bytes of texts in one commit: well below what the store takes. */
+  SAVE_BYTES: 300_000,
+  /** A worker saves texts at most so often, in ms. */
+  SAVE_MS: 2_000,
+  /** Time per worker of that pace: 20 such commits a second over the fleet. */
+  SAVE_WORKER_MS: 50,
   /** Wait before the next instance in rank claims an unowned job, in ms. */
   CLAIM_STEP_MS: 600,
   /** An unlisted owner may register again within this time, in ms. */
--- a/packages/core/src/batches/types.ts
+++ b/packages/core/src/batches/types.ts
@@ -49,6 +49,16 @@
   readonly text: string;
 };
 
+/** What an unfinished item has, for an owner that comes after a loss. */
+export type BatchText = {
+  readonly index: number;
+  /** Data of its events so far. */
+  readonly texts: readonly string[];
+  readonly lastEventId: number;
+  /** Time that it has run, in ms. */
+  readonly ranMs: number;
+};
+
 /** Which items are listed, in the order of their positions. */
 export type BatchProgress = {
   readonly listed: readonly number[];
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,6 +3,7 @@
 export { decideNextStep } from "./attempts/decide_next_step.ts";
 export type * from "./attempts/types.ts";
 export { batchKeys } from "./batches/batch_keys.ts";
+export { chooseTexts } from "./batches/choose_texts.ts";
 export { BATCHES } from "./batches/constants.ts";
 export { decideItemStep } from "./batches/decide_item_step.ts";
 export { orderItems } from "./batches/order_items.ts";
--- a/packages/gateway/src/jobs/batch_records.ts
+++ b/packages/gateway/src/jobs/batch_records.ts
@@ -4,6 +4,7 @@
   type BatchJob,
   type BatchProgress,
   type BatchResult,
+  type BatchText,
   ITEM_RESULTS,
 } from "@gooseberryline/core";
 import { z } from "zod";
@@ -46,6 +47,13 @@
   text: z.string(),
 });
 
+const TEXT: z.ZodType<BatchText> = z.object({
+  index: z.number(),
+  texts: z.array(z.string()),
+  lastEventId: z.number(),
+  ranMs: z.number(),
+});
+
 /** Undefined for bytes that no instance of this version wrote. */
 function decode<Value>(
   schema: z.ZodType<Value>,
@@ -62,7 +70,7 @@
 /** Encodes and decodes the records of jobs in the metadata store. */
 export const batchRecords = {
   encode: (
-    record: BatchJob | BatchClaim | BatchProgress | BatchResult,
+    record: BatchJob | BatchClaim | BatchProgress | BatchResult | BatchText,
   ): Buffer => Buffer.from(JSON.stringify(record)),
   encodeChunk: (items: readonly BatchItem[]): Buffer =>
     Buffer.from(JSON.stringify(items)),
@@ -70,5 +78,6 @@
   decodeClaim: (value: Buffer) => decode(CLAIM, value),
   decodeProgress: (value: Buffer) => decode(PROGRESS, value),
   decodeResult: (value: Buffer) => decode(RESULT, value),
+  decodeText: (value: Buffer) => decode(TEXT, value),
   decodeChunk: (value: Buffer) => decode(z.array(ITEM), value),
 } as const;
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -36,20 +36,23 @@
   }
 
   addJob(loaded: LoadedJob): void {
-    const { job, items, claim, listed } = loaded;
+    const { job, items, claim, listed, texts } = loaded;
     this.#jobs.set(job.id, loaded);
     const added = items
-      .map((item, index) => ({
-        jobId: job.id,
-        index,
-        dueAtMs: claim.dueAtMs,
-        ranMs: 0,
-        item,
-        text: { texts: [], lastEventId: undefined },
-        failures: 0,
-        tried: new Set<string>(),
-        notBeforeMs: 0,
-      }))
+      .map((item, index) => {
+        const text = texts.get(index);
+        return {
+          jobId: job.id,
+          index,
+          dueAtMs: claim.dueAtMs,
+          ranMs: text?.ranMs ?? 0,
+          item,
+          text: text ?? { texts: [], lastEventId: undefined },
+          failures: 0,
+          tried: new Set<string>(),
+          notBeforeMs: 0,
+        };
+      })
       .filter(({ index }) => !listed.includes(index));
     this.#waiting = [...this.#waiting, ...added];
   }
@@ -65,6 +68,14 @@
       });
   }
 
+  /** Items of which there is some text, waiting or running. */
+  listTexts(): readonly WaitingItem[] {
+    const running = [...this.#running].map((run) => run.describe());
+    return [...this.#waiting, ...running].filter(
+      ({ text }) => text.lastEventId !== undefined,
+    );
+  }
+
   countRunning(): number {
     return this.#running.size;
   }
--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -53,6 +53,12 @@
     return this.#isYielded;
   }
 
+  /** The item with what it has by now. */
+  describe(): WaitingItem {
+    const ranMs = this.waiting.ranMs + this.countRanMs();
+    return { ...this.waiting, text: this.#getText(), ranMs };
+  }
+
   /** Makes room for online work. */
   yieldSlot(): void {
     this.#isYielded = true;
--- a/packages/gateway/src/jobs/job_runner.ts
+++ b/packages/gateway/src/jobs/job_runner.ts
@@ -13,6 +13,7 @@
 import { ItemPool } from "./item_pool.ts";
 import { loadJob } from "./load_job.ts";
 import { OwnedJob } from "./owned_job.ts";
+import { TextSaver } from "./text_saver.ts";
 
 type RunnerParts = AttemptParts & { readonly store: MetadataStore };
 
@@ -26,6 +27,7 @@
   /** Jobs with a claim or a read under way. */
   readonly #busy = new Set<string>();
   readonly #pool: ItemPool;
+  readonly #saver: TextSaver;
   #timer: NodeJS.Timeout | undefined;
   #yieldTimer: NodeJS.Timeout | undefined;
   #isReleasing = false;
@@ -35,10 +37,17 @@
     const onResult = (jobId: string, index: number, result: BatchResult) =>
       this.#owned.get(jobId)?.addResult(index, result);
     this.#pool = new ItemPool({ ...parts, onResult });
+    this.#saver = new TextSaver({
+      ...parts,
+      listTexts: () => this.#pool.listTexts(),
+      getOwned: (jobId) => this.#owned.get(jobId),
+      countWorkers: () => parts.view.members.list(DUTIES.run).length,
+    });
   }
 
   start(): void {
     this.#timer = setInterval(() => this.#step(), JOB_TIMES.TICK_MS);
+    this.#saver.start();
   }
 
   /** Takes back soon what online work needs, as peers tell it. */
@@ -78,6 +87,7 @@
   /** Hands all jobs back, and claims none until `resumeClaims`. */
   async releaseAll(): Promise<void> {
     this.#isReleasing = true;
+    await this.#saver.saveAll();
     const ids = [...this.#owned.keys()];
     await Promise.all(ids.map((id) => this.#release(id)));
   }
@@ -87,6 +97,7 @@
   }
 
   stop(): void {
+    this.#saver.stop();
     clearInterval(this.#timer);
     clearTimeout(this.#yieldTimer);
     [...this.#owned.keys()].forEach((id) => {
--- a/packages/gateway/src/jobs/job_sweeper.ts
+++ b/packages/gateway/src/jobs/job_sweeper.ts
@@ -72,7 +72,9 @@
     const { store, log } = this.#parts;
     const results = job.itemIds.map((_, at) => batchKeys.result(job.id, at));
     const chunks = job.chunkStarts.map((_, at) => batchKeys.chunk(job.id, at));
-    const keys = [...results, ...chunks, batchKeys.progress(job.id)];
+    const texts = job.itemIds.map((_, at) => batchKeys.text(job.id, at));
+    const others = [...texts, ...chunks, batchKeys.progress(job.id)];
+    const keys = [...results, ...others];
     const size = BATCHES.MAX_COMMIT_ENTRIES;
     const groups = Array.from(
       { length: Math.ceil(keys.length / size) },
--- a/packages/gateway/src/jobs/job_sweeper_test.ts
+++ b/packages/gateway/src/jobs/job_sweeper_test.ts
@@ -44,6 +44,8 @@
     metadata.put(key, value.toString());
   put(batchKeys.job("j1"), batchRecords.encode(job));
   put(batchKeys.chunk("j1", 0), batchRecords.encodeChunk([]));
+  const text = { index: 3, texts: ["a"], lastEventId: 1, ranMs: 25 };
+  put(batchKeys.text("j1", 3), batchRecords.encode(text));
   itemIds.forEach((id, at) => {
     const result = { id, state: "completed", text: "" } as const;
     put(batchKeys.result("j1", at), batchRecords.encode(result));
@@ -60,7 +62,7 @@
 test("a job stays as long as anyone may ask for it", async () => {
   const { sweeper, endMs, countRecords } = await startSweeper();
   await sweeper.sweep(endMs);
-  expect(await countRecords()).toBe(42);
+  expect(await countRecords()).toBe(43);
 });
 
 test("past that all its records go", async () => {
--- a/packages/gateway/src/jobs/load_job.ts
+++ b/packages/gateway/src/jobs/load_job.ts
@@ -1,6 +1,7 @@
 import {
   type BatchClaim,
   type BatchItem,
+  type BatchText,
   batchKeys,
   type MetadataItem,
   type MetadataStore,
@@ -15,10 +16,11 @@
   claim: BatchClaim,
   claimRevision: number,
 ): Promise<LoadedJob | undefined> {
-  const [job, progress, items] = await Promise.all([
+  const [job, progress, items, texts] = await Promise.all([
     store.readKey(batchKeys.job(jobId)),
     store.readKey(batchKeys.progress(jobId)),
     loadItems(store, jobId),
+    loadTexts(store, jobId),
   ]);
   if (job.kind === "failed" || progress.kind === "failed") {
     return undefined;
@@ -29,16 +31,42 @@
   if (record === undefined || known === undefined || items === undefined) {
     return undefined;
   }
+  if (texts === undefined) {
+    return undefined;
+  }
   return {
     job: record,
     items,
     claim,
     claimRevision,
     listed: known.listed,
+    texts,
     progressRevision: progress.item?.revision ?? 0,
   };
 }
 
+/** Texts that an earlier owner has saved, by index of the item. */
+async function loadTexts(
+  store: MetadataStore,
+  jobId: string,
+  after?: string,
+): Promise<ReadonlyMap<number, BatchText> | undefined> {
+  const page = await store.listPage(batchKeys.texts(jobId), after);
+  if (page.kind === "failed") {
+    return undefined;
+  }
+  const texts = page.items
+    .map(({ value }) => batchRecords.decodeText(value))
+    .filter((text) => text !== undefined)
+    .map((text) => [text.index, text] as const);
+  const last = page.items.at(-1);
+  if (!page.hasMore || last === undefined) {
+    return new Map(texts);
+  }
+  const rest = await loadTexts(store, jobId, last.key);
+  return rest === undefined ? undefined : new Map([...texts, ...rest]);
+}
+
 async function loadItems(
   store: MetadataStore,
   jobId: string,
--- a/packages/gateway/src/jobs/owned_job.ts
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -4,6 +4,7 @@
   type BatchItem,
   type BatchJob,
   type BatchResult,
+  type BatchText,
   batchKeys,
   type MetadataCommit,
   type MetadataItem,
@@ -39,6 +40,8 @@
   readonly claim: BatchClaim;
   readonly claimRevision: number;
   readonly listed: readonly number[];
+  /** What an earlier owner saved of items under way, by index. */
+  readonly texts: ReadonlyMap<number, BatchText>;
   readonly progressRevision: number;
 };
 
@@ -52,6 +55,8 @@
   readonly #parts: OwnedParts;
   #listed: readonly number[];
   #progressRevision: number;
+  /** Items whose text may stand in the store. */
+  readonly #saved: Set<number>;
   #finished: Finished[] = [];
   #isWriting = false;
   #writes = 0;
@@ -61,6 +66,7 @@
     this.loaded = loaded;
     this.#parts = parts;
     this.#listed = loaded.listed;
+    this.#saved = new Set(loaded.texts.keys());
     this.#progressRevision = loaded.progressRevision;
   }
 
@@ -79,6 +85,11 @@
     this.#isOver = true;
   }
 
+  /** Notes that an item's text is about to be saved. */
+  noteSave(index: number): void {
+    this.#saved.add(index);
+  }
+
   addResult(index: number, result: BatchResult): void {
     this.#finished.push({ index, result });
     void this.#write();
@@ -141,7 +152,12 @@
           value: batchRecords.encode(result),
         })),
       ],
-      remove: isLast ? [claimKey] : [],
+      remove: [
+        ...batch
+          .filter(({ index }) => this.#saved.has(index))
+          .map(({ index }) => batchKeys.text(job.id, index)),
+        ...(isLast ? [claimKey] : []),
+      ],
     };
   }
 
--- a/packages/gateway/src/jobs/owned_job_test.ts
+++ b/packages/gateway/src/jobs/owned_job_test.ts
@@ -1,79 +1,9 @@
 import { batchKeys, ITEM_RESULTS } from "@gooseberryline/core";
-import { createMetadata } from "@gooseberryline/fakes";
 import { expect, test } from "vitest";
+import { startJob } from "../testing/start_job.ts";
 import { waitMs } from "../wait_ms.ts";
 import { batchRecords } from "./batch_records.ts";
-import { buildJob } from "./build_job.ts";
 import { JOB_TIMES } from "./constants.ts";
-import { ListingNews } from "./listing_news.ts";
-import { loadJob } from "./load_job.ts";
-import { OwnedJob } from "./owned_job.ts";
-import { ResultsReader } from "./results_reader.ts";
-
-const silent = (): undefined => undefined;
-const log = { info: silent, warn: silent, error: silent };
-
-const route = {
-  name: "r",
-  host: "h",
-  prefix: "/b/",
-  shape: "job",
-  isIdempotent: true,
-  isResumable: false,
-  isPublic: false,
-  targets: [],
-  maxAttempts: 3,
-  timeoutMs: 1_000,
-  objectiveMs: 300,
-  priority: 0,
-  dueMs: 10_000,
-  retentionMs: 60_000,
-} as const;
-
-async function startJob(ids: readonly string[] = ["a", "b", "c"]) {
-  const metadata = createMetadata();
-  const { store } = metadata;
-  const items = ids.map((id) => ({
-    id,
-    path: "/b/x",
-    headers: {},
-    body: "",
-    tokens: 1,
-  }));
-  const { job, commit } = buildJob({
-    id: "j1",
-    customer: "t1",
-    route,
-    items,
-    submittedAtMs: 0,
-    runners: [],
-    writer: "w",
-  });
-  await store.commit(commit);
-  const own = async (writerName: string) => {
-    const claim = await store.readKey(batchKeys.claim("j1"));
-    const item = claim.kind === "read" ? claim.item : undefined;
-    const known = item && batchRecords.decodeClaim(item.value);
-    const loaded =
-      known && (await loadJob(store, "j1", known, item?.revision ?? 0));
-    if (loaded === undefined) {
-      throw new Error("the job can't be loaded");
-    }
-    const state = { isLost: false };
-    const onLost = (): void => {
-      state.isLost = true;
-    };
-    const owned = new OwnedJob(loaded, { store, log, writerName, onLost });
-    return { owned, state };
-  };
-  const news = new ListingNews(() => performance.now());
-  const reader = new ResultsReader(store, news);
-  const readIds = async (from = 0, holdMs = 0): Promise<readonly string[]> => {
-    const read = await reader.read(job, from, holdMs);
-    return read.kind === "read" ? read.results.map(({ id }) => id) : [];
-  };
-  return { metadata, job, own, readIds, news };
-}
 
 function createResult(id: string) {
   return { id, state: ITEM_RESULTS.completed, text: `text ${id}` };
--- /dev/null
+++ b/packages/gateway/src/jobs/text_saver_test.ts
@@ -0,0 +1,94 @@
+import { batchKeys, ITEM_RESULTS } from "@gooseberryline/core";
+import { expect, test } from "vitest";
+import { startJob } from "../testing/start_job.ts";
+import { batchRecords } from "./batch_records.ts";
+import { TextSaver } from "./text_saver.ts";
+
+const silent = (): undefined => undefined;
+const log = { info: silent, warn: silent, error: silent };
+
+function createItem(index: number, events: number) {
+  const texts = Array.from({ length: events }, (_, at) => `text ${at}`);
+  return {
+    jobId: "j1",
+    index,
+    dueAtMs: 0,
+    ranMs: 25 * events,
+    item: { id: "a", path: "/", headers: {}, body: "", tokens: 1 },
+    text: { texts, lastEventId: events },
+    failures: 0,
+    tried: new Set<string>(),
+    notBeforeMs: 0,
+  };
+}
+
+async function startSaver(events = 40) {
+  const job = await startJob();
+  const { owned } = await job.own("w1");
+  const items = { list: [createItem(1, events)] };
+  const saver = new TextSaver({
+    store: job.metadata.store,
+    log,
+    listTexts: () => items.list,
+    getOwned: () => owned,
+    countWorkers: () => 1,
+  });
+  const countTexts = async (): Promise<number> => {
+    const page = await job.metadata.store.listPage(batchKeys.texts("j1"));
+    return page.kind === "page" ? page.items.length : -1;
+  };
+  return { ...job, owned, items, saver, countTexts };
+}
+
+// Seen on ipacp trouble-1: all processes were killed, and 52 items ran again
+// from their first event.
+test("the next owner goes on after what was saved", async () => {
+  const { saver, own } = await startSaver();
+  await saver.saveAll();
+  const { owned } = await own("w2");
+  const text = owned.loaded.texts.get(1);
+  expect(text?.lastEventId).toBe(40);
+  expect(text?.texts).toHaveLength(40);
+  expect(text?.ranMs).toBe(1_000);
+});
+
+test("a listed result takes the place of its text", async () => {
+  const { saver, owned, countTexts } = await startSaver();
+  await saver.saveAll();
+  expect(await countTexts()).toBe(1);
+  const result = { id: "b", state: ITEM_RESULTS.completed, text: "b" };
+  owned.addResult(1, result);
+  await expect.poll(() => owned.listedCount).toBe(1);
+  expect(await countTexts()).toBe(0);
+});
+
+test("a late owner saves nothing", async () => {
+  const { saver, metadata, countTexts } = await startSaver();
+  const claim = { owner: "w2", incarnation: "1", dueAtMs: 0 };
+  const value = batchRecords.encode(claim).toString();
+  metadata.put(batchKeys.claim("j1"), value);
+  await saver.saveAll();
+  expect(await countTexts()).toBe(0);
+});
+
+test("what the store has is not written again", async () => {
+  const { saver, items, metadata, own } = await startSaver();
+  await saver.saveAll();
+  const before = metadata.calls.commit;
+  await saver.saveAll();
+  expect(metadata.calls.commit).toBe(before);
+  items.list = [createItem(1, 41)];
+  await saver.saveAll();
+  const { owned } = await own("w2");
+  expect(owned.loaded.texts.get(1)?.lastEventId).toBe(41);
+});
+
+test("with the store away a text is saved later", async () => {
+  const { saver, metadata, countTexts } = await startSaver();
+  metadata.setFaults({ isDown: true });
+  await saver.saveAll();
+  metadata.setFaults({ isDown: false });
+  expect(await countTexts()).toBe(0);
+  await saver.saveAll();
+  expect(await countTexts()).toBe(1);
+});
--- /dev/null
+++ b/packages/gateway/src/testing/start_job.ts
@@ -0,0 +1,75 @@
+/** A job of a stand-in store, for tests that own it. */
+import { batchKeys } from "@gooseberryline/core";
+import { createMetadata } from "@gooseberryline/fakes";
+import { batchRecords } from "../jobs/batch_records.ts";
+import { buildJob } from "../jobs/build_job.ts";
+import { ListingNews } from "../jobs/listing_news.ts";
+import { loadJob } from "../jobs/load_job.ts";
+import { OwnedJob } from "../jobs/owned_job.ts";
+import { ResultsReader } from "../jobs/results_reader.ts";
+
+const silent = (): undefined => undefined;
+const log = { info: silent, warn: silent, error: silent };
+
+const route = {
+  name: "r",
+  host: "h",
+  prefix: "/b/",
+  shape: "job",
+  isIdempotent: true,
+  isResumable: false,
+  isPublic: false,
+  targets: [],
+  maxAttempts: 3,
+  timeoutMs: 1_000,
+  objectiveMs: 300,
+  priority: 0,
+  dueMs: 10_000,
+  retentionMs: 60_000,
+} as const;
+
+/** Accepts a job `j1` of items with these ids; `own` loads it as an owner. */
+export async function startJob(ids: readonly string[] = ["a", "b", "c"]) {
+  const metadata = createMetadata();
+  const { store } = metadata;
+  const items = ids.map((id) => ({
+    id,
+    path: "/b/x",
+    headers: {},
+    body: "",
+    tokens: 1,
+  }));
+  const { job, commit } = buildJob({
+    id: "j1",
+    customer: "t1",
+    route,
+    items,
+    submittedAtMs: 0,
+    runners: [],
+    writer: "w",
+  });
+  await store.commit(commit);
+  const own = async (writerName: string) => {
+    const claim = await store.readKey(batchKeys.claim("j1"));
+    const item = claim.kind === "read" ? claim.item : undefined;
+    const known = item && batchRecords.decodeClaim(item.value);
+    const loaded =
+      known && (await loadJob(store, "j1", known, item?.revision ?? 0));
+    if (loaded === undefined) {
+      throw new Error("the job can't be loaded");
+    }
+    const state = { isLost: false };
+    const onLost = (): void => {
+      state.isLost = true;
+    };
+    const owned = new OwnedJob(loaded, { store, log, writerName, onLost });
+    return { owned, state };
+  };
+  const news = new ListingNews(() => performance.now());
+  const reader = new ResultsReader(store, news);
+  const readIds = async (from = 0, holdMs = 0): Promise<readonly string[]> => {
+    const read = await reader.read(job, from, holdMs);
+    return read.kind === "read" ? read.results.map(({ id }) => id) : [];
+  };
+  return { metadata, job, own, readIds, news };
+}
