--- a/packages/core/src/metadata/types.ts
+++ b/packages/core/src/metadata/types.ts
@@ -83,10 +83,23 @@
  * The one client of the store. No call rejects: one without an answer comes
  * back as a `MetadataFailure`.
  */
+/** How a read is answered; the latest state where nothing is said. */
+export type ReadOptions = {
+  /** May be seconds old, at a fraction of the price. */
+  readonly mayBeStale: boolean;
+};
+
 export type MetadataStore = {
-  readonly readKey: (key: string) => Promise<MetadataRead>;
+  readonly readKey: (
+    key: string,
+    options?: ReadOptions,
+  ) => Promise<MetadataRead>;
   /** One page of a prefix, after a key; pages are not a snapshot. */
-  readonly listPage: (prefix: string, after?: string) => Promise<MetadataPage>;
+  readonly listPage: (
+    prefix: string,
+    after?: string,
+    options?: ReadOptions,
+  ) => Promise<MetadataPage>;
   /** Waits for changes under a prefix after a store revision. */
   readonly watchPrefix: (
     prefix: string,
--- a/packages/fakes/src/metadata/create_metadata.ts
+++ b/packages/fakes/src/metadata/create_metadata.ts
@@ -2,6 +2,7 @@
   BATCHES,
   type MetadataFailure,
   type MetadataStore,
+  type ReadOptions,
 } from "@gooseberryline/core";
 import { MetadataState } from "./metadata_state.ts";
 import type { FakeMetadata, MetadataFaults } from "./types.ts";
@@ -21,6 +22,7 @@
       lostCommits: 0,
       isDeaf: false,
       silentWatches: 0,
+      isBehind: false,
     } as MetadataFaults,
   };
   const write = (
@@ -34,17 +36,21 @@
     const { isDown, isRefusing } = control.faults;
     return isDown || isRefusing ? fail(step, isRefusing) : undefined;
   };
+  const isBehind = (options: ReadOptions | undefined): boolean =>
+    options?.mayBeStale === true && control.faults.isBehind;
   const store: MetadataStore = {
-    readKey: async (key) =>
-      enter("read") ?? {
+    readKey: async (key, options) =>
+      enter(nameRead("read", options)) ?? {
         kind: "read",
-        item: state.read(key),
+        item: isBehind(options) ? undefined : state.read(key),
         storeRevision: state.revision,
       },
-    listPage: async (prefix, after) =>
-      enter("list") ?? {
+    listPage: async (prefix, after, options) =>
+      enter(nameRead("list", options)) ?? {
         kind: "page",
-        ...state.listPage(prefix, after),
+        ...(isBehind(options)
+          ? { items: [], hasMore: false }
+          : state.listPage(prefix, after)),
         storeRevision: state.revision,
       },
     watchPrefix: async (prefix, after, waitMs, signal) => {
@@ -150,6 +156,10 @@
   };
 }
 
+function nameRead(step: string, options: ReadOptions | undefined): string {
+  return options?.mayBeStale === true ? `stale-${step}` : step;
+}
+
 function fail(step: string, isUndone: boolean): MetadataFailure {
   return { kind: "failed", isUndone, step, reason: "stand-in fault" };
 }
--- a/packages/gateway/src/jobs/job_cache.ts
+++ b/packages/gateway/src/jobs/job_cache.ts
@@ -4,6 +4,7 @@
   type MetadataFailure,
   type MetadataStore,
 } from "@gooseberryline/core";
+import { readConstant } from "../store/read_constant.ts";
 import { batchRecords } from "./batch_records.ts";
 import { JOB_TIMES } from "./constants.ts";
 
@@ -34,7 +35,7 @@
     if (known !== undefined) {
       return { kind: "found", job: known };
     }
-    const read = await this.#store.readKey(batchKeys.job(id));
+    const read = await readConstant(this.#store, batchKeys.job(id));
     if (read.kind === "failed") {
       return read;
     }
--- a/packages/gateway/src/jobs/job_door.ts
+++ b/packages/gateway/src/jobs/job_door.ts
@@ -14,6 +14,7 @@
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { faults } from "../requests/faults.ts";
 import type { CallReply } from "../requests/types.ts";
+import { readConstant } from "../store/read_constant.ts";
 import { waitMs } from "../wait_ms.ts";
 import { authenticateReader } from "./authenticate_reader.ts";
 import { batchRecords } from "./batch_records.ts";
@@ -225,9 +226,8 @@
       reply.sendFault(faults.notFound("there is no such item"));
       return;
     }
-    const read = await this.#parts.store.readKey(
-      batchKeys.chunk(job.id, chunk),
-    );
+    const key = batchKeys.chunk(job.id, chunk);
+    const read = await readConstant(this.#parts.store, key);
     if (read.kind === "failed") {
       reply.sendFault(faults.unready(read.reason));
       return;
--- a/packages/gateway/src/jobs/owned_job_test.ts
+++ b/packages/gateway/src/jobs/owned_job_test.ts
@@ -97,7 +97,9 @@
 });
 
 function countReads(calls: Readonly<Record<string, number>>): number {
-  return (calls.list ?? 0) + (calls.watch ?? 0) + (calls.read ?? 0);
+  return Object.entries(calls)
+    .filter(([step]) => step !== "commit")
+    .reduce((sum, [, count]) => sum + count, 0);
 }
 
 test("with news of the owner a reader who has all makes no call", async () => {
@@ -148,3 +150,15 @@
   await settle(() => owned.isOver);
   expect(await readIds()).toEqual(ids);
 });
+
+test("results are read cheaply, and afresh where that shows none", async () => {
+  const { own, readIds, metadata } = await startJob();
+  const { owned } = await own("w1");
+  owned.addResult(0, createResult("a"));
+  await settle(() => owned.listedCount === 1);
+  const before = metadata.calls.list;
+  expect(await readIds(0)).toEqual(["a"]);
+  expect(metadata.calls.list).toBe(before);
+  metadata.setFaults({ isBehind: true });
+  expect(await readIds(0)).toEqual(["a"]);
+});
--- a/packages/gateway/src/jobs/results_reader.ts
+++ b/packages/gateway/src/jobs/results_reader.ts
@@ -8,6 +8,7 @@
   type MetadataFailure,
   type MetadataStore,
 } from "@gooseberryline/core";
+import { listConstants } from "../store/list_constants.ts";
 import { batchRecords } from "./batch_records.ts";
 import { JOB_TIMES } from "./constants.ts";
 import type { ListingNews } from "./listing_news.ts";
@@ -66,7 +67,7 @@
   async #list(job: BatchJob, from: number, holdMs: number): Promise<Results> {
     const prefix = batchKeys.results(job.id);
     const after = from === 0 ? undefined : batchKeys.result(job.id, from - 1);
-    const page = await this.#store.listPage(prefix, after);
+    const page = await listConstants(this.#store, prefix, after);
     if (page.kind === "failed") {
       return page;
     }
--- a/packages/gateway/src/store/relay_codec.ts
+++ b/packages/gateway/src/store/relay_codec.ts
@@ -1,13 +1,18 @@
-import type { MetadataCommit } from "@gooseberryline/core";
+import type { MetadataCommit, ReadOptions } from "@gooseberryline/core";
 import { z } from "zod";
 
 /** A call of the store that a peer makes for another instance. */
 export type RelayCall =
-  | { readonly kind: "read"; readonly key: string }
+  | {
+      readonly kind: "read";
+      readonly key: string;
+      readonly options?: ReadOptions | undefined;
+    }
   | {
       readonly kind: "list";
       readonly prefix: string;
       readonly after?: string | undefined;
+      readonly options?: ReadOptions | undefined;
     }
   | {
       readonly kind: "watch";
@@ -22,12 +27,19 @@
 
 const BYTES = z.instanceof(Buffer);
 
+const OPTIONS = z.object({ mayBeStale: z.boolean() }).optional();
+
 const CALL: z.ZodType<RelayCall> = z.discriminatedUnion("kind", [
-  z.object({ kind: z.literal("read"), key: z.string() }),
+  z.object({
+    kind: z.literal("read"),
+    key: z.string(),
+    options: OPTIONS,
+  }),
   z.object({
     kind: z.literal("list"),
     prefix: z.string(),
     after: z.string().optional(),
+    options: OPTIONS,
   }),
   z.object({
     kind: z.literal("watch"),
--- a/packages/gateway/src/store/relay_listener.ts
+++ b/packages/gateway/src/store/relay_listener.ts
@@ -54,9 +54,9 @@
     const store = this.#store;
     switch (call.kind) {
       case "read":
-        return store.readKey(call.key);
+        return store.readKey(call.key, call.options);
       case "list":
-        return store.listPage(call.prefix, call.after);
+        return store.listPage(call.prefix, call.after, call.options);
       case "watch":
         return store.watchPrefix(call.prefix, call.after, call.waitMs, signal);
       case "commit":
--- a/packages/gateway/src/store/relayed_store.ts
+++ b/packages/gateway/src/store/relayed_store.ts
@@ -47,13 +47,18 @@
   build(): MetadataStore {
     const { direct } = this.#parts;
     return {
-      readKey: (key) =>
-        this.#call(() => direct.readKey(key), { kind: "read", key }),
-      listPage: (prefix, after) =>
-        this.#call(() => direct.listPage(prefix, after), {
+      readKey: (key, options) =>
+        this.#call(() => direct.readKey(key, options), {
+          kind: "read",
+          key,
+          options,
+        }),
+      listPage: (prefix, after, options) =>
+        this.#call(() => direct.listPage(prefix, after, options), {
           kind: "list",
           prefix,
           after,
+          options,
         }),
       watchPrefix: (prefix, after, waitMs, signal) =>
         this.#call(
