Tell the story of a request, job or item from its log lines

The gateway's events stand in one typed catalogue (core/src/logs); a line of another event or field does not compile. docs/operators/logs.md lists them, and a test holds the two together. gooseberryctl explain ID reads log files or standard input and prints what each instance knew when it began, with its age, what was done, and the outcome.

--- a/packages/cli/src/run_tool.ts
+++ b/packages/cli/src/run_tool.ts
@@ -8,6 +8,7 @@
 import { CompletionCommand } from "./commands/completion_command.ts";
 import { CONFIG_COMMANDS } from "./commands/config_commands.ts";
 import { DATA_CENTRE_COMMANDS } from "./commands/data_centre_commands.ts";
+import { ExplainCommand } from "./commands/explain_command.ts";
 import { JOB_COMMANDS } from "./commands/job_commands.ts";
 import { KEY_COMMANDS } from "./commands/key_commands.ts";
 import { RunsCommand } from "./commands/runs_command.ts";
@@ -79,6 +80,7 @@
     ...JOB_COMMANDS,
     RunsCommand,
     BurnCommand,
+    ExplainCommand,
     CompletionCommand,
   ].forEach((command) => {
     cli.register(command);
--- /dev/null
+++ b/packages/core/src/logs/log_events.ts
@@ -0,0 +1,193 @@
+/**
+ * Every event that an instance logs on the platform, with the fields of its
+ * lines and what it says. Each line also bears `event`, `level`, `at` (ISO
+ * 8601) and `instance`. Ids join lines: `requestId`, `jobId`, `itemId`.
+ */
+export const LOG_EVENTS = {
+  "request-ended": {
+    fields: [
+      "requestId",
+      "route",
+      "customer",
+      "upstreams",
+      "runs",
+      "waitMs",
+      "firstMs",
+      "revision",
+      "outcome",
+      "status",
+      "reason",
+      "events",
+      "tookMs",
+    ],
+    text: "A request is over: where it went, what was expected, how it ended",
+  },
+  "request-retry": {
+    fields: [
+      "requestId",
+      "route",
+      "customer",
+      "upstreams",
+      "runs",
+      "waitMs",
+      "firstMs",
+      "revision",
+      "end",
+      "reason",
+      "events",
+    ],
+    text: "An attempt failed and the request goes to another upstream",
+  },
+  "caller-connection-lost": {
+    fields: ["reason"],
+    text: "A caller's connection broke, or what came on it was malformed",
+  },
+  "job-accepted": {
+    fields: ["jobId", "items"],
+    text: "The store has the whole job",
+  },
+  "job-not-accepted": {
+    fields: ["jobId", "mayStand"],
+    text: "The store did not confirm a job; it may stand all the same",
+  },
+  "job-claimed": {
+    fields: ["jobId", "from"],
+    text: "A worker takes a job over from an owner that is gone",
+  },
+  "job-not-loaded": {
+    fields: ["jobId", "isStill"],
+    text: "A claimed job could not be read, or is another worker's by now",
+  },
+  "job-lost-to-another": {
+    fields: ["jobId"],
+    text: "A write failed since the claim is another worker's",
+  },
+  "job-ended-by-caller": { fields: ["jobId"], text: "The caller ended a job" },
+  "job-removed": {
+    fields: ["jobId"],
+    text: "The records of an old job are gone",
+  },
+  "item-run-ended": {
+    fields: [
+      "jobId",
+      "itemId",
+      "upstream",
+      "end",
+      "reason",
+      "status",
+      "events",
+      "ranMs",
+      "step",
+    ],
+    text: "One run of an item at an upstream is over",
+  },
+  "item-errored": {
+    fields: ["jobId", "itemId", "reason"],
+    text: "An item is given up",
+  },
+  "results-listed": {
+    fields: ["jobId", "listed", "total"],
+    text: "The store has further results of a job",
+  },
+  "results-not-written": {
+    fields: ["jobId", "reason"],
+    text: "The store did not confirm results; they are written again",
+  },
+  "texts-not-saved": {
+    fields: ["kind"],
+    text: "Texts of unfinished items were not saved this time",
+  },
+  "config-adopted": {
+    fields: ["revision", "routes"],
+    text: "A configuration is in force here",
+  },
+  "config-unreadable": {
+    fields: ["revision", "reason"],
+    text: "A configuration is passed over; the last one stands",
+  },
+  "operator-record-unknown": {
+    fields: ["key"],
+    text: "An operators' record of another kind is passed over",
+  },
+  "data-centre": {
+    fields: ["dataCentre", "isOut"],
+    text: "A data centre was taken out or brought back",
+  },
+  "upstream-listed": {
+    fields: ["upstream", "dataCentre", "isDraining", "coldMs"],
+    text: "An upstream's entry is new or has changed",
+  },
+  "upstream-removed": {
+    fields: ["upstream"],
+    text: "An upstream's entry is gone",
+  },
+  "upstream-unreadable": {
+    fields: ["upstream", "reason"],
+    text: "An upstream's entry can't be read; it is not used",
+  },
+  "member-listed": {
+    fields: ["instance", "duty", "incarnation"],
+    text: "An instance registered",
+  },
+  "member-unlisted": {
+    fields: ["instance"],
+    text: "An instance's registration is gone",
+  },
+  "member-unreadable": {
+    fields: ["key"],
+    text: "An instance's record can't be read",
+  },
+  "membership-registered": {
+    fields: ["leaseId"],
+    text: "This instance is registered under a lease",
+  },
+  "membership-lapsed": {
+    fields: ["leaseId"],
+    text: "The store ended this instance's lease; it registers again",
+  },
+  "watch-lost": {
+    fields: ["prefix", "revision", "reason"],
+    text: "The store does not answer a watch; the last state stands",
+  },
+  "watch-regained": {
+    fields: ["prefix", "failures"],
+    text: "The store answers a watch again",
+  },
+  "watch-behind": {
+    fields: ["prefix", "own", "revision"],
+    text: "A peer has seen a later change; the watch is opened anew",
+  },
+  "watch-history-gone": {
+    fields: ["prefix", "revision"],
+    text: "The store has dropped the history; the records are read afresh",
+  },
+  "peer-socket": { fields: ["reason"], text: "The socket to peers failed" },
+  "peer-message-unreadable": {
+    fields: ["bytes"],
+    text: "A datagram is of no instance of this version; said once",
+  },
+  started: {
+    fields: ["incarnation", "duty"],
+    text: "The process is up; it may not know its configuration yet",
+  },
+  ready: { fields: ["sinceStartMs"], text: "All records were read once" },
+  stopping: { fields: ["open"], text: "A planned stop began" },
+  stopped: { fields: ["tookMs"], text: "A planned stop is done" },
+  retired: { fields: ["instance"], text: "This instance has no jobs left" },
+  reload: {
+    fields: [],
+    text: "SIGHUP came; settings are read at a start only",
+  },
+  "settings-invalid": {
+    fields: ["path", "faults"],
+    text: "The settings file is wrong; the process ends",
+  },
+  "start-failed": { fields: ["reason"], text: "A listener could not start" },
+  uncaught: { fields: ["reason"], text: "A fault of the program" },
+  "log-dropped": {
+    fields: ["lines"],
+    text: "The log's reader was slow; so many lines are missing here",
+  },
+} as const satisfies Readonly<
+  Record<string, { readonly fields: readonly string[]; readonly text: string }>
+>;
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -47,6 +47,8 @@
 export type * from "./jobs/types.ts";
 export { takeTokens } from "./limits/take_tokens.ts";
 export type * from "./limits/types.ts";
+export { LOG_EVENTS } from "./logs/log_events.ts";
+export type * from "./logs/types.ts";
 export type * from "./membership/types.ts";
 export type * from "./metadata/types.ts";
 export { PLACING } from "./placing/constants.ts";
--- a/packages/gateway/src/fleet/membership_task.ts
+++ b/packages/gateway/src/fleet/membership_task.ts
@@ -1,12 +1,15 @@
-import type { FleetMember, MetadataStore } from "@gooseberryline/core";
-import type { Log } from "@gooseberryline/daemon";
+import type {
+  EventLog,
+  FleetMember,
+  MetadataStore,
+} from "@gooseberryline/core";
 import { FLEET } from "./constants.ts";
 import { memberRecord } from "./member_record.ts";
 
 type MembershipParts = {
   readonly store: MetadataStore;
   readonly member: FleetMember;
-  readonly log: Log;
+  readonly log: EventLog;
 };
 
 /** Keeps this instance's record in the store under a lease. */
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -1,6 +1,5 @@
 import { createSocket, type Socket } from "node:dgram";
-import type { LoadMessage } from "@gooseberryline/core";
-import type { Log } from "@gooseberryline/daemon";
+import type { EventLog, LoadMessage } from "@gooseberryline/core";
 import { FLEET } from "./constants.ts";
 import { countGossipMs } from "./count_gossip_ms.ts";
 import type { FleetView } from "./fleet_view.ts";
@@ -9,13 +8,13 @@
 /** Sends and takes load messages; each may be lost. */
 export class PeerLink {
   readonly #view: FleetView;
-  readonly #log: Log;
+  readonly #log: EventLog;
   readonly #socket: Socket;
   #timer: NodeJS.Timeout | undefined;
   #hasNews = false;
   #strays = 0;
 
-  constructor(view: FleetView, log: Log) {
+  constructor(view: FleetView, log: EventLog) {
     this.#view = view;
     this.#log = log;
     view.onCrowded = () => this.#sendSoon();
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -1,10 +1,10 @@
 import {
   assertNever,
+  type EventLog,
   type MetadataEvent,
   type MetadataItem,
   type MetadataStore,
 } from "@gooseberryline/core";
-import type { Log } from "@gooseberryline/daemon";
 import type { RecordDialect } from "../dialect/types.ts";
 import { PrefixWatch } from "../store/prefix_watch.ts";
 import type { FleetView } from "./fleet_view.ts";
@@ -14,7 +14,7 @@
   readonly view: FleetView;
   readonly store: MetadataStore;
   readonly dialect: RecordDialect;
-  readonly log: Log;
+  readonly log: EventLog;
   readonly onConfig: () => void;
   /** This instance is to be emptied, or no longer. */
   readonly onRetire: (isRetired: boolean) => void;
--- a/packages/gateway/src/jobs/job_door.ts
+++ b/packages/gateway/src/jobs/job_door.ts
@@ -5,11 +5,11 @@
   type BatchJob,
   batchKeys,
   DUTIES,
+  type EventLog,
   type MetadataStore,
   type Route,
   type RouteCustomer,
 } from "@gooseberryline/core";
-import type { Log } from "@gooseberryline/daemon";
 import type { CallDialect, CallHead, JobCall } from "../dialect/types.ts";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { faults } from "../requests/faults.ts";
@@ -28,7 +28,7 @@
   readonly view: FleetView;
   readonly store: MetadataStore;
   readonly dialect: CallDialect;
-  readonly log: Log;
+  readonly log: EventLog;
   readonly news: ListingNews;
 };
 
--- a/packages/gateway/src/jobs/job_sweeper.ts
+++ b/packages/gateway/src/jobs/job_sweeper.ts
@@ -3,10 +3,10 @@
   type BatchJob,
   batchKeys,
   DUTIES,
+  type EventLog,
   type MetadataStore,
   rankByRendezvous,
 } from "@gooseberryline/core";
-import type { Log } from "@gooseberryline/daemon";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { batchRecords } from "./batch_records.ts";
 import { JOB_TIMES } from "./constants.ts";
@@ -14,7 +14,7 @@
 type SweeperParts = {
   readonly view: FleetView;
   readonly store: MetadataStore;
-  readonly log: Log;
+  readonly log: EventLog;
 };
 
 const DUTY = "sweep";
--- a/packages/gateway/src/jobs/owned_job.ts
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -6,18 +6,18 @@
   type BatchResult,
   type BatchText,
   batchKeys,
+  type EventLog,
   type MetadataCommit,
   type MetadataItem,
   type MetadataStore,
 } from "@gooseberryline/core";
-import type { Log } from "@gooseberryline/daemon";
 import { waitMs } from "../wait_ms.ts";
 import { batchRecords } from "./batch_records.ts";
 import { JOB_TIMES } from "./constants.ts";
 
 type OwnedParts = {
   readonly store: MetadataStore;
-  readonly log: Log;
+  readonly log: EventLog;
   /** Tells this process's writes from those of others. */
   readonly writerName: string;
   readonly onLost: () => void;
--- a/packages/gateway/src/jobs/text_saver.ts
+++ b/packages/gateway/src/jobs/text_saver.ts
@@ -3,9 +3,9 @@
   type BatchText,
   batchKeys,
   chooseTexts,
+  type EventLog,
   type MetadataStore,
 } from "@gooseberryline/core";
-import type { Log } from "@gooseberryline/daemon";
 import { waitMs } from "../wait_ms.ts";
 import { batchRecords } from "./batch_records.ts";
 import type { OwnedJob } from "./owned_job.ts";
@@ -13,7 +13,7 @@
 
 type SaverParts = {
   readonly store: MetadataStore;
-  readonly log: Log;
+  readonly log: EventLog;
   readonly listTexts: () => readonly WaitingItem[];
   readonly getOwned: (jobId: string) => OwnedJob | undefined;
   readonly countWorkers: () => number;
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,5 +1,9 @@
-import { assertNever, type UpstreamEntry } from "@gooseberryline/core";
-import type { ConnectionPool, Log } from "@gooseberryline/daemon";
+import {
+  assertNever,
+  type EventLog,
+  type UpstreamEntry,
+} from "@gooseberryline/core";
+import type { ConnectionPool } from "@gooseberryline/daemon";
 import type { CallDialect } from "../dialect/types.ts";
 import type {
   ExchangeEnd,
@@ -14,7 +18,7 @@
   readonly view: FleetView;
   readonly pool: ConnectionPool;
   readonly dialect: CallDialect;
-  readonly log: Log;
+  readonly log: EventLog;
 };
 
 /** A try of a request or an item at one upstream, counted as its load. */
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -1,6 +1,11 @@
 import { randomUUID } from "node:crypto";
-import { batchKeys, DUTIES, type MetadataStore } from "@gooseberryline/core";
-import { ConnectionPool, type Log } from "@gooseberryline/daemon";
+import {
+  batchKeys,
+  DUTIES,
+  type EventLog,
+  type MetadataStore,
+} from "@gooseberryline/core";
+import { ConnectionPool } from "@gooseberryline/daemon";
 import type { Dialect } from "./dialect/types.ts";
 import { EXCHANGE } from "./exchange/constants.ts";
 import { FleetView } from "./fleet/fleet_view.ts";
@@ -26,7 +31,7 @@
   readonly settings: GatewaySettings;
   readonly store: MetadataStore;
   readonly dialect: Dialect;
-  readonly log: Log;
+  readonly log: EventLog;
 };
 
 /** A running gateway. */
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -1,5 +1,8 @@
-import type { MetadataEvent, MetadataStore } from "@gooseberryline/core";
-import type { Log } from "@gooseberryline/daemon";
+import type {
+  EventLog,
+  MetadataEvent,
+  MetadataStore,
+} from "@gooseberryline/core";
 import { waitMs } from "../wait_ms.ts";
 import { WATCHING } from "./constants.ts";
 import { countTurnMs } from "./count_turn_ms.ts";
@@ -10,7 +13,7 @@
 type WatchParts = {
   readonly store: MetadataStore;
   readonly prefix: string;
-  readonly log: Log;
+  readonly log: EventLog;
   /** This instance among those that watch the same records. */
   readonly getTurn: () => WatchTurn;
   readonly onEvent: (event: MetadataEvent) => void;
