Count batch items as room when a request is placed

Cause: with batch items in all slots, an upstream full of online work looked as full as one full of batch items, which yield within 10 ms.

A slot that batch work has to leave now costs 20 ms of expected wait, and where all slots are taken the upstream with least online work goes first.

--- a/packages/core/src/placing/count_wait_ms.ts
+++ b/packages/core/src/placing/count_wait_ms.ts
@@ -1,14 +1,19 @@
+import { PLACING } from "./constants.ts";
 import type { OpenWork, UpstreamEntry } from "./types.ts";
 
 /**
- * Expected wait of one more request in an upstream's queue, in ms: with all
- * slots taken, one is freed every `meanServiceMs / slots`.
+ * Expected wait of one more request in an upstream's queue, in ms: none where
+ * a slot is free, little where a batch item makes room; with all slots taken
+ * by online work, one is freed every `meanServiceMs / slots`.
  */
 export function countWaitMs(
-  entry: UpstreamEntry,
-  open: OpenWork,
+  { slots }: UpstreamEntry,
+  { online, batch }: OpenWork,
   meanServiceMs: number,
 ): number {
-  const queued = open.online + open.batch + 1 - entry.slots;
-  return queued <= 0 ? 0 : (queued * meanServiceMs) / Math.max(1, entry.slots);
+  const queued = online + 1 - slots;
+  if (queued > 0) {
+    return (queued * meanServiceMs) / Math.max(1, slots);
+  }
+  return online + batch < slots ? 0 : PLACING.YIELD_MS;
 }
--- a/packages/core/src/placing/place_request.ts
+++ b/packages/core/src/placing/place_request.ts
@@ -10,8 +10,8 @@
 };
 
 /**
- * Places an online request. An upstream without a queue goes before one with
- * a queue; among those about as empty as the emptiest, one of the own data
+ * Places an online request. An upstream without a queue goes before one where
+ * a batch item has to make room, and that before one with a queue; among those about as empty as the emptiest, one of the own data
  * centre, then the one that holds the prompt's shared part. Answers the load
  * in which slots run short: a queue is entered while the wait in it still
  * makes the objective, then while the caller's patience bears it, and past
@@ -51,10 +51,13 @@
 function describeCandidate(candidate: Candidate, request: PlaceRequest): Rated {
   const { entry, open } = candidate;
   const isCold = entry.coldUntilMs > request.nowMs;
+  const waitMs = countWaitMs(entry, open, request.meanServiceMs);
+  // Where all slots are taken, batch items are those that make room.
+  const work = waitMs > 0 ? open.online : open.online + open.batch;
   return {
     candidate,
-    waitMs: countWaitMs(entry, open, request.meanServiceMs),
-    load: open.online + open.batch + (isCold ? PLACING.COLD_PENALTY : 0),
+    waitMs,
+    load: work + (isCold ? PLACING.COLD_PENALTY : 0),
   };
 }
 
--- a/packages/core/src/placing/place_request_test.ts
+++ b/packages/core/src/placing/place_request_test.ts
@@ -83,6 +83,32 @@
   expect(place({ candidates, tried: new Set(["a"]) })).toBe("b");
 });
 
+// Seen on ipacp quiet-1: at the onset of a burst, with batch items in all
+// slots, requests went to upstreams full of online work as often as to others.
+test("batch work that yields goes before a queue of online work", () => {
+  const candidates = [
+    createCandidate("a", { open: full }),
+    createCandidate("b", { dataCentre: "b", open: { online: 1, batch: 7 } }),
+  ];
+  expect(place({ candidates })).toBe("b");
+});
+
+test("of those where batch work yields the one with least online", () => {
+  const candidates = [
+    createCandidate("a", { open: { online: 7, batch: 1 } }),
+    createCandidate("b", { dataCentre: "b", open: { online: 2, batch: 6 } }),
+  ];
+  expect(place({ candidates })).toBe("b");
+});
+
+test("a free slot goes before one that batch work has to leave", () => {
+  const candidates = [
+    createCandidate("a", { open: { online: 0, batch: 8 } }),
+    createCandidate("b", { dataCentre: "b", open: { online: 7, batch: 0 } }),
+  ];
+  expect(place({ candidates })).toBe("b");
+});
+
 test("a closed ramp gets nothing", () => {
   const candidates = [createCandidate("a", { isRampOpen: false })];
   expect(place({ candidates })).toBe("full");
