--- /dev/null
+++ b/packages/core/src/claims/note_claim.ts
@@ -0,0 +1,36 @@
+import type { InstanceState } from "../instance/types.ts";
+import { createSharded } from "../sharded/create_sharded.ts";
+import { locateGroup } from "./locate_group.ts";
+import { setGroup } from "./set_group.ts";
+import type { ClaimGroup, PendingClaim } from "./types.ts";
+
+/** Notes a claim in its group, to be written with others at the next step. */
+export function noteClaim(
+  state: InstanceState,
+  asked: Omit<PendingClaim, "askedMs">,
+  nowMs: number,
+): InstanceState {
+  const claim: PendingClaim = { ...asked, askedMs: nowMs };
+  const id = locateGroup(claim.claimKey);
+  const group = state.claims.groups[id] ?? createGroup();
+  const pending = [
+    ...group.pending.filter(({ token }) => token !== claim.token),
+    claim,
+  ];
+  return setGroup(state, id, { ...group, pending });
+}
+
+function createGroup(): ClaimGroup {
+  return {
+    known: createSharded(),
+    number: 0,
+    version: 0,
+    claims: {},
+    leaseId: undefined,
+    isLoaded: false,
+    isAsking: false,
+    pending: [],
+    writing: [],
+    nextFlushMs: 0,
+  };
+}
--- a/packages/core/src/claims/release_claim.ts
+++ b/packages/core/src/claims/release_claim.ts
@@ -1,11 +1,12 @@
 import { chainAll } from "../instance/chain_all.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
 import { chooseHome } from "./choose_home.ts";
-import { offerClaim } from "./offer_claim.ts";
+import { noteClaim } from "./note_claim.ts";
 
 /**
  * Takes back the claim of a request that surely did not run, so that the
- * same key may be sent again. A lost message leaves the key claimed.
+ * same key may be sent again. An own group is written at the next step; a lost
+ * message leaves the key claimed.
  */
 export function releaseClaim(
   state: InstanceState,
@@ -19,7 +20,7 @@
     const claim = { claimKey, token, from: home, isRelease: true };
     const message = { kind: "claim-dropped", claimKey, token } as const;
     return home === at.self.instanceId
-      ? offerClaim(at, claim, nowMs)
+      ? { state: noteClaim(at, claim, nowMs), effects: [] }
       : { state: at, effects: [{ kind: "send-peer", to: home, message }] };
   });
 }
--- a/packages/core/src/claims/settle_claim.ts
+++ b/packages/core/src/claims/settle_claim.ts
@@ -6,8 +6,8 @@
 import { setSharded } from "../sharded/set_sharded.ts";
 import { dropEntry } from "../shared/drop_entry.ts";
 import { advancePhase } from "../work/advance_phase.ts";
-import { finishWork } from "../work/finish_work.ts";
-import type { Refusal, Work } from "../work/types.ts";
+import { refuseRequest } from "../work/refuse_request.ts";
+import type { Refusal } from "../work/types.ts";
 import { releaseClaim } from "./release_claim.ts";
 import type { ClaimVerdict } from "./types.ts";
 
@@ -43,10 +43,13 @@
     const works = setSharded(after.works, token, queued);
     return { state: enqueueWork({ ...after, works }, queued), effects: [] };
   }
-  const refusal = describeRefusal(state, verdict);
-  return chainStep({ state: after, effects: [] }, (at) =>
-    finishWork(at, work as Work, { kind: "refused", refusal }),
-  );
+  const refused = refuseRequest(after, work, describeRefusal(state, verdict));
+  // Where the store did not answer, the claim may stand all the same.
+  return verdict === "unavailable"
+    ? chainStep(refused, (at) =>
+        releaseClaim(at, { claimKey: wait.claimKey, token }),
+      )
+    : refused;
 }
 
 function describeRefusal(
--- a/packages/core/src/jobs/finish_item.ts
+++ b/packages/core/src/jobs/finish_item.ts
@@ -1,6 +1,5 @@
 import type { InstanceState, Step } from "../instance/types.ts";
-import type { WorkEnd } from "../work/finish_work.ts";
-import type { Work, WorkOrigin } from "../work/types.ts";
+import type { Work, WorkEnd, WorkOrigin } from "../work/types.ts";
 import { JOBS } from "./constants.ts";
 import { findSegmentOf } from "./find_segment_of.ts";
 import { ITEM_STATES } from "./item_states.ts";
--- a/packages/core/src/work/finish_work.ts
+++ b/packages/core/src/work/finish_work.ts
@@ -3,15 +3,8 @@
 import type { InstanceState, Step } from "../instance/types.ts";
 import { finishItem } from "../jobs/finish_item.ts";
 import { dropWork } from "./drop_work.ts";
-import type { AttemptOutcome, Refusal, Work } from "./types.ts";
-
-/** How work ends: with an upstream's whole answer, or with a refusal. */
-export type WorkEnd =
-  | {
-      readonly kind: "answered";
-      readonly outcome: Extract<AttemptOutcome, { kind: "completed" }>;
-    }
-  | { readonly kind: "refused"; readonly refusal: Refusal };
+import { refuseRequest } from "./refuse_request.ts";
+import type { Work, WorkEnd } from "./types.ts";
 
 /** Ends work and tells its origin. */
 export function finishWork(
@@ -19,26 +12,26 @@
   work: Work,
   end: WorkEnd,
 ): Step {
-  const after = dropWork(state, work, nameEvent(end));
   const { origin, workId } = work.order;
   if (origin.kind === "item") {
+    const after = dropWork(state, work, nameEvent(end));
     return finishItem(after, { origin, work, end });
   }
-  return end.kind === "answered"
-    ? { state: after, effects: [{ kind: "complete-request", workId }] }
-    : refuseRequest(after, work, end.refusal);
+  if (end.kind === "refused") {
+    return refuseClaimed(state, work, end);
+  }
+  const after = dropWork(state, work, nameEvent(end));
+  return { state: after, effects: [{ kind: "complete-request", workId }] };
 }
 
-/** Tells the caller; a key whose request did not run may be used again. */
-function refuseRequest(
+/** A key whose request did not run may be used again. */
+function refuseClaimed(
   state: InstanceState,
-  { order: { workId, claimKey, isIdempotent } }: Work,
-  refusal: Refusal,
+  work: Work,
+  { refusal }: Extract<WorkEnd, { kind: "refused" }>,
 ): Step {
-  const refused: Step = {
-    state,
-    effects: [{ kind: "refuse-request", workId, refusal }],
-  };
+  const { workId, claimKey, isIdempotent } = work.order;
+  const refused = refuseRequest(state, work, refusal);
   const isUnrun = refusal.run === "not run" && !isIdempotent;
   return claimKey !== undefined && isUnrun
     ? chainStep(refused, (at) => releaseClaim(at, { claimKey, token: workId }))
--- /dev/null
+++ b/packages/core/src/work/refuse_request.ts
@@ -0,0 +1,18 @@
+import type { InstanceState, Step } from "../instance/types.ts";
+import { dropWork } from "./drop_work.ts";
+import type { Refusal, Work } from "./types.ts";
+
+/** Ends a request's work and tells the caller; its claim is left as it is. */
+export function refuseRequest(
+  state: InstanceState,
+  work: Work,
+  refusal: Refusal,
+): Step {
+  const event = refusal.run === "not run" ? "REFUSE" : "FAIL";
+  const after = dropWork(state, work, event);
+  const { workId } = work.order;
+  return {
+    state: after,
+    effects: [{ kind: "refuse-request", workId, refusal }],
+  };
+}
--- a/packages/core/src/work/types.ts
+++ b/packages/core/src/work/types.ts
@@ -142,3 +142,11 @@
   readonly endedMs: number;
   readonly outcome: AttemptOutcome["kind"];
 };
+
+/** How work ends: with an upstream's whole answer, or with a refusal. */
+export type WorkEnd =
+  | {
+      readonly kind: "answered";
+      readonly outcome: Extract<AttemptOutcome, { kind: "completed" }>;
+    }
+  | { readonly kind: "refused"; readonly refusal: Refusal };
--- a/packages/daemon/src/start/drain_instance.ts
+++ b/packages/daemon/src/start/drain_instance.ts
@@ -4,7 +4,7 @@
   isDrained,
 } from "@gooseberryline/core";
 import type { Log } from "../logs/create_log.ts";
-import type { Listener } from "../tasks/listen.ts";
+import type { Listener } from "../tasks/types.ts";
 import { findLongestDeadline } from "./find_longest_deadline.ts";
 
 const POLL_MS = 20;
--- a/packages/daemon/src/tasks/follow_requests.ts
+++ b/packages/daemon/src/tasks/follow_requests.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Server as TlsServer } from "node:https";
 import { closeListener } from "./close_listener.ts";
-import type { Listener } from "./listen.ts";
+import type { Listener } from "./types.ts";
 
 /** Follows the open requests of a server, so that it can be drained. */
 export function followRequests(
--- a/packages/daemon/src/tasks/listen.ts
+++ b/packages/daemon/src/tasks/listen.ts
@@ -14,23 +14,12 @@
 import { followCertificate } from "../tls/follow_certificate.ts";
 import { followRequests } from "./follow_requests.ts";
 import { refuseBrokenRequest } from "./refuse_broken_request.ts";
+import type { Listener } from "./types.ts";
 
 const MAX_HEADER_BYTES = 16_384;
 const MAX_CHECK_MS = 1_000;
 const CHECKS_IN_TIMEOUT = 4;
 
-/** A bound listener. */
-export type Listener = {
-  /** Address as `IP:port`. */
-  readonly address: string;
-  /** From now on each answer ends its connection. */
-  readonly startDrain: () => void;
-  /** Requests whose answers have not ended. */
-  readonly countOpen: () => number;
-  /** Stops listening; resolves when open answers ended, or at the limit. */
-  readonly close: (limitMs: number) => Promise<void>;
-};
-
 /** Binds a listener; slow senders are cut off by the timeouts. */
 export async function listen(
   handler: RequestListener,
--- a/packages/daemon/src/tasks/types.ts
+++ b/packages/daemon/src/tasks/types.ts
@@ -46,3 +46,15 @@
   readonly call: AttemptCall;
   readonly sink: AnswerSink;
 };
+
+/** A bound listener. */
+export type Listener = {
+  /** Address as `IP:port`. */
+  readonly address: string;
+  /** From now on each answer ends its connection. */
+  readonly startDrain: () => void;
+  /** Requests whose answers have not ended. */
+  readonly countOpen: () => number;
+  /** Stops listening; resolves when open answers ended, or at the limit. */
+  readonly close: (limitMs: number) => Promise<void>;
+};
--- a/packages/fakes/src/world/effect_runner.ts
+++ b/packages/fakes/src/world/effect_runner.ts
@@ -1,41 +1,19 @@
 import {
   type AttemptId,
   assertNever,
-  type Config,
   type Effect,
   getSharded,
-  type InstanceEvent,
-  type InstanceId,
   type UpstreamId,
 } from "@gooseberryline/core";
 import { describeOutcome } from "./describe_outcome.ts";
-import type { EventQueue } from "./event_queue.ts";
 import { JobEffects } from "./job_effects.ts";
 import { PLATFORM_PLACE } from "./platform_place.ts";
+import type { RunnerParts } from "./runner_parts.ts";
 import type { WorldNode } from "./types.ts";
-import type { VirtualDisks } from "./virtual_disks.ts";
-import type { EngineNotice, VirtualEngine } from "./virtual_engine.ts";
-import type { VirtualStore } from "./virtual_store.ts";
-import type { WorldLedger } from "./world_ledger.ts";
-import type { WorldNetwork } from "./world_network.ts";
+import type { EngineNotice } from "./virtual_engine.ts";
 
 const ANSWER_TOKENS = 50;
 
-/** What the runner needs of the world around the instances. */
-export type RunnerParts = {
-  readonly queue: EventQueue;
-  readonly ledger: WorldLedger;
-  readonly store: VirtualStore;
-  readonly network: WorldNetwork;
-  readonly disks: VirtualDisks;
-  readonly engines: ReadonlyMap<UpstreamId, VirtualEngine>;
-  /** The processes that run under a name. */
-  readonly findNodes: (id: InstanceId) => readonly WorldNode[];
-  readonly post: (node: WorldNode, event: InstanceEvent) => void;
-  readonly setWatch: (node: WorldNode, isHeld: boolean) => void;
-  readonly keepConfig: (node: WorldNode, config: Config) => void;
-};
-
 /** Carries out effects of the core with the fakes of the world. */
 export class EffectRunner {
   readonly #parts: RunnerParts;
--- a/packages/fakes/src/world/job_effects.ts
+++ b/packages/fakes/src/world/job_effects.ts
@@ -1,5 +1,5 @@
 import type { Effect, InstanceId } from "@gooseberryline/core";
-import type { RunnerParts } from "./effect_runner.ts";
+import type { RunnerParts } from "./runner_parts.ts";
 import type { WorldNode } from "./types.ts";
 import type { VirtualDisks } from "./virtual_disks.ts";
 
--- a/packages/gateway/src/store/count_turn_ms.ts
+++ b/packages/gateway/src/store/count_turn_ms.ts
@@ -1,5 +1,5 @@
 import { WATCHING } from "./constants.ts";
-import type { WatchTurn } from "./prefix_watch.ts";
+import type { WatchTurn } from "./types.ts";
 
 /**
  * Time until the turn of a watch to end, in ms. Turns follow the time of day,
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -6,9 +6,7 @@
 import { waitMs } from "../wait_ms.ts";
 import { WATCHING } from "./constants.ts";
 import { countTurnMs } from "./count_turn_ms.ts";
-
-/** Place of an instance among `count` watchers, from 0. */
-export type WatchTurn = { readonly rank: number; readonly count: number };
+import type { WatchTurn } from "./types.ts";
 
 type WatchParts = {
   readonly store: MetadataStore;
