--- a/packages/gateway/src/fleet/load_book.ts
+++ b/packages/gateway/src/fleet/load_book.ts
@@ -64,6 +64,11 @@
 
   /** Own signs of upstreams that are recent enough to matter to peers. */
   listQuiet(nowMs: number): Readonly<Record<string, number>> {
+    [...this.#signs]
+      .filter(([, atMs]) => nowMs - atMs > FLEET.LOAD_AGE_MS)
+      .forEach(([id]) => {
+        this.#signs.delete(id);
+      });
     return Object.fromEntries(
       [...this.#signs]
         .map(([id, atMs]) => [id, Math.round(nowMs - atMs)] as const)
@@ -138,9 +143,8 @@
 
   /** Work at an upstream over all instances. */
   countOpen(upstreamId: string, nowMs: number): OpenWork {
-    return [...this.#peers.values()]
-      .filter(({ heardMs }) => nowMs - heardMs <= FLEET.LOAD_AGE_MS)
-      .map(({ message }) => message.open[upstreamId] ?? IDLE)
+    return this.#listFresh(nowMs)
+      .map(({ open }) => open[upstreamId] ?? IDLE)
       .reduce(addWork, this.countOwn(upstreamId));
   }
 
@@ -160,20 +164,17 @@
 
   /** Ids of peers that have items waiting, as last heard. */
   listBusyWorkers(nowMs: number): readonly string[] {
-    return [...this.#peers.values()]
-      .filter(({ heardMs }) => nowMs - heardMs <= FLEET.LOAD_AGE_MS)
-      .filter(({ message }) => message.waitingItems > 0)
-      .map(({ message }) => message.from);
+    return this.#listFresh(nowMs)
+      .filter(({ waitingItems }) => waitingItems > 0)
+      .map(({ from }) => from);
   }
 
   /** Batch items of each peer at an upstream, as last heard. */
   listPeerItems(upstreamId: string, nowMs: number) {
-    return [...this.#peers.values()]
-      .filter(({ heardMs }) => nowMs - heardMs <= FLEET.LOAD_AGE_MS)
-      .map(({ message }) => ({
-        workerId: message.from,
-        items: message.open[upstreamId]?.batch ?? 0,
-      }));
+    return this.#listFresh(nowMs).map(({ from, open }) => ({
+      workerId: from,
+      items: open[upstreamId]?.batch ?? 0,
+    }));
   }
 
   listOwn(): Readonly<Record<string, OpenWork>> {
@@ -186,6 +187,13 @@
       .map(([id]) => id);
   }
 
+  /** Peers' messages that still say something of the present. */
+  #listFresh(nowMs: number): readonly LoadMessage[] {
+    return [...this.#peers.values()]
+      .filter(({ heardMs }) => nowMs - heardMs <= FLEET.LOAD_AGE_MS)
+      .map(({ message }) => message);
+  }
+
   #change(upstreamId: string, lane: Lane, by: number): void {
     const next = addWork(this.countOwn(upstreamId), { ...IDLE, [lane]: by });
     if (next.online <= 0 && next.batch <= 0) {
