--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -175,8 +175,8 @@
   stopped: { fields: ["tookMs"], text: "A planned stop is done" },
   retired: { fields: ["instance"], text: "This instance has no jobs left" },
   reload: {
-    fields: [],
-    text: "SIGHUP came; settings are read at a start only",
+    fields: ["changed", "atNextStart"],
+    text: "The settings file has changed; some settings wait for a start",
   },
   "settings-invalid": {
     fields: ["path", "faults"],
