--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -70,7 +70,6 @@
   /** Takes no more requests: new connections and idle ones are closed. */
   stopTaking(): void {
     this.#server.close();
-    this.#server.closeIdleConnections();
   }
 
   /** Requests under way. */
--- /dev/null
+++ b/packages/gateway/src/http/caller_listener_test.ts
@@ -0,0 +1,70 @@
+import { connect, type Socket } from "node:net";
+import { ConnectionPool } from "@gooseberryline/daemon";
+import { createMetadata } from "@gooseberryline/fakes";
+import { expect, test } from "vitest";
+import { JobDoor } from "../jobs/job_door.ts";
+import { ListingNews } from "../jobs/listing_news.ts";
+import { createView } from "../testing/create_view.ts";
+import { findPort } from "../testing/find_port.ts";
+import { plainDialect } from "../testing/plain_dialect.ts";
+import { CallerListener } from "./caller_listener.ts";
+
+const silent = (): undefined => undefined;
+const log = { info: silent, warn: silent, error: silent };
+const HOST = "127.0.0.1";
+const REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+async function startListener() {
+  const view = createView();
+  const shared = { view, dialect: plainDialect, log };
+  const listener = new CallerListener({
+    ...shared,
+    pool: new ConnectionPool(1_000),
+    jobs: new JobDoor({
+      ...shared,
+      store: createMetadata().store,
+      news: new ListingNews(() => view.readNowMs()),
+    }),
+    onDone: silent,
+  });
+  const port = await findPort();
+  await listener.start({ host: HOST, port });
+  return { listener, port };
+}
+
+/** Sends a request; the first bytes of its answer. */
+function ask(socket: Socket): Promise<string> {
+  return new Promise((resolve, reject) => {
+    socket.once("data", (bytes) => resolve(bytes.toString()));
+    socket.once("close", () => reject(new Error("closed without an answer")));
+    socket.write(REQUEST);
+  });
+}
+
+// Seen on penwhistle-post: 6 s after a stop began a request came on a kept
+// connection and was cut off when the grace time ended.
+test("past the linger time no request is taken on a kept connection", async () => {
+  const { listener, port } = await startListener();
+  const kept = connect(port, HOST);
+  expect(await ask(kept)).toContain("503");
+  const closed = new Promise<string>((resolve) => {
+    kept.once("close", () => resolve("closed"));
+  });
+  listener.stopTaking();
+  expect(await closed).toBe("closed");
+  const fresh = connect(port, HOST);
+  const refused = new Promise<string>((resolve) => {
+    fresh.once("error", () => resolve("refused"));
+  });
+  expect(await refused).toBe("refused");
+  listener.stop();
+});
+
+test("once a stop has begun each answer ends its connection", async () => {
+  const { listener, port } = await startListener();
+  const kept = connect(port, HOST);
+  expect(await ask(kept)).not.toContain("Connection: close");
+  listener.startStopping();
+  expect(await ask(kept)).toContain("Connection: close");
+  listener.stop();
+});
--- /dev/null
+++ b/packages/gateway/src/testing/create_view.ts
@@ -0,0 +1,21 @@
+import type { Duty } from "@gooseberryline/core";
+import { FleetView } from "../fleet/fleet_view.ts";
+
+/** What a lone instance knows at its start, for tests. */
+export function createView(duty: Duty = "serve"): FleetView {
+  const settings = {
+    instanceId: "i1",
+    dataCentre: "a",
+    duty,
+    host: "127.0.0.1",
+    peerPort: 0,
+    relayPort: 0,
+    callers: undefined,
+    readiness: undefined,
+    metrics: undefined,
+    graceMs: 1_000,
+    quotaSlack: 20,
+    ramp: { over: 1, slack: 1 },
+  };
+  return new FleetView(settings, "1", () => performance.now());
+}
--- /dev/null
+++ b/packages/gateway/src/testing/plain_dialect.ts
@@ -0,0 +1,25 @@
+import type { CallDialect } from "../dialect/types.ts";
+
+/** A wire of few words, for tests without the platform. */
+export const plainDialect: CallDialect = {
+  readCall: () => ({
+    requestId: undefined,
+    key: undefined,
+    deadlineMs: undefined,
+    lastEventId: undefined,
+    affinityKey: undefined,
+    waitMs: 0,
+  }),
+  buildHeaders: (_, { requestId, upstreamId, lastEventId }) => ({
+    "request-id": requestId ?? "",
+    upstream: upstreamId,
+    ...(lastEventId === undefined ? {} : { "last-event": `${lastEventId}` }),
+  }),
+  readAnswer: (headers) => ({
+    requestId: headers["request-id"]?.toString(),
+    isUnexecuted: headers["not-run"] !== undefined,
+  }),
+  parseJobCall: () => undefined,
+  parseJob: () => ({ kind: "unreadable", reason: "not in this test" }),
+  encodeResults: () => "",
+};
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -1,9 +1,10 @@
 import { CALL_SHAPES, type Route } from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
-import type { CallDialect } from "../dialect/types.ts";
-import { FleetView } from "../fleet/fleet_view.ts";
+import type { FleetView } from "../fleet/fleet_view.ts";
 import { RequestRun } from "../requests/request_run.ts";
 import type { CallReply } from "../requests/types.ts";
+import { createView } from "./create_view.ts";
+import { plainDialect } from "./plain_dialect.ts";
 
 /** What a caller of a test got. */
 export type TestAnswer = {
@@ -48,29 +49,6 @@
   retentionMs: 0,
 };
 
-const dialect: CallDialect = {
-  readCall: () => ({
-    requestId: undefined,
-    key: undefined,
-    deadlineMs: undefined,
-    lastEventId: undefined,
-    affinityKey: undefined,
-    waitMs: 0,
-  }),
-  buildHeaders: (_, { requestId, upstreamId, lastEventId }) => ({
-    "request-id": requestId ?? "",
-    upstream: upstreamId,
-    ...(lastEventId === undefined ? {} : { "last-event": `${lastEventId}` }),
-  }),
-  readAnswer: (headers) => ({
-    requestId: headers["request-id"]?.toString(),
-    isUnexecuted: headers["not-run"] !== undefined,
-  }),
-  parseJobCall: () => undefined,
-  parseJob: () => ({ kind: "unreadable", reason: "not in this test" }),
-  encodeResults: () => "",
-};
-
 const silent = () => undefined;
 const log = { info: silent, warn: silent, error: silent };
 
@@ -80,24 +58,7 @@
   route,
   lastEventId,
 }: RunParts): TestRun {
-  const view = new FleetView(
-    {
-      instanceId: "i1",
-      dataCentre: "a",
-      duty: "serve",
-      host: "127.0.0.1",
-      peerPort: 0,
-      relayPort: 0,
-      callers: undefined,
-      readiness: undefined,
-      metrics: undefined,
-      graceMs: 1_000,
-      quotaSlack: 20,
-      ramp: { over: 1, slack: 1 },
-    },
-    "1",
-    () => performance.now(),
-  );
+  const view = createView();
   addresses.forEach((address, index) => {
     view.directory.put({
       id: `u${index}`,
@@ -118,7 +79,7 @@
     run: undefined,
   };
   const call = {
-    head: { ...dialect.readCall({}), requestId: "r1", lastEventId },
+    head: { ...plainDialect.readCall({}), requestId: "r1", lastEventId },
     route: { ...ROUTE, ...route },
     service: SERVICE,
     customer: undefined,
@@ -136,7 +97,7 @@
   const run = new RequestRun(call, buildTestReply(answer), {
     view,
     pool,
-    dialect,
+    dialect: plainDialect,
     log,
     onDone: (outcome) => {
       pool.stop();
