--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -1,5 +1,8 @@
 /** The gateway: serves callers and runs jobs before discovered upstreams. */
 export type * from "./dialect/types.ts";
+export { countGossipMs } from "./fleet/count_gossip_ms.ts";
+export { FleetView } from "./fleet/fleet_view.ts";
+export { loadCodec } from "./fleet/load_codec.ts";
 export { LineSink } from "./logs/line_sink.ts";
 export { type Gateway, runGateway } from "./run_gateway.ts";
 export type * from "./settings/types.ts";
--- a/packages/measure/src/capacity/experiment_list.ts
+++ b/packages/measure/src/capacity/experiment_list.ts
@@ -1,5 +1,6 @@
 import { ADMISSION_EXPERIMENTS } from "./experiments/admission_experiments.ts";
 import { CONFIG_EXPERIMENTS } from "./experiments/config_experiments.ts";
+import { GATEWAY_EXPERIMENTS } from "./experiments/gateway_experiments.ts";
 import { MEMBERSHIP_EXPERIMENTS } from "./experiments/membership_experiments.ts";
 import { REPORT_EXPERIMENTS } from "./experiments/report_experiments.ts";
 import { ROUTING_EXPERIMENTS } from "./experiments/routing_experiments.ts";
@@ -12,4 +13,5 @@
   ...ROUTING_EXPERIMENTS,
   ...CONFIG_EXPERIMENTS,
   ...REPORT_EXPERIMENTS,
+  ...GATEWAY_EXPERIMENTS,
 ];
--- /dev/null
+++ b/packages/measure/src/capacity/measure_gateway.ts
@@ -0,0 +1,143 @@
+import {
+  type LoadMessage,
+  placeRequest,
+  type UpstreamEntry,
+} from "@gooseberryline/core";
+import { FleetView, loadCodec } from "@gooseberryline/gateway";
+
+type GatewaySize = {
+  readonly instances: number;
+  readonly upstreams: number;
+  readonly customers: number;
+  readonly jobs: number;
+};
+
+type GatewayCost = {
+  /** One load message as it is sent. */
+  readonly messageBytes: number;
+  /** To take one message in, milliseconds. */
+  readonly takeMs: number;
+  /** To place one request, milliseconds. */
+  readonly placeMs: number;
+};
+
+const SERVICE = "service";
+const REPEATS = 400;
+const SETTINGS = {
+  dataCentre: "a",
+  duty: "serve",
+  host: "127.0.0.1",
+  peerPort: 0,
+  relayPort: 0,
+  callers: undefined,
+  readiness: undefined,
+  metrics: undefined,
+  graceMs: 1_000,
+  quotaSlack: 20,
+  ramp: { over: 1, slack: 1 },
+} as const;
+
+/** Measures what an instance of the gateway spends on its peers. */
+export function measureGateway(size: GatewaySize): GatewayCost {
+  const upstreams = Array.from({ length: size.upstreams }, (_, index) =>
+    describeUpstream(index),
+  );
+  const peers = Array.from({ length: size.instances - 1 }, (_, index) =>
+    createView(`peer-of-the-data-centre-${index}`, size, upstreams),
+  );
+  const view = createView("own-instance", size, upstreams);
+  const messages = peers.map((peer) =>
+    loadCodec.encode(peer.buildMessage(false)),
+  );
+  const [first = Buffer.alloc(0)] = messages;
+  const takeMs = measureEach(() => {
+    const message = loadCodec.decode(first);
+    if (message !== undefined) {
+      view.noteMessage(renew(message), true);
+    }
+  });
+  messages.forEach((bytes) => {
+    const message = loadCodec.decode(bytes);
+    if (message !== undefined) {
+      view.noteMessage(message, true);
+    }
+  });
+  const placeMs = measureEach((round) => {
+    placeRequest({
+      candidates: view.listCandidates(SERVICE),
+      tried: new Set(),
+      ownDataCentre: SETTINGS.dataCentre,
+      affinityKey: `prompt-${round}`,
+      meanServiceMs: 700,
+      objectiveLeftMs: 300,
+      patienceMs: 1_200,
+      nowMs: view.readNowMs(),
+    });
+  });
+  return { messageBytes: first.length, takeMs, placeMs };
+}
+
+let sequence = 1_000;
+
+function renew(message: LoadMessage): LoadMessage {
+  sequence += 1;
+  return { ...message, sequence };
+}
+
+/** Mean processor time of a call, in ms; other processes do not count. */
+function measureEach(call: (round: number) => void): number {
+  const before = process.cpuUsage();
+  Array.from({ length: REPEATS }, (_, round) => call(round));
+  const { user, system } = process.cpuUsage(before);
+  return (user + system) / 1_000 / REPEATS;
+}
+
+function describeUpstream(index: number): UpstreamEntry {
+  return {
+    id: `i-${String(index).padStart(10, "0")}`,
+    service: SERVICE,
+    address: `127.0.0.1:${10_000 + index}`,
+    dataCentre: "a",
+    slots: 8,
+    isDraining: false,
+    coldUntilMs: 0,
+  };
+}
+
+/** An instance with work at each upstream, and jobs of its own. */
+function createView(
+  instanceId: string,
+  { customers, jobs }: GatewaySize,
+  upstreams: readonly UpstreamEntry[],
+): FleetView {
+  const view = new FleetView({ ...SETTINGS, instanceId }, "abcdef01", () =>
+    performance.now(),
+  );
+  view.adoptConfig({
+    revision: 1,
+    routes: [],
+    services: [],
+    customers: Array.from({ length: customers }, (_, index) => ({
+      name: `customer-${index}`,
+      keys: [`key-${index}`],
+      ratePerSecond: 100,
+      burst: 20,
+    })),
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  });
+  upstreams.forEach((entry) => {
+    view.directory.put(entry);
+    view.load.noteStart(entry.id, "online");
+    view.load.noteSign(entry.id, performance.now());
+  });
+  view.readListed = () =>
+    Object.fromEntries(
+      Array.from({ length: jobs }, (_, index) => [`job-of-${index}-0123`, 5]),
+    );
+  return view;
+}
