--- a/packages/measure/src/capacity/measure_gateway.ts
+++ b/packages/measure/src/capacity/measure_gateway.ts
@@ -1,8 +1,4 @@
-import {
-  type LoadMessage,
-  placeRequest,
-  type UpstreamEntry,
-} from "@gooseberryline/core";
+import { placeRequest, type UpstreamEntry } from "@gooseberryline/core";
 import { FleetView, loadCodec } from "@gooseberryline/gateway";
 
 type GatewaySize = {
@@ -50,10 +46,12 @@
     loadCodec.encode(peer.buildMessage(false)),
   );
   const [first = Buffer.alloc(0)] = messages;
-  const takeMs = measureEach(() => {
+  const takeMs = measureEach((round) => {
     const message = loadCodec.decode(first);
     if (message !== undefined) {
-      view.noteMessage(renew(message), true);
+      // Each message of a peer is later than the last.
+      const sequence = message.sequence + round;
+      view.noteMessage({ ...message, sequence }, true);
     }
   });
   messages.forEach((bytes) => {
@@ -77,13 +75,6 @@
   return { messageBytes: first.length, takeMs, placeMs };
 }
 
-let sequence = 1_000;
-
-function renew(message: LoadMessage): LoadMessage {
-  sequence += 1;
-  return { ...message, sequence };
-}
-
 /** Mean processor time of a call, in ms; other processes do not count. */
 function measureEach(call: (round: number) => void): number {
   const before = process.cpuUsage();
