Let one piece of code serve where the gateway repeated itself

decode_json serves three records, put_recent three maps of jobs (the news of results copied all its keys at each message), get_event_key and get_event_revision the readers of store events, name_end both ends of work, and one list the fields of lines about requests. An item's start no longer counts all work at the upstream for a question that only online work asks. Fixtures of tests stand once; assertions are as they were.

--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -1,3 +1,15 @@
+/** What each line about a request bears. */
+const REQUEST_FIELDS = [
+  "requestId",
+  "route",
+  "customer",
+  "upstreams",
+  "runs",
+  "waitMs",
+  "firstMs",
+  "revision",
+] as const;
+
 /**
  * Every event that an instance logs on the platform, with the fields of its
  * lines and what it says. Each line also bears `event`, `level`, `at` (ISO
@@ -6,14 +18,7 @@
 export const LOG_EVENTS = {
   "request-ended": {
     fields: [
-      "requestId",
-      "route",
-      "customer",
-      "upstreams",
-      "runs",
-      "waitMs",
-      "firstMs",
-      "revision",
+      ...REQUEST_FIELDS,
       "outcome",
       "status",
       "reason",
@@ -23,19 +28,7 @@
     text: "A request is over: where it went, what was expected, how it ended",
   },
   "request-retry": {
-    fields: [
-      "requestId",
-      "route",
-      "customer",
-      "upstreams",
-      "runs",
-      "waitMs",
-      "firstMs",
-      "revision",
-      "end",
-      "reason",
-      "events",
-    ],
+    fields: [...REQUEST_FIELDS, "end", "reason", "events"],
     text: "An attempt failed and the request goes to another upstream",
   },
   "caller-connection-lost": {
--- /dev/null
+++ b/packages/core/src/metadata/get_event_revision.ts
@@ -0,0 +1,6 @@
+import type { MetadataEvent } from "./types.ts";
+
+/** Store revision of the change. */
+export function getEventRevision(event: MetadataEvent): number {
+  return event.kind === "set" ? event.item.revision : event.revision;
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -50,6 +50,8 @@
 export { LOG_EVENTS } from "./logs/log_events.ts";
 export type * from "./logs/types.ts";
 export type * from "./membership/types.ts";
+export { getEventKey } from "./metadata/get_event_key.ts";
+export { getEventRevision } from "./metadata/get_event_revision.ts";
 export type * from "./metadata/types.ts";
 export { PLACING } from "./placing/constants.ts";
 export { countItemStarts } from "./placing/count_item_starts.ts";
--- a/packages/core/src/placing/count_item_starts_test.ts
+++ b/packages/core/src/placing/count_item_starts_test.ts
@@ -1,16 +1,9 @@
 import fc from "fast-check";
 import { expect, test } from "vitest";
 import { countItemStarts } from "./count_item_starts.ts";
+import { ENTRY_FIXTURE } from "./entry_fixture.ts";
 
-const entry = {
-  id: "u1",
-  service: "s",
-  address: "127.0.0.1:1",
-  dataCentre: "a",
-  slots: 8,
-  isDraining: false,
-  coldUntilMs: 0,
-};
+const entry = ENTRY_FIXTURE;
 
 test("workers together start what is free, whatever the round", () => {
   fc.assert(
--- a/packages/core/src/placing/place_request_test.ts
+++ b/packages/core/src/placing/place_request_test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "vitest";
+import { ENTRY_FIXTURE } from "./entry_fixture.ts";
 import { placeRequest } from "./place_request.ts";
 import type { Candidate, PlaceRequest } from "./types.ts";
 
@@ -7,15 +8,7 @@
   parts: Partial<Candidate> & { readonly dataCentre?: string } = {},
 ): Candidate {
   return {
-    entry: {
-      id,
-      service: "s",
-      address: "127.0.0.1:1",
-      dataCentre: parts.dataCentre ?? "a",
-      slots: 8,
-      isDraining: false,
-      coldUntilMs: 0,
-    },
+    entry: { ...ENTRY_FIXTURE, id, dataCentre: parts.dataCentre ?? "a" },
     open: parts.open ?? { online: 0, batch: 0 },
     suspectUntilMs: parts.suspectUntilMs ?? 0,
     isRampOpen: parts.isRampOpen ?? true,
--- a/packages/core/src/work/refuse_request.ts
+++ b/packages/core/src/work/refuse_request.ts
@@ -1,5 +1,6 @@
 import type { InstanceState, Step } from "../instance/types.ts";
 import { dropWork } from "./drop_work.ts";
+import { nameEnd } from "./name_end.ts";
 import type { Refusal, Work } from "./types.ts";
 
 /** Ends a request's work and tells the caller; its claim is left as it is. */
@@ -8,8 +9,7 @@
   work: Work,
   refusal: Refusal,
 ): Step {
-  const event = refusal.run === "not run" ? "REFUSE" : "FAIL";
-  const after = dropWork(state, work, event);
+  const after = dropWork(state, work, nameEnd({ kind: "refused", refusal }));
   const { workId } = work.order;
   return {
     state: after,
--- a/packages/fakes/src/metadata/metadata_state.ts
+++ b/packages/fakes/src/metadata/metadata_state.ts
@@ -1,7 +1,9 @@
-import type {
-  MetadataCommit,
-  MetadataEvent,
-  MetadataItem,
+import {
+  getEventKey,
+  getEventRevision,
+  type MetadataCommit,
+  type MetadataEvent,
+  type MetadataItem,
 } from "@gooseberryline/core";
 
 type Held = MetadataItem & { readonly leaseId: string | undefined };
@@ -45,7 +47,8 @@
       ? undefined
       : this.#history.filter(
           (event) =>
-            getRevision(event) > after && getKey(event).startsWith(prefix),
+            getEventRevision(event) > after &&
+            getEventKey(event).startsWith(prefix),
         );
   }
 
@@ -122,11 +125,3 @@
     }
   }
 }
-
-function getKey(event: MetadataEvent): string {
-  return event.kind === "set" ? event.item.key : event.key;
-}
-
-function getRevision(event: MetadataEvent): number {
-  return event.kind === "set" ? event.item.revision : event.revision;
-}
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -1,6 +1,7 @@
 import {
   buildRouteTable,
   type Candidate,
+  DUTIES,
   type Duty,
   type FleetMember,
   type LoadMessage,
@@ -110,9 +111,14 @@
   noteSend(entry: UpstreamEntry, lane: Lane): void {
     this.#ramps.take(entry, this.#getColdRate(entry.service), this.readNowMs());
     this.load.noteStart(entry.id, lane);
-    const { online, batch } = this.load.countOpen(entry.id, this.readNowMs());
-    const isCrowded = online + batch > entry.slots;
-    if (lane === "online" && batch > 0 && isCrowded) {
+    if (lane === "online") {
+      this.#tellIfCrowded(entry);
+    }
+  }
+
+  #tellIfCrowded({ id, slots }: UpstreamEntry): void {
+    const { online, batch } = this.load.countOpen(id, this.readNowMs());
+    if (batch > 0 && online + batch > slots) {
       this.onCrowded();
     }
   }
@@ -160,7 +166,7 @@
       .map(({ id }) => id)
       .filter((id) => !this.load.isDirect(id, silentMs, nowMs));
     this.#sequence += 1;
-    const isServing = this.settings.duty === "serve";
+    const isServing = this.settings.duty === DUTIES.serve;
     const customers = this.#table?.config.customers ?? [];
     return {
       from: this.settings.instanceId,
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -1,5 +1,6 @@
 import { DUTIES, type LoadMessage } from "@gooseberryline/core";
 import { z } from "zod";
+import { decodeJson } from "../decode_json.ts";
 
 const WORK = z.object({ online: z.number(), batch: z.number() });
 const USE = z.object({ admitted: z.number(), tokens: z.number() });
@@ -28,12 +29,5 @@
   encode: (message: LoadMessage): Buffer =>
     Buffer.from(JSON.stringify(message)),
   /** Undefined for bytes that no instance of this version sent. */
-  decode: (bytes: Buffer): LoadMessage | undefined => {
-    try {
-      return SCHEMA.safeParse(JSON.parse(bytes.toString())).data;
-    } catch {
-      // Not JSON: the same as a message of another shape.
-      return undefined;
-    }
-  },
+  decode: (bytes: Buffer): LoadMessage | undefined => decodeJson(SCHEMA, bytes),
 } as const;
--- a/packages/gateway/src/fleet/member_record.ts
+++ b/packages/gateway/src/fleet/member_record.ts
@@ -1,5 +1,6 @@
 import { DUTIES, type FleetMember } from "@gooseberryline/core";
 import { z } from "zod";
+import { decodeJson } from "../decode_json.ts";
 
 const PREFIX = "instances/";
 
@@ -20,12 +21,5 @@
   parseKey: (key: string): string => key.slice(PREFIX.length),
   encode: (member: FleetMember): Buffer => Buffer.from(JSON.stringify(member)),
   /** Undefined for a record that no instance wrote. */
-  decode: (value: Buffer): FleetMember | undefined => {
-    try {
-      return SCHEMA.safeParse(JSON.parse(value.toString())).data;
-    } catch {
-      // Not JSON: the same as a record of another shape.
-      return undefined;
-    }
-  },
+  decode: (value: Buffer): FleetMember | undefined => decodeJson(SCHEMA, value),
 } as const;
--- a/packages/gateway/src/fleet/quota_book.ts
+++ b/packages/gateway/src/fleet/quota_book.ts
@@ -1,6 +1,7 @@
 import {
   type CustomerUse,
   createQuota,
+  DUTIES,
   type LoadMessage,
   notePeerUsage,
   QUOTAS,
@@ -81,7 +82,7 @@
   #countHeardShare(nowMs: number): number {
     const { members, load, instanceId } = this.#parts;
     const others = members
-      .listSpenders("serve", nowMs)
+      .listSpenders(DUTIES.serve, nowMs)
       .filter((id) => id !== instanceId);
     const heard = others.filter((id) =>
       load.isHeard(id, QUOTAS.SILENT_MS, nowMs),
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -1,6 +1,7 @@
 import {
   assertNever,
   type EventLog,
+  getEventKey,
   type MetadataEvent,
   type MetadataItem,
   type MetadataStore,
@@ -72,7 +73,7 @@
   #noteOperator(event: MetadataEvent): void {
     const { dialect, view, onRetire, log } = this.#parts;
     const isSet = event.kind === "set";
-    const key = isSet ? event.item.key : event.key;
+    const key = getEventKey(event);
     const record = dialect.parseOperatorKey(key);
     switch (record.kind) {
       case "config":
@@ -124,7 +125,7 @@
     const { dialect, view, log } = this.#parts;
     const { directory } = view;
     const nowMs = view.readNowMs();
-    const key = event.kind === "set" ? event.item.key : event.key;
+    const key = getEventKey(event);
     const id = key.slice(dialect.upstreamPrefix.length);
     if (event.kind === "removed") {
       log.info("upstream-removed", { upstream: id });
--- a/packages/gateway/src/http/caller_listener_test.ts
+++ b/packages/gateway/src/http/caller_listener_test.ts
@@ -7,16 +7,15 @@
 import { createView } from "../testing/create_view.ts";
 import { findPort } from "../testing/find_port.ts";
 import { plainDialect } from "../testing/plain_dialect.ts";
+import { SILENT_LOG } from "../testing/silent_log.ts";
 import { CallerListener } from "./caller_listener.ts";
 
-const silent = (): undefined => undefined;
-const log = { info: silent, warn: silent, error: silent };
 const HOST = "127.0.0.1";
 const REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 async function startListener() {
   const view = createView();
-  const shared = { view, dialect: plainDialect, log };
+  const shared = { view, dialect: plainDialect, log: SILENT_LOG };
   const listener = new CallerListener({
     ...shared,
     pool: new ConnectionPool(1_000),
@@ -25,7 +24,7 @@
       store: createMetadata().store,
       news: new ListingNews(() => view.readNowMs()),
     }),
-    onDone: silent,
+    onDone: () => undefined,
   });
   const port = await findPort();
   await listener.start({ host: HOST, port });
--- a/packages/gateway/src/jobs/batch_records.ts
+++ b/packages/gateway/src/jobs/batch_records.ts
@@ -8,6 +8,7 @@
   ITEM_RESULTS,
 } from "@gooseberryline/core";
 import { z } from "zod";
+import { decodeJson } from "../decode_json.ts";
 
 const ITEM: z.ZodType<BatchItem> = z.object({
   id: z.string(),
@@ -54,30 +55,20 @@
   ranMs: z.number(),
 });
 
-/** Undefined for bytes that no instance of this version wrote. */
-function decode<Value>(
-  schema: z.ZodType<Value>,
-  value: Buffer,
-): Value | undefined {
-  try {
-    return schema.safeParse(JSON.parse(value.toString())).data;
-  } catch {
-    // Not JSON: the same as a record of another shape.
-    return undefined;
-  }
-}
-
-/** Encodes and decodes the records of jobs in the metadata store. */
+/**
+ * Encodes and decodes the records of jobs in the metadata store; undefined for
+ * bytes that no instance of this version wrote.
+ */
 export const batchRecords = {
   encode: (
     record: BatchJob | BatchClaim | BatchProgress | BatchResult | BatchText,
   ): Buffer => Buffer.from(JSON.stringify(record)),
   encodeChunk: (items: readonly BatchItem[]): Buffer =>
     Buffer.from(JSON.stringify(items)),
-  decodeJob: (value: Buffer) => decode(JOB, value),
-  decodeClaim: (value: Buffer) => decode(CLAIM, value),
-  decodeProgress: (value: Buffer) => decode(PROGRESS, value),
-  decodeResult: (value: Buffer) => decode(RESULT, value),
-  decodeText: (value: Buffer) => decode(TEXT, value),
-  decodeChunk: (value: Buffer) => decode(z.array(ITEM), value),
+  decodeJob: (value: Buffer) => decodeJson(JOB, value),
+  decodeClaim: (value: Buffer) => decodeJson(CLAIM, value),
+  decodeProgress: (value: Buffer) => decodeJson(PROGRESS, value),
+  decodeResult: (value: Buffer) => decodeJson(RESULT, value),
+  decodeText: (value: Buffer) => decodeJson(TEXT, value),
+  decodeChunk: (value: Buffer) => decodeJson(z.array(ITEM), value),
 } as const;
--- a/packages/gateway/src/jobs/claim_book.ts
+++ b/packages/gateway/src/jobs/claim_book.ts
@@ -1,6 +1,7 @@
 import {
   type BatchClaim,
   batchKeys,
+  getEventKey,
   type MetadataEvent,
 } from "@gooseberryline/core";
 import { batchRecords } from "./batch_records.ts";
@@ -20,7 +21,7 @@
 
   /** Id of the job whose claim went; undefined for another event. */
   note(event: MetadataEvent): string | undefined {
-    const key = event.kind === "set" ? event.item.key : event.key;
+    const key = getEventKey(event);
     const jobId = key.slice(batchKeys.claimPrefix.length);
     if (event.kind === "removed") {
       this.#claims.delete(jobId);
--- a/packages/gateway/src/jobs/job_cache.ts
+++ b/packages/gateway/src/jobs/job_cache.ts
@@ -6,7 +6,7 @@
 } from "@gooseberryline/core";
 import { readConstant } from "../store/read_constant.ts";
 import { batchRecords } from "./batch_records.ts";
-import { JOB_TIMES } from "./constants.ts";
+import { putRecent } from "./put_recent.ts";
 
 export type JobLookUp =
   | { readonly kind: "found"; readonly job: BatchJob }
@@ -23,11 +23,7 @@
   }
 
   put(job: BatchJob): void {
-    this.#jobs.set(job.id, job);
-    const [oldest] = this.#jobs.keys();
-    if (this.#jobs.size > JOB_TIMES.CACHED_JOBS && oldest !== undefined) {
-      this.#jobs.delete(oldest);
-    }
+    putRecent(this.#jobs, job.id, job);
   }
 
   async find(id: string): Promise<JobLookUp> {
--- a/packages/gateway/src/jobs/job_sweeper_test.ts
+++ b/packages/gateway/src/jobs/job_sweeper_test.ts
@@ -2,12 +2,10 @@
 import { createMetadata } from "@gooseberryline/fakes";
 import { expect, test } from "vitest";
 import { createView } from "../testing/create_view.ts";
+import { SILENT_LOG } from "../testing/silent_log.ts";
 import { batchRecords } from "./batch_records.ts";
 import { JobSweeper } from "./job_sweeper.ts";
 
-const silent = (): undefined => undefined;
-const log = { info: silent, warn: silent, error: silent };
-
 async function startSweeper() {
   const metadata = createMetadata();
   const { store } = metadata;
@@ -40,7 +38,7 @@
     const page = await store.listPage("jobs/");
     return page.kind === "page" ? page.items.length : -1;
   };
-  const sweeper = new JobSweeper({ view, store, log });
+  const sweeper = new JobSweeper({ view, store, log: SILENT_LOG });
   return { sweeper, endMs, countRecords };
 }
 
--- a/packages/gateway/src/jobs/listing_news.ts
+++ b/packages/gateway/src/jobs/listing_news.ts
@@ -1,4 +1,5 @@
 import { JOB_TIMES } from "./constants.ts";
+import { putRecent } from "./put_recent.ts";
 
 /** What owners of jobs say of the results beyond a position. */
 export type ListingState = "more" | "none" | "unknown";
@@ -26,8 +27,7 @@
       const known = this.#told.get(jobId)?.count ?? 0;
       // Listed results stay, so a lower count is an owner's who is behind.
       if (count >= known) {
-        this.#told.delete(jobId);
-        this.#told.set(jobId, { count, atMs });
+        putRecent(this.#told, jobId, { count, atMs });
       }
       if (count > known) {
         this.#waiting.get(jobId)?.forEach((wake) => {
@@ -35,7 +35,6 @@
         });
       }
     });
-    this.#dropOldest();
   }
 
   /** Waits up to `holdMs` for more results than `position`. */
@@ -83,11 +82,4 @@
       waiting.add(wake);
     });
   }
-
-  #dropOldest(): void {
-    const excess = this.#told.size - JOB_TIMES.CACHED_JOBS;
-    [...this.#told.keys()].slice(0, Math.max(0, excess)).forEach((jobId) => {
-      this.#told.delete(jobId);
-    });
-  }
 }
--- a/packages/gateway/src/jobs/results_reader.ts
+++ b/packages/gateway/src/jobs/results_reader.ts
@@ -10,8 +10,8 @@
 } from "@gooseberryline/core";
 import { listConstants } from "../store/list_constants.ts";
 import { batchRecords } from "./batch_records.ts";
-import { JOB_TIMES } from "./constants.ts";
 import type { ListingNews } from "./listing_news.ts";
+import { putRecent } from "./put_recent.ts";
 
 type Results =
   | { readonly kind: "read"; readonly results: readonly BatchResult[] }
@@ -74,7 +74,8 @@
     const results = takeResults(page.items.map(({ value }) => value));
     if (!page.hasMore && results.length === page.items.length) {
       const position = from + results.length;
-      this.#noteEnd(job.id, { position, revision: page.storeRevision });
+      const end = { position, revision: page.storeRevision };
+      putRecent(this.#ends, job.id, end);
     }
     if (results.length > 0 || holdMs <= 0) {
       return { kind: "read", results };
@@ -101,7 +102,7 @@
         const results = takeResults(values);
         // One that heard nothing may have been kept from changes.
         if (results.length > 0 && results.length === values.length) {
-          this.#noteEnd(job.id, {
+          putRecent(this.#ends, job.id, {
             position: position + results.length,
             revision: changes.storeRevision,
           });
@@ -112,15 +113,6 @@
         return assertNever(changes);
     }
   }
-
-  #noteEnd(jobId: string, end: KnownEnd): void {
-    this.#ends.delete(jobId);
-    this.#ends.set(jobId, end);
-    const [oldest] = this.#ends.keys();
-    if (this.#ends.size > JOB_TIMES.CACHED_JOBS && oldest !== undefined) {
-      this.#ends.delete(oldest);
-    }
-  }
 }
 
 /** Values that were set, in the order of their positions. */
--- a/packages/gateway/src/jobs/text_saver_test.ts
+++ b/packages/gateway/src/jobs/text_saver_test.ts
@@ -1,12 +1,10 @@
 import { batchKeys, ITEM_RESULTS } from "@gooseberryline/core";
 import { expect, test } from "vitest";
+import { SILENT_LOG } from "../testing/silent_log.ts";
 import { startJob } from "../testing/start_job.ts";
 import { batchRecords } from "./batch_records.ts";
 import { TextSaver } from "./text_saver.ts";
 
-const silent = (): undefined => undefined;
-const log = { info: silent, warn: silent, error: silent };
-
 function createItem(index: number, events: number) {
   const texts = Array.from({ length: events }, (_, at) => `text ${at}`);
   return {
@@ -28,7 +26,7 @@
   const items = { list: [createItem(1, events)] };
   const saver = new TextSaver({
     store: job.metadata.store,
-    log,
+    log: SILENT_LOG,
     listTexts: () => items.list,
     getOwned: () => owned,
     countWorkers: () => 1,
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -1,7 +1,9 @@
-import type {
-  EventLog,
-  MetadataEvent,
-  MetadataStore,
+import {
+  type EventLog,
+  getEventKey,
+  getEventRevision,
+  type MetadataEvent,
+  type MetadataStore,
 } from "@gooseberryline/core";
 import { waitMs } from "../wait_ms.ts";
 import { WATCHING } from "./constants.ts";
@@ -174,9 +176,8 @@
 
   /** Tells a change once; an older state of a record is passed over. */
   #tell(event: MetadataEvent): void {
-    const key = event.kind === "set" ? event.item.key : event.key;
-    const revision =
-      event.kind === "set" ? event.item.revision : event.revision;
+    const key = getEventKey(event);
+    const revision = getEventRevision(event);
     const known = this.#known.get(key);
     if (known !== undefined && known >= revision) {
       return;
--- a/packages/gateway/src/store/prefix_watch_test.ts
+++ b/packages/gateway/src/store/prefix_watch_test.ts
@@ -1,12 +1,10 @@
 import { createMetadata } from "@gooseberryline/fakes";
 import { expect, test } from "vitest";
+import { SILENT_LOG } from "../testing/silent_log.ts";
 import { waitMs } from "../wait_ms.ts";
 import { WATCHING } from "./constants.ts";
 import { PrefixWatch } from "./prefix_watch.ts";
 
-const silent = (): undefined => undefined;
-const log = { info: silent, warn: silent, error: silent };
-
 async function startWatch({ silentWatches = 0, rank = 0, watchers = 1 } = {}) {
   const metadata = createMetadata();
   metadata.setFaults({ silentWatches });
@@ -15,7 +13,7 @@
   const watch = new PrefixWatch({
     store: metadata.store,
     prefix: "a/",
-    log,
+    log: SILENT_LOG,
     getTurn: () => ({ rank, count: watchers }),
     onEvent: (event) => {
       if (event.kind === "set") {
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -5,6 +5,7 @@
 import type { CallReply } from "../requests/types.ts";
 import { createView } from "./create_view.ts";
 import { plainDialect } from "./plain_dialect.ts";
+import { SILENT_LOG } from "./silent_log.ts";
 
 /** What a caller of a test got. */
 export type TestAnswer = {
@@ -49,9 +50,6 @@
   retentionMs: 0,
 };
 
-const silent = () => undefined;
-const log = { info: silent, warn: silent, error: silent };
-
 /** Runs one request before the given upstreams. */
 export function runRequest({
   addresses,
@@ -90,7 +88,7 @@
     receivedMs: view.readNowMs(),
   };
   const pool = new ConnectionPool(1_000);
-  let onEnded: (outcome: string) => void = silent;
+  let onEnded: (outcome: string) => void = () => undefined;
   const ended = new Promise<string>((resolve) => {
     onEnded = resolve;
   });
@@ -98,7 +96,7 @@
     view,
     pool,
     dialect: plainDialect,
-    log,
+    log: SILENT_LOG,
     onDone: (outcome) => {
       pool.stop();
       onEnded(outcome);
--- a/packages/gateway/src/testing/start_job.ts
+++ b/packages/gateway/src/testing/start_job.ts
@@ -7,9 +7,7 @@
 import { loadJob } from "../jobs/load_job.ts";
 import { OwnedJob } from "../jobs/owned_job.ts";
 import { ResultsReader } from "../jobs/results_reader.ts";
-
-const silent = (): undefined => undefined;
-const log = { info: silent, warn: silent, error: silent };
+import { SILENT_LOG } from "./silent_log.ts";
 
 const route = {
   name: "r",
@@ -62,7 +60,8 @@
     const onLost = (): void => {
       state.isLost = true;
     };
-    const owned = new OwnedJob(loaded, { store, log, writerName, onLost });
+    const parts = { store, log: SILENT_LOG, writerName, onLost };
+    const owned = new OwnedJob(loaded, parts);
     return { owned, state };
   };
   const news = new ListingNews(() => performance.now());
