Let an owner without upstreams in its data centre run items elsewhere

Cause: fleet_batch_test stood still whenever the instance of data centre b took the segment (state dumped in 2 of 3 failing runs: three owns it, no link to the slot owner of a). Such an instance never reported its wish for slots elsewhere, as only online work counted, and a slot owner gave batch wishes of other data centres no slots and the idle ones of an upstream to those who wish for none. Ruled out: load (fails on an idle machine), the killed owner's slots (they lapse after a second).

--- a/packages/core/src/jobs/choose_spare.ts
+++ b/packages/core/src/jobs/choose_spare.ts
@@ -2,6 +2,7 @@
 import { measureArrivals } from "../queue/measure_arrivals.ts";
 import { listOpen, type OpenUpstream } from "../upstreams/list_open.ts";
 import type { Upstream } from "../upstreams/types.ts";
+import { hasServingUpstream } from "./has_serving_upstream.ts";
 
 const MS_PER_SECOND = 1_000;
 /** Online arrivals of this time find a free slot without a cancellation. */
@@ -57,18 +58,6 @@
   };
 }
 
-function hasServingUpstream(
-  { upstreams, self }: InstanceState,
-  service: string,
-): boolean {
-  return Object.values(upstreams).some(
-    (upstream) =>
-      upstream.service === service &&
-      upstream.dataCentre === self.dataCentre &&
-      !upstream.isLeaving,
-  );
-}
-
 function canHoldFixed({ upstream, slots }: OpenUpstream): boolean {
   const fixed = upstream.batchInFlight - upstream.batchRuns.length;
   return slots > 1 && fixed < Math.max(1, Math.floor(slots * FIXED_PART));
--- a/packages/core/src/slots/build_use.ts
+++ b/packages/core/src/slots/build_use.ts
@@ -1,5 +1,5 @@
 import type { InstanceState } from "../instance/types.ts";
-import { listServices } from "../jobs/list_services.ts";
+import { canRunItems } from "../jobs/can_run_items.ts";
 import type { Upstream } from "../upstreams/types.ts";
 import type { SlotUse } from "./types.ts";
 
@@ -20,7 +20,7 @@
     fixed: countFixed(state, upstream),
     slots: isGranted ? upstream.allowance : 0,
     onlineWant: inFlight - batchInFlight + queued,
-    batchWant: hasBatch(state, upstream)
+    batchWant: canRunItems(state, upstream)
       ? upstream.maxConcurrency
       : batchInFlight,
     grantNumber: upstream.grantTerm === term ? upstream.grantNumber : 0,
@@ -37,7 +37,3 @@
   const { inFlight, batchRuns } = upstream;
   return policy.canYield ? inFlight - batchRuns.length : inFlight;
 }
-
-function hasBatch(state: InstanceState, upstream: Upstream): boolean {
-  return listServices(state).includes(upstream.service);
-}
--- a/packages/core/src/slots/fill_slots.ts
+++ b/packages/core/src/slots/fill_slots.ts
@@ -21,9 +21,7 @@
   const running = holders.map(({ use }) => use.inFlight - use.fixed);
   const batch = keepHeld(
     fillEvenly(forBatch, running),
-    holders.map(({ use, dataCentre }) =>
-      dataCentre === home ? use.batchWant : 0,
-    ),
+    holders.map(({ use }) => use.batchWant),
     forBatch,
   );
   const spare = fillEvenly(
--- a/packages/core/src/slots/report_slots.ts
+++ b/packages/core/src/slots/report_slots.ts
@@ -1,6 +1,7 @@
 import type { DataCentreId } from "../ids/types.ts";
 import { chainAll } from "../instance/chain_all.ts";
 import type { InstanceState, Step } from "../instance/types.ts";
+import { canRunItems } from "../jobs/can_run_items.ts";
 import { setEntry } from "../shared/set_entry.ts";
 import type { Upstream } from "../upstreams/types.ts";
 import { buildUse } from "./build_use.ts";
@@ -49,7 +50,8 @@
     upstream.inFlight > 0 ||
     upstream.isAckDue ||
     upstream.allowance > 0 ||
-    state.queues.services[upstream.service] !== undefined
+    state.queues.services[upstream.service] !== undefined ||
+    canRunItems(state, upstream)
   );
 }
 
--- a/packages/measure/src/jobs/jobs_world_test.ts
+++ b/packages/measure/src/jobs/jobs_world_test.ts
@@ -12,14 +12,17 @@
 const ids = (...names: string[]) => names as InstanceId[];
 const JOB = "job" as JobId;
 
-const createWorld = (seed = 1) =>
+const buildDocument = () =>
+  buildWorldConfig({
+    dataCentres: ["a", "b"],
+    upstreamsEach: 2,
+    customers: ["c1", "c2"],
+  });
+
+const createWorld = (seed = 1, document = buildDocument()) =>
   new World({
     seed,
-    document: buildWorldConfig({
-      dataCentres: ["a", "b"],
-      upstreamsEach: 2,
-      customers: ["c1", "c2"],
-    }),
+    document,
     instances: { a: 2, b: 1 },
     engine: { slots: 1_000, firstTokenMs: 100, tokenMs: 2 },
   });
@@ -66,6 +69,22 @@
   expect(phaseOf(world)).toBe("completed");
 });
 
+test("an owner without upstreams in its data centre uses others", () => {
+  const document = buildDocument();
+  const upstreams = Object.entries(document.upstreams).filter(
+    ([, { dataCentre }]) => dataCentre === "a",
+  );
+  const world = createWorld(1, {
+    ...document,
+    upstreams: Object.fromEntries(upstreams),
+  });
+  offerBatch(world, { name: JOB, itemCount: 5_000 });
+  world.runFor(120_000);
+  expect(indexesOf(world)).toEqual(upTo(5_000));
+  const owners = new Set(world.ledger.runs.map((run) => run.instanceId));
+  expect([...owners].toSorted()).toEqual([FIRST, SECOND, THIRD]);
+});
+
 test("an owner's loss repeats only what was not committed", () => {
   const world = runBatch({}, (at) => at.kill(FIRST));
   expect(indexesOf(world)).toEqual(upTo(3_000));
