Tell no count of results that an unanswered write may have outgrown

A reader that has as many results as the owner says gets an empty answer without a call. The owner said the old count for up to 3 s where the watch told it of the removed claim before its last write was answered, and as long as a write waited for its answer. Ruled out by a trial: cheap reads telling a later revision than what they show (158 reads, none).

Change: an owner tells a count only while no write is in doubt over 200 ms, and of a dropped job only once all its results are known to be listed. Before: both new tests of owned_job_test fail. After: they pass.

--- a/packages/gateway/src/jobs/constants.ts
+++ b/packages/gateway/src/jobs/constants.ts
@@ -22,6 +22,8 @@
   RETRY_MS: 250,
   /** A write without an answer is tried again after this long, in ms. */
   WRITE_RETRY_MS: 200,
+  /** After this long a write without an answer may have been read, in ms. */
+  DOUBT_MS: 200,
   /** What an owner said of its results counts this long, in ms. */
   NEWS_AGE_MS: 600,
   /** A finished job's owner goes on telling of it this long, in ms. */
--- a/packages/gateway/src/jobs/job_runner.ts
+++ b/packages/gateway/src/jobs/job_runner.ts
@@ -22,8 +22,8 @@
   readonly #parts: RunnerParts;
   readonly #claims = new ClaimBook();
   readonly #owned = new Map<string, OwnedJob>();
-  /** Finished jobs that peers are still told of. */
-  readonly #finished = new Map<string, { count: number; untilMs: number }>();
+  /** Dropped jobs: peers are still told of those that are whole. */
+  readonly #dropped = new Map<string, { owned: OwnedJob; untilMs: number }>();
   /** Jobs with a claim or a read under way. */
   readonly #busy = new Set<string>();
   readonly #pool: ItemPool;
@@ -73,15 +73,22 @@
   /** How many results of each own job are listed, for peers. */
   listListed(): Readonly<Record<string, number>> {
     const nowMs = this.#parts.view.readNowMs();
-    [...this.#finished]
+    [...this.#dropped]
       .filter(([, { untilMs }]) => untilMs <= nowMs)
       .forEach(([id]) => {
-        this.#finished.delete(id);
+        this.#dropped.delete(id);
       });
-    return Object.fromEntries([
-      ...[...this.#finished].map(([id, { count }]) => [id, count] as const),
-      ...[...this.#owned].map(([id, owned]) => [id, owned.listedCount]),
-    ]);
+    const dropped = [...this.#dropped].map(([id, { owned }]) => ({
+      id,
+      owned,
+    }));
+    const held = [...this.#owned].map(([id, owned]) => ({ id, owned }));
+    return Object.fromEntries(
+      [...dropped, ...held].flatMap(({ id, owned }) => {
+        const count = owned.countListed();
+        return count === undefined ? [] : [[id, count]];
+      }),
+    );
   }
 
   /** Hands all jobs back, and claims none until `resumeClaims`. */
@@ -187,7 +194,8 @@
     }
     const writerName = `${view.settings.instanceId}/${view.incarnation}`;
     const onLost = (): void => this.#drop(jobId);
-    const parts = { store, log, writerName, onLost };
+    const readNowMs = (): number => view.readNowMs();
+    const parts = { store, log, readNowMs, writerName, onLost };
     this.#owned.set(jobId, new OwnedJob(loaded, parts));
     this.#pool.addJob(loaded);
   }
@@ -214,7 +222,7 @@
     const owned = this.#owned.get(jobId);
     if (owned !== undefined) {
       const untilMs = this.#parts.view.readNowMs() + JOB_TIMES.TOLD_MS;
-      this.#finished.set(jobId, { count: owned.listedCount, untilMs });
+      this.#dropped.set(jobId, { owned, untilMs });
       owned.abandon();
     }
     this.#owned.delete(jobId);
--- a/packages/gateway/src/jobs/owned_job.ts
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -18,6 +18,8 @@
 type OwnedParts = {
   readonly store: MetadataStore;
   readonly log: EventLog;
+  /** Milliseconds of a steady clock. */
+  readonly readNowMs: () => number;
   /** Tells this process's writes from those of others. */
   readonly writerName: string;
   readonly onLost: () => void;
@@ -59,6 +61,8 @@
   readonly #saved: Set<number>;
   #finished: Finished[] = [];
   #isWriting = false;
+  /** Start of the write that is not answered yet. */
+  #writtenMs: number | undefined;
   #writes = 0;
   #isOver = false;
 
@@ -75,9 +79,19 @@
     return this.#isOver;
   }
 
-  /** Results that are known to be listed. */
-  get listedCount(): number {
-    return this.#listed.length;
+  /**
+   * How many results are listed, for peers to answer their callers by. Not
+   * known while a write waits long for its answer, nor once the job is
+   * another's or ended: callers may have read more by then.
+   */
+  countListed(): number | undefined {
+    const count = this.#listed.length;
+    if (count >= this.loaded.job.itemIds.length) {
+      return count;
+    }
+    const { readNowMs } = this.#parts;
+    const waitedMs = readNowMs() - (this.#writtenMs ?? readNowMs());
+    return this.#isOver || waitedMs > JOB_TIMES.DOUBT_MS ? undefined : count;
   }
 
   /** Ends without a word; nothing more is written. */
@@ -100,10 +114,12 @@
       return;
     }
     this.#isWriting = true;
+    this.#writtenMs = this.#parts.readNowMs();
     const batch = this.#finished.slice(0, MAX_RESULTS);
     this.#finished = this.#finished.slice(MAX_RESULTS);
     await this.#writeUntilKnown(batch);
     this.#isWriting = false;
+    this.#writtenMs = undefined;
     await this.#write();
   }
 
--- a/packages/gateway/src/jobs/owned_job_test.ts
+++ b/packages/gateway/src/jobs/owned_job_test.ts
@@ -105,14 +105,14 @@
 test("with news of the owner a reader who has all makes no call", async () => {
   const { own, readIds, metadata, news } = await startJob();
   const { owned } = await own("w1");
-  news.note({ j1: owned.listedCount });
+  news.note({ j1: owned.countListed() ?? 0 });
   const before = countReads(metadata.calls);
   expect(await readIds(0, 200)).toEqual([]);
   expect(countReads(metadata.calls)).toBe(before);
   const next = readIds(0, 1_000);
   owned.addResult(1, createResult("b"));
-  await settle(() => owned.listedCount === 1);
-  news.note({ j1: owned.listedCount });
+  await settle(() => owned.countListed() === 1);
+  news.note({ j1: owned.countListed() ?? 0 });
   expect(await next).toEqual(["b"]);
   expect(countReads(metadata.calls)).toBe(before + 1);
 });
@@ -130,7 +130,7 @@
   const { own, readIds, news } = await startJob();
   const { owned } = await own("w1");
   owned.addResult(1, createResult("b"));
-  await settle(() => owned.listedCount === 1);
+  await settle(() => owned.countListed() === 1);
   news.note({ j1: 1 });
   news.note({ j1: 0 });
   expect(await readIds(0, 100)).toEqual(["b"]);
@@ -155,10 +155,36 @@
   const { own, readIds, metadata } = await startJob();
   const { owned } = await own("w1");
   owned.addResult(0, createResult("a"));
-  await settle(() => owned.listedCount === 1);
+  await settle(() => owned.countListed() === 1);
   const before = metadata.calls.list;
   expect(await readIds(0)).toEqual(["a"]);
   expect(metadata.calls.list).toBe(before);
   metadata.setFaults({ isBehind: true });
   expect(await readIds(0)).toEqual(["a"]);
 });
+
+test("a job dropped before its last write is answered tells no old count", async () => {
+  const { own } = await startJob();
+  const { owned } = await own("w1");
+  owned.addResult(0, createResult("a"));
+  owned.addResult(1, createResult("b"));
+  await settle(() => owned.countListed() === 2);
+  owned.addResult(2, createResult("c"));
+  // The watch tells of the removed claim before the write's answer comes.
+  owned.abandon();
+  expect(owned.countListed()).toBe(undefined);
+  await settle(() => owned.countListed() === 3);
+});
+
+test("a write that waits long for its answer tells no old count", async () => {
+  const { own, metadata } = await startJob();
+  const { owned } = await own("w1");
+  metadata.setFaults({ lostCommits: 1 });
+  owned.addResult(0, createResult("a"));
+  metadata.setFaults({ isDown: true });
+  expect(owned.countListed()).toBe(0);
+  await waitMs(JOB_TIMES.DOUBT_MS + 50);
+  expect(owned.countListed()).toBe(undefined);
+  metadata.setFaults({ isDown: false });
+  await settle(() => owned.countListed() === 1);
+});
--- a/packages/gateway/src/jobs/text_saver_test.ts
+++ b/packages/gateway/src/jobs/text_saver_test.ts
@@ -56,7 +56,7 @@
   expect(await countTexts()).toBe(1);
   const result = { id: "b", state: ITEM_RESULTS.completed, text: "b" };
   owned.addResult(1, result);
-  await expect.poll(() => owned.listedCount).toBe(1);
+  await expect.poll(() => owned.countListed()).toBe(1);
   expect(await countTexts()).toBe(0);
 });
 
--- a/packages/gateway/src/testing/start_job.ts
+++ b/packages/gateway/src/testing/start_job.ts
@@ -60,7 +60,9 @@
     const onLost = (): void => {
       state.isLost = true;
     };
-    const parts = { store, log: SILENT_LOG, writerName, onLost };
+    const log = SILENT_LOG;
+    const readNowMs = (): number => performance.now();
+    const parts = { store, log, readNowMs, writerName, onLost };
     const owned = new OwnedJob(loaded, parts);
     return { owned, state };
   };
