Follow results and records from the last change that was told

Before: both new tests fail (the reader gets [] for the third result; the record is not told within 5 s). After: they pass.

--- a/packages/fakes/src/metadata/create_metadata.ts
+++ b/packages/fakes/src/metadata/create_metadata.ts
@@ -22,6 +22,7 @@
       lostCommits: 0,
       isDeaf: false,
       silentWatches: 0,
+      keptBack: 0,
       isBehind: false,
     } as MetadataFaults,
   };
@@ -73,7 +74,13 @@
         const { isDown } = control.faults;
         const isDeaf = isSilent || control.faults.isDeaf;
         const changes = state.listChanges(prefix, after);
-        const events = isDeaf ? [] : (changes ?? []);
+        const told = changes?.length ?? 0;
+        const events = isDeaf
+          ? []
+          : (changes ?? []).slice(
+              0,
+              Math.max(0, told - control.faults.keptBack),
+            );
         const isOver = readNowMs() >= endMs;
         if (isDown) {
           return fail("watch", false);
--- a/packages/fakes/src/metadata/types.ts
+++ b/packages/fakes/src/metadata/types.ts
@@ -13,6 +13,8 @@
   readonly isDeaf: boolean;
   /** So many of the next watches hear nothing until they end. */
   readonly silentWatches: number;
+  /** Watches leave out so many of the latest changes under their prefix. */
+  readonly keptBack: number;
   /** Reads that may be stale show none of the records. */
   readonly isBehind: boolean;
 };
--- a/packages/gateway/src/jobs/owned_job_test.ts
+++ b/packages/gateway/src/jobs/owned_job_test.ts
@@ -96,6 +96,22 @@
   expect(await readIds(2, 100)).toEqual(["c"]);
 });
 
+test("a result that the store kept back from a watch is read later", async () => {
+  const { own, readIds, metadata } = await startJob();
+  const { owned } = await own("w1");
+  owned.addResult(0, createResult("a"));
+  await settle(() => owned.countListed() === 1);
+  expect(await readIds(0)).toEqual(["a"]);
+  owned.addResult(1, createResult("b"));
+  await settle(() => owned.countListed() === 2);
+  owned.addResult(2, createResult("c"));
+  await settle(() => owned.countListed() === 3);
+  metadata.setFaults({ keptBack: 1 });
+  expect(await readIds(1, 100)).toEqual(["b"]);
+  metadata.setFaults({ keptBack: 0 });
+  expect(await readIds(2, 100)).toEqual(["c"]);
+});
+
 function countReads(calls: Readonly<Record<string, number>>): number {
   return Object.entries(calls)
     .filter(([step]) => step !== "commit")
--- a/packages/gateway/src/jobs/results_reader.ts
+++ b/packages/gateway/src/jobs/results_reader.ts
@@ -6,6 +6,7 @@
   batchKeys,
   type MetadataEvent,
   type MetadataFailure,
+  type MetadataItem,
   type MetadataStore,
 } from "@gooseberryline/core";
 import { listConstants } from "../store/list_constants.ts";
@@ -17,7 +18,10 @@
   | { readonly kind: "read"; readonly results: readonly BatchResult[] }
   | MetadataFailure;
 
-/** At `revision` of the store nothing stood at `position` or beyond. */
+/**
+ * Whatever stands at `position` or beyond came after `revision` of the store:
+ * that of the last result before it, or of a listing that was up to date.
+ */
 type KnownEnd = { readonly position: number; readonly revision: number };
 
 /**
@@ -72,16 +76,15 @@
       return page;
     }
     const results = takeResults(page.items.map(({ value }) => value));
+    const position = from + results.length;
+    const revision = page.items.at(-1)?.revision ?? page.storeRevision;
+    const end = { position, revision };
     if (!page.hasMore && results.length === page.items.length) {
-      const position = from + results.length;
-      const end = { position, revision: page.storeRevision };
       putRecent(this.#ends, job.id, end);
     }
-    if (results.length > 0 || holdMs <= 0) {
-      return { kind: "read", results };
-    }
-    const end = { position: from, revision: page.storeRevision };
-    return this.#watch(job, end, holdMs);
+    return results.length > 0 || holdMs <= 0
+      ? { kind: "read", results }
+      : this.#watch(job, end, holdMs);
   }
 
   async #watch(
@@ -98,13 +101,14 @@
         this.#ends.delete(job.id);
         return this.#list(job, position, 0);
       case "changes": {
-        const values = listValues(changes.events);
-        const results = takeResults(values);
-        // One that heard nothing may have been kept from changes.
-        if (results.length > 0 && results.length === values.length) {
+        const items = listItems(changes.events);
+        const results = takeResults(items.map(({ value }) => value));
+        const last = items.at(-1);
+        // The store's revision may be beyond changes that were kept back.
+        if (last !== undefined && results.length === items.length) {
           putRecent(this.#ends, job.id, {
             position: position + results.length,
-            revision: changes.storeRevision,
+            revision: last.revision,
           });
         }
         return { kind: "read", results };
@@ -115,12 +119,11 @@
   }
 }
 
-/** Values that were set, in the order of their positions. */
-function listValues(events: readonly MetadataEvent[]): readonly Buffer[] {
+/** Records that were set, in the order of their positions. */
+function listItems(events: readonly MetadataEvent[]): readonly MetadataItem[] {
   return events
     .flatMap((event) => (event.kind === "set" ? [event.item] : []))
-    .sort((a, b) => (a.key < b.key ? -1 : 1))
-    .map(({ value }) => value);
+    .sort((a, b) => (a.key < b.key ? -1 : 1));
 }
 
 /** As many results as one answer holds, at least one if there is any. */
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -149,14 +149,12 @@
     }
     switch (changes.kind) {
       case "changes":
+        // The store's revision may be beyond changes that were kept back: the
+        // next watch starts from the last change that was told.
         changes.events.forEach((event) => {
           this.#tell(event);
+          this.#revision = Math.max(this.#revision, getEventRevision(event));
         });
-        // One that heard nothing may have been kept from changes: the next one
-        // starts from the same revision.
-        if (changes.events.length > 0) {
-          this.#revision = changes.storeRevision;
-        }
         return true;
       case "compacted":
         log.info("watch-history-gone", { prefix, revision: this.#revision });
--- a/packages/gateway/src/store/prefix_watch_test.ts
+++ b/packages/gateway/src/store/prefix_watch_test.ts
@@ -129,3 +129,15 @@
   expect(performance.now() - startedMs).toBeLessThan(WATCHING.PROBE_MS * 3);
   watch.stop();
 });
+
+test("a change that the store kept back is told by the next watch", async () => {
+  const { metadata, known, watch, settle } = await startWatch();
+  metadata.setFaults({ keptBack: 1 });
+  metadata.put("a/2", "two");
+  metadata.put("a/3", "three");
+  await settle(() => known.has("a/2"));
+  expect(known.has("a/3")).toBe(false);
+  metadata.setFaults({ keptBack: 0 });
+  await settle(() => known.has("a/3"));
+  watch.stop();
+});
