--- a/packages/gateway/src/requests/request_run_test.ts
+++ b/packages/gateway/src/requests/request_run_test.ts
@@ -1,9 +1,13 @@
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Route } from "@gooseberryline/core";
 import { expect, test } from "vitest";
 import { runRequest } from "../testing/run_request.ts";
 import { startUpstream } from "../testing/start_upstream.ts";
 
+type Handle = (req: IncomingMessage, res: ServerResponse) => void;
+
 const STREAM = { "content-type": "text/event-stream", seal: "s1" };
+const ONCE = { isResumable: false, isIdempotent: false } as const;
 
 function buildEvent(id: number): string {
   return `id: ${id}\ndata: text${id}\n\n`;
@@ -14,138 +18,128 @@
   res.write(ids.map(buildEvent).join(""));
 }
 
-test("a stream is passed on with its head", async () => {
-  const upstream = await startUpstream((_, res) => {
-    streamEvents(res, [1, 2, 3]);
+function buildStream(ids: readonly number[]): Handle {
+  return (_, res) => {
+    streamEvents(res, ids);
     res.end();
-  });
-  const { answer, ended } = runRequest({ addresses: [upstream.address] });
-  expect(await ended).toBe("answered");
+  };
+}
+
+/** Runs one request before upstreams that answer so, in this order. */
+async function runBefore(
+  handles: readonly Handle[],
+  parts: { route?: Partial<Route>; lastEventId?: number } = {},
+) {
+  const upstreams = await Promise.all(handles.map(startUpstream));
+  const addresses = upstreams.map(({ address }) => address);
+  const { answer, ended } = runRequest({ ...parts, addresses });
+  const outcome = await ended;
+  await Promise.all(upstreams.map((upstream) => upstream.close()));
+  return { answer, outcome, seen: upstreams.map(({ seen }) => seen) };
+}
+
+test("a stream is passed on with its head", async () => {
+  const { answer, outcome } = await runBefore([buildStream([1, 2, 3])]);
+  expect(outcome).toBe("answered");
   expect(answer.headers).toContain("seal");
   expect(answer.body).toBe([1, 2, 3].map(buildEvent).join(""));
   expect(answer.end).toBe("whole");
-  await upstream.close();
 });
 
 // Seen on ipacp trouble-1: a caller came back after its last event.
 test("a stream without events keeps its head", async () => {
-  const upstream = await startUpstream((_, res) => {
+  const handle: Handle = (_, res) => {
     res.writeHead(200, STREAM).end();
-  });
-  const run = { addresses: [upstream.address], lastEventId: 9 };
-  const { answer, ended } = runRequest(run);
-  expect(await ended).toBe("answered");
+  };
+  const { answer, outcome } = await runBefore([handle], { lastEventId: 9 });
+  expect(outcome).toBe("answered");
   expect(answer.headers).toContain("seal");
   expect(answer.end).toBe("whole");
-  await upstream.close();
 });
 
 test("a stream cut inside an event goes on after the last whole one", async () => {
-  const first = await startUpstream((_, res) => {
-    res.writeHead(200, STREAM);
-    res.write(`${buildEvent(1)}${buildEvent(2)}id: 3\nda`, () => res.destroy());
-  });
-  const second = await startUpstream((_, res) => {
-    streamEvents(res, [3, 4]);
-    res.end();
-  });
-  const addresses = [first.address, second.address];
-  const { answer, ended } = runRequest({ addresses });
-  expect(await ended).toBe("answered");
-  expect(second.seen[0]?.["last-event"]).toBe("2");
+  const { answer, outcome, seen } = await runBefore([
+    (_, res) => {
+      const events = `${buildEvent(1)}${buildEvent(2)}id: 3\nda`;
+      res.writeHead(200, STREAM);
+      res.write(events, () => res.destroy());
+    },
+    buildStream([3, 4]),
+  ]);
+  expect(outcome).toBe("answered");
+  expect(seen[1]?.[0]?.["last-event"]).toBe("2");
   expect(answer.body).toBe([1, 2, 3, 4].map(buildEvent).join(""));
-  await Promise.all([first.close(), second.close()]);
 });
 
 test("a stream that may not be resumed is broken off", async () => {
-  const first = await startUpstream((_, res) => {
-    res.writeHead(200, STREAM);
-    res.write(buildEvent(1), () => res.destroy());
-  });
-  const second = await startUpstream((_, res) => res.end());
-  const { answer, ended } = runRequest({
-    addresses: [first.address, second.address],
-    route: { isResumable: false, isIdempotent: false },
-  });
-  expect(await ended).toBe("broken-off");
+  const { answer, outcome, seen } = await runBefore(
+    [
+      (_, res) => {
+        res.writeHead(200, STREAM);
+        res.write(buildEvent(1), () => res.destroy());
+      },
+      (_, res) => res.end(),
+    ],
+    { route: ONCE },
+  );
+  expect(outcome).toBe("broken-off");
   expect(answer.end).toBe("broken-off");
-  expect(second.seen).toHaveLength(0);
-  await Promise.all([first.close(), second.close()]);
+  expect(seen[1]).toHaveLength(0);
 });
 
 test("what may have run is not run again, nor called not run", async () => {
-  const first = await startUpstream((_, res) => res.destroy());
-  const second = await startUpstream((_, res) => res.end());
-  const { answer, ended } = runRequest({
-    addresses: [first.address, second.address],
-    route: { isResumable: false, isIdempotent: false },
-  });
-  expect(await ended).toBe("refused");
+  const { answer, outcome, seen } = await runBefore(
+    [(_, res) => res.destroy(), (_, res) => res.end()],
+    { route: ONCE },
+  );
+  expect(outcome).toBe("refused");
   expect(answer.status).toBe(502);
   expect(answer.run).toBe("may have run");
-  expect(second.seen).toHaveLength(0);
-  await Promise.all([first.close(), second.close()]);
+  expect(seen[1]).toHaveLength(0);
 });
 
 test("what an upstream declines goes to another one", async () => {
-  const first = await startUpstream((_, res) => {
-    res.writeHead(503, { "not-run": "1" }).end();
-  });
-  const second = await startUpstream((_, res) => {
-    streamEvents(res, [1]);
-    res.end();
-  });
-  const { answer, ended } = runRequest({
-    addresses: [first.address, second.address],
-    route: { isResumable: false, isIdempotent: false, maxAttempts: 1 },
-  });
-  expect(await ended).toBe("answered");
+  const { answer, outcome } = await runBefore(
+    [
+      (_, res) => {
+        res.writeHead(503, { "not-run": "1" }).end();
+      },
+      buildStream([1]),
+    ],
+    { route: { ...ONCE, maxAttempts: 1 } },
+  );
+  expect(outcome).toBe("answered");
   expect(answer.body).toBe(buildEvent(1));
-  await Promise.all([first.close(), second.close()]);
 });
 
 test("a silent upstream is left in time", async () => {
-  const first = await startUpstream(() => undefined);
-  const second = await startUpstream((_, res) => {
-    streamEvents(res, [1]);
-    res.end();
-  });
-  const addresses = [first.address, second.address];
-  const { answer, ended } = runRequest({ addresses });
-  expect(await ended).toBe("answered");
+  const silent: Handle = () => undefined;
+  const { answer, outcome } = await runBefore([silent, buildStream([1])]);
+  expect(outcome).toBe("answered");
   expect(answer.body).toBe(buildEvent(1));
-  await Promise.all([first.close(), second.close()]);
 });
 
 test("events out of order are not passed on", async () => {
-  const first = await startUpstream((_, res) => {
-    streamEvents(res, [1, 2, 4]);
-  });
-  const second = await startUpstream((_, res) => {
-    streamEvents(res, [3]);
-    res.end();
-  });
-  const addresses = [first.address, second.address];
-  const { answer, ended } = runRequest({ addresses });
-  expect(await ended).toBe("answered");
+  const { answer, outcome } = await runBefore([
+    (_, res) => {
+      streamEvents(res, [1, 2, 4]);
+    },
+    buildStream([3]),
+  ]);
+  expect(outcome).toBe("answered");
   expect(answer.body).toBe([1, 2, 3].map(buildEvent).join(""));
-  await Promise.all([first.close(), second.close()]);
 });
 
 test("an answer to another request is not passed on", async () => {
-  const first = await startUpstream((_, res) => {
-    res.writeHead(200, { ...STREAM, "request-id": "r0" });
-    res.end(buildEvent(7));
-  });
-  const second = await startUpstream((_, res) => {
-    streamEvents(res, [1]);
-    res.end();
-  });
-  const addresses = [first.address, second.address];
-  const { answer, ended } = runRequest({ addresses });
-  expect(await ended).toBe("answered");
+  const { answer, outcome } = await runBefore([
+    (_, res) => {
+      res.writeHead(200, { ...STREAM, "request-id": "r0" });
+      res.end(buildEvent(7));
+    },
+    buildStream([1]),
+  ]);
+  expect(outcome).toBe("answered");
   expect(answer.body).toBe(buildEvent(1));
-  await Promise.all([first.close(), second.close()]);
 });
 
 test("a caller that leaves stops the work", async () => {
