Show instances on the users' platform by their metrics

gooseberryctl fleet ADDRESS... asks instances from inside the platform and says what needs the product's own administration.

--- /dev/null
+++ b/packages/cli/src/fleet/ask_fleet.ts
@@ -0,0 +1,45 @@
+import { got } from "got";
+import { buildSummary } from "./build_summary.ts";
+import { ASKING } from "./constants.ts";
+import { parseMetrics } from "./parse_metrics.ts";
+import type { FleetSummary, InstanceSummary } from "./types.ts";
+
+type Answer =
+  | { readonly kind: "told"; readonly summary: InstanceSummary }
+  | { readonly kind: "missing"; readonly reason: string };
+
+/** Asks each instance for its metrics; one that fails hides no other. */
+export async function askFleet(
+  addresses: readonly string[],
+): Promise<FleetSummary> {
+  const answers = await Promise.all(
+    addresses.map(async (address) => ({
+      address,
+      answer: await askOne(address),
+    })),
+  );
+  return {
+    instances: answers.flatMap(({ answer }) =>
+      answer.kind === "told" ? [answer.summary] : [],
+    ),
+    missing: answers.flatMap(({ address, answer }) =>
+      answer.kind === "missing" ? [{ address, reason: answer.reason }] : [],
+    ),
+  };
+}
+
+async function askOne(address: string): Promise<Answer> {
+  try {
+    const text = await got(`http://${address}${ASKING.PATH}`, {
+      retry: { limit: 0 },
+      timeout: { request: ASKING.TIMEOUT_MS },
+    }).text();
+    const summary = buildSummary(address, parseMetrics(text));
+    return summary === undefined
+      ? { kind: "missing", reason: "its metrics are another program's" }
+      : { kind: "told", summary };
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return { kind: "missing", reason };
+  }
+}
--- /dev/null
+++ b/packages/cli/src/fleet/constants.ts
@@ -0,0 +1,6 @@
+/** Figures of asking instances. */
+export const ASKING = {
+  /** An instance that is up answers in a few ms; a cut one never does. */
+  TIMEOUT_MS: 2_000,
+  PATH: "/metrics",
+} as const;
--- /dev/null
+++ b/packages/cli/src/fleet/find_quantile_bound.ts
@@ -0,0 +1,18 @@
+import type { MetricSample } from "./types.ts";
+
+/** No request was counted, or it took longer than the largest bound. */
+const NO_BOUND = -1;
+
+/** Finds the least bound of a histogram that holds this share of its counts. */
+export function findQuantileBound(
+  buckets: readonly MetricSample[],
+  share: number,
+): number {
+  const bounds = buckets
+    .map(({ labels, value }) => ({ bound: Number(labels.le), count: value }))
+    .filter(({ bound }) => Number.isFinite(bound))
+    .sort((a, b) => a.bound - b.bound);
+  const total = Math.max(0, ...buckets.map(({ value }) => value));
+  const found = bounds.find(({ count }) => count >= total * share);
+  return total === 0 ? NO_BOUND : (found?.bound ?? NO_BOUND);
+}
--- a/packages/cli/src/run_tool.ts
+++ b/packages/cli/src/run_tool.ts
@@ -9,6 +9,7 @@
 import { CONFIG_COMMANDS } from "./commands/config_commands.ts";
 import { DATA_CENTRE_COMMANDS } from "./commands/data_centre_commands.ts";
 import { ExplainCommand } from "./commands/explain_command.ts";
+import { FleetCommand } from "./commands/fleet_command.ts";
 import { JOB_COMMANDS } from "./commands/job_commands.ts";
 import { KEY_COMMANDS } from "./commands/key_commands.ts";
 import { RunsCommand } from "./commands/runs_command.ts";
@@ -81,6 +82,7 @@
     RunsCommand,
     BurnCommand,
     ExplainCommand,
+    FleetCommand,
     CompletionCommand,
   ].forEach((command) => {
     cli.register(command);
