--- /dev/null
+++ b/packages/measure/src/items/item_orders.ts
@@ -0,0 +1,34 @@
+import {
+  type ItemClock,
+  type OrderedItem,
+  orderItems,
+} from "@gooseberryline/core";
+import type { OrderOfItems } from "./types.ts";
+
+function countLate(
+  { dueAtMs, ranMs }: OrderedItem,
+  { nowMs, meanRunMs }: ItemClock,
+): number {
+  return nowMs + Math.max(0, meanRunMs - ranMs) > dueAtMs ? 1 : 0;
+}
+
+/** The product's order of items, and others to compare it with. */
+export const ITEM_ORDERS = {
+  product: orderItems,
+  "earliest-due-first": (items, clock) =>
+    items.toSorted(
+      (a, b) =>
+        countLate(a, clock) - countLate(b, clock) ||
+        a.dueAtMs - b.dueAtMs ||
+        b.ranMs - a.ranMs ||
+        a.index - b.index,
+    ),
+  "least-left-first": (items, clock) =>
+    items.toSorted(
+      (a, b) =>
+        countLate(a, clock) - countLate(b, clock) ||
+        b.ranMs - a.ranMs ||
+        a.dueAtMs - b.dueAtMs,
+    ),
+  "as-they-come": (items) => items.toSorted((a, b) => a.index - b.index),
+} as const satisfies Readonly<Record<string, OrderOfItems>>;
--- /dev/null
+++ b/packages/measure/src/measures/item_order.ts
@@ -0,0 +1,32 @@
+import { LOAD } from "../items/constants.ts";
+import { driveItems } from "../items/drive_items.ts";
+import { ITEM_ORDERS } from "../items/item_orders.ts";
+import type { Measure, MeasureRow } from "./types.ts";
+
+const NAME = "item-order";
+/** From well below to three times what the played pool can do. */
+const ITEMS_PER_SECOND = [2, 3, 4, 6, 10] as const;
+
+/** Which share of batch items is in time beside online bursts. */
+export const ITEM_ORDER: Measure = {
+  name: NAME,
+  target: "product ahead of each other order",
+  run: (seed) =>
+    Promise.resolve(
+      ITEMS_PER_SECOND.flatMap((rate) => measureOrders(seed, rate)),
+    ),
+};
+
+function measureOrders(
+  seed: number,
+  itemsPerSecond: number,
+): readonly MeasureRow[] {
+  const count = (itemsPerSecond * LOAD.ARRIVALS_MS) / LOAD.MS_PER_SECOND;
+  return Object.entries(ITEM_ORDERS).map(([policy, order]) => ({
+    measure: NAME,
+    policy,
+    value: driveItems(order, { seed, itemsPerSecond }) / count,
+    unit: `of ${itemsPerSecond} items a second in time`,
+    seed,
+  }));
+}
