--- a/packages/cli/src/explain/build_explanation.ts
+++ b/packages/cli/src/explain/build_explanation.ts
@@ -145,6 +145,11 @@
   if (ownLines.some(({ event }) => event === "job-ended-by-caller")) {
     return "ended by its caller";
   }
+  const refused = ownLines.findLast(({ event }) => event === "job-over-limit");
+  const isAccepted = ownLines.some(({ event }) => event === "job-accepted");
+  if (refused !== undefined && !isAccepted) {
+    return describeRefusedJob(refused);
+  }
   const listed = ownLines.findLast(({ event }) => event === "results-listed");
   const errored = ownLines.filter(
     ({ event }) => event === "item-errored",
@@ -154,6 +159,13 @@
     : `${listed.fields.listed} of ${listed.fields.total} results listed, ${errored} errored`;
 }
 
+function describeRefusedJob({ fields }: LogLine): string {
+  const { customer, tokens, limit, waiting, ageMs } = fields;
+  return waiting === undefined
+    ? `refused: its ${tokens} tokens exceed the limit of ${limit} by themselves`
+    : `refused: ${tokens} tokens beside ${waiting} unfinished ones of customer ${customer}, counted ${ageMs} ms before, exceed the limit of ${limit}`;
+}
+
 function describeItem(ownLines: readonly LogLine[]): string {
   const errored = ownLines.find(({ event }) => event === "item-errored");
   if (errored !== undefined) {
--- a/packages/cli/src/explain/explain_test.ts
+++ b/packages/cli/src/explain/explain_test.ts
@@ -68,6 +68,18 @@
     listed: 1,
     total: 2,
   },
+  {
+    event: "job-over-limit",
+    at: "2026-12-04T09:00:12.200Z",
+    instance: "w2",
+    jobId: "j2",
+    customer: "t1",
+    tokens: 20,
+    limit: 100,
+    waiting: 90,
+    ageMs: 12,
+    retryAfterMs: 300,
+  },
 ];
 
 async function runExplain(id: string, ...options: readonly string[]) {
@@ -113,6 +125,13 @@
   expect(out).toContain("job j1: 1 of 2 results listed, 0 errored");
 });
 
+test("explains a job that was refused for its customer's unfinished items", async () => {
+  const { out } = await runExplain("j2");
+  expect(out).toContain(
+    "job j2: refused: 20 tokens beside 90 unfinished ones of customer t1, counted 12 ms before, exceed the limit of 100",
+  );
+});
+
 test("prints the explanation as JSON with --json", async () => {
   const { out } = await runExplain("r1", "--json");
   expect(JSON.parse(out)).toMatchObject({ id: "r1", subject: "request" });
@@ -121,7 +140,7 @@
 test("reports an unknown ID with the number of lines read", async () => {
   const { code, err } = await runExplain("nobody");
   expect(code).toBe(1);
-  expect(err).toContain("no line names nobody; 8 lines read, 1 of other kinds");
+  expect(err).toContain("no line names nobody; 9 lines read, 1 of other kinds");
 });
 
 test("reports the name of an unreadable file", async () => {
--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -36,13 +36,29 @@
     text: "A caller's connection broke, or what came on it was malformed",
   },
   "job-accepted": {
-    fields: ["jobId", "items"],
+    fields: ["jobId", "items", "tokens"],
     text: "The store has the whole job",
   },
   "job-not-accepted": {
     fields: ["jobId", "mayStand"],
     text: "The store did not confirm a job; it may stand all the same",
   },
+  "job-over-limit": {
+    fields: [
+      "jobId",
+      "customer",
+      "tokens",
+      "limit",
+      "waiting",
+      "ageMs",
+      "retryAfterMs",
+    ],
+    text: "A job is refused: with the customer's unfinished items it is over the route's limit; no waiting if the job alone is",
+  },
+  "backlog-unreadable": {
+    fields: ["key"],
+    text: "An open job's token count could not be read and counts as 0",
+  },
   "job-claimed": {
     fields: ["jobId", "from"],
     text: "A worker takes a job over from an owner that is gone",
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -2,6 +2,12 @@
 
 export { decideNextStep } from "./attempts/decide_next_step.ts";
 export type * from "./attempts/types.ts";
+export { backlogKeys } from "./backlog/backlog_keys.ts";
+export { BACKLOG } from "./backlog/constants.ts";
+export { decideBacklogAdmission } from "./backlog/decide_backlog_admission.ts";
+export { estimateDrainMs } from "./backlog/estimate_drain_ms.ts";
+export type * from "./backlog/types.ts";
+export { updateBacklogDrain } from "./backlog/update_backlog_drain.ts";
 export { batchKeys } from "./batches/batch_keys.ts";
 export { chooseTextsToSave } from "./batches/choose_texts_to_save.ts";
 export { BATCHES } from "./batches/constants.ts";
--- a/packages/core/src/routes/types.ts
+++ b/packages/core/src/routes/types.ts
@@ -40,6 +40,11 @@
   readonly dueMs: number;
   /** Jobs: time after submission from which an item may be abandoned, in ms. */
   readonly retentionMs: number;
+  /**
+   * Jobs: maximum tokens of one customer's unfinished items on the route, over
+   * the whole fleet; 0 means no limit.
+   */
+  readonly maxBacklogTokens: number;
 };
 
 export type Service = {
--- a/packages/gateway/src/jobs/batch_records.ts
+++ b/packages/gateway/src/jobs/batch_records.ts
@@ -1,10 +1,12 @@
 import {
+  type BacklogLedger,
   type BatchClaim,
   type BatchItem,
   type BatchJob,
   type BatchProgress,
   type BatchResult,
   ITEM_RESULTS,
+  type JobBacklog,
   type PartialItemText,
 } from "@gooseberryline/core";
 import { z } from "zod";
@@ -42,6 +44,14 @@
   writer: z.string(),
 });
 
+const LEDGER: z.ZodType<BacklogLedger> = z.object({
+  bound: z.number(),
+  accepted: z.number(),
+  configRevision: z.number(),
+});
+
+const JOB_BACKLOG: z.ZodType<JobBacklog> = z.object({ tokens: z.number() });
+
 const RESULT: z.ZodType<BatchResult> = z.object({
   id: z.string(),
   state: z.enum([ITEM_RESULTS.completed, ITEM_RESULTS.errored]),
@@ -65,6 +75,8 @@
       | BatchJob
       | BatchClaim
       | BatchProgress
+      | BacklogLedger
+      | JobBacklog
       | BatchResult
       | PartialItemText,
   ): Buffer => Buffer.from(JSON.stringify(record)),
@@ -75,5 +87,7 @@
   decodeProgress: (value: Buffer) => decodeJson(PROGRESS, value),
   decodeResult: (value: Buffer) => decodeJson(RESULT, value),
   decodeText: (value: Buffer) => decodeJson(TEXT, value),
+  decodeLedger: (value: Buffer) => decodeJson(LEDGER, value),
+  decodeJobBacklog: (value: Buffer) => decodeJson(JOB_BACKLOG, value),
   decodeChunk: (value: Buffer) => decodeJson(z.array(ITEM), value),
 } as const;
--- a/packages/gateway/src/jobs/build_job.ts
+++ b/packages/gateway/src/jobs/build_job.ts
@@ -1,6 +1,7 @@
 import {
   type BatchItem,
   type BatchJob,
+  backlogKeys,
   batchKeys,
   type FleetMember,
   type MetadataCommit,
@@ -9,6 +10,7 @@
   splitChunks,
 } from "@gooseberryline/core";
 import { batchRecords } from "./batch_records.ts";
+import { countTokens } from "./count_tokens.ts";
 
 type JobParts = {
   readonly id: string;
@@ -46,10 +48,15 @@
     dueAtMs: submittedAtMs + route.dueMs,
   };
   const progress = { listed: [], writer: parts.writer };
+  const backlog = { tokens: countTokens(items) };
   const set = [
     { key: batchKeys.job(id), value: batchRecords.encode(job) },
     { key: batchKeys.claim(id), value: batchRecords.encode(claim) },
     { key: batchKeys.progress(id), value: batchRecords.encode(progress) },
+    {
+      key: backlogKeys.openJob(job, id),
+      value: batchRecords.encode(backlog),
+    },
     ...chunks.map((chunk, index) => ({
       key: batchKeys.chunk(id, index),
       value: batchRecords.encodeChunk(chunk),
--- a/packages/gateway/src/jobs/constants.ts
+++ b/packages/gateway/src/jobs/constants.ts
@@ -1,3 +1,8 @@
+import { BATCHES } from "@gooseberryline/core";
+
+/** The ledger of a customer's backlog, as a precondition and as a change. */
+const LEDGER_ENTRIES = 2;
+
 /** Intervals, timeouts and limits of batch jobs. */
 export const JOB_CONSTANTS = {
   /** Interval at which waiting items are placed, in ms. */
@@ -30,6 +35,15 @@
   RESULT_COUNT_REPORT_MS: 3_000,
   /** Attempts to accept or end a job before the caller gets an error. */
   MAX_ACCEPT_ATTEMPTS: 3,
+  /** Entries of a job's commit, those of the ledger aside. */
+  MAX_ACCEPT_ENTRIES: BATCHES.MAX_COMMIT_ENTRIES - LEDGER_ENTRIES,
+  /**
+   * Times that another instance may accept a job of the same customer first,
+   * before the caller gets an error.
+   */
+  MAX_LEDGER_CONFLICTS: 100,
+  /** Maximum delay before a job is committed on a changed ledger, in ms. */
+  LEDGER_RETRY_DELAY_MS: 10,
   /** Jobs that each in-memory cache holds for readers. */
   MAX_CACHED_JOBS: 2_000,
 } as const;
--- a/packages/gateway/src/jobs/job_api.ts
+++ b/packages/gateway/src/jobs/job_api.ts
@@ -1,10 +1,9 @@
 import {
   assertNever,
   BATCHES,
-  type BatchItem,
   type BatchJob,
+  backlogKeys,
   batchKeys,
-  DUTIES,
   type EventLog,
   type MetadataStore,
   type Route,
@@ -18,8 +17,8 @@
 import { waitMs } from "../wait_ms.ts";
 import { authenticateReader } from "./authenticate_reader.ts";
 import { batchRecords } from "./batch_records.ts";
-import { buildJob } from "./build_job.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
+import { JobAcceptor } from "./job_acceptor.ts";
 import { JobCache } from "./job_cache.ts";
 import type { ResultCountFeed } from "./result_count_feed.ts";
 import { ResultsReader } from "./results_reader.ts";
@@ -32,25 +31,28 @@
   readonly resultCounts: ResultCountFeed;
 };
 
-const ACCEPTED = 202;
 const OK = 200;
 const JOB_ID = /^[\w.-]{1,120}$/;
-/** Records of a job besides its chunks: job, claim and progress. */
-const BASE_RECORDS = 3;
 
 /** Serves the callers' job API from the metadata store. */
 export class JobApi {
   readonly #parts: JobApiParts;
   readonly #cache: JobCache;
   readonly #reader: ResultsReader;
-  #writes = 0;
+  readonly #acceptor: JobAcceptor;
 
   constructor(parts: JobApiParts) {
     this.#parts = parts;
     this.#cache = new JobCache(parts.store);
+    this.#acceptor = new JobAcceptor({ ...parts, cache: this.#cache });
     this.#reader = new ResultsReader(parts.store, parts.resultCounts);
   }
 
+  /** Returns how many jobs were refused for their customer's backlog. */
+  countOverLimit(): number {
+    return this.#acceptor.countOverLimit();
+  }
+
   /** Accepts a job; repeated submissions of the same id are idempotent. */
   async accept(
     route: Route,
@@ -75,85 +77,8 @@
       );
       return;
     }
-    await this.#submitJob(requestId, route, customer, items.value, reply);
-  }
-
-  async #submitJob(
-    id: string,
-    route: Route,
-    customer: RouteCustomer | undefined,
-    items: readonly BatchItem[],
-    reply: CallReply,
-  ): Promise<void> {
-    const { view, store, log } = this.#parts;
-    this.#writes += 1;
-    const { job, commit } = buildJob({
-      id,
-      customer: customer?.name ?? "",
-      route,
-      items,
-      submittedAtMs: Date.now(),
-      workers: view.members.list(DUTIES.run),
-      writer: `${view.settings.instanceId}/${view.incarnation}/${this.#writes}`,
-    });
-    if (commit.set.length > BATCHES.MAX_COMMIT_ENTRIES - BASE_RECORDS) {
-      reply.sendError(callErrors.tooLarge("the job's items are too large"));
-      return;
-    }
-    const accept = async (
-      attemptsLeft: number,
-      hadUncertainAttempt: boolean,
-    ) => {
-      const outcome = await store.commit(commit);
-      switch (outcome.kind) {
-        case "committed":
-          this.#cache.add(job);
-          log.info("job-accepted", { jobId: id, items: items.length });
-          reply.sendResponse(buildResponseHead(ACCEPTED), Buffer.alloc(0));
-          return;
-        case "conflict":
-          await this.#answerDuplicate(job, reply);
-          return;
-        case "lease-gone":
-        case "failed": {
-          const hasNoEffect = outcome.kind === "failed" && outcome.isUndone;
-          const isUncertain = hadUncertainAttempt || !hasNoEffect;
-          if (attemptsLeft > 0 && reply.isConnected()) {
-            await waitMs(JOB_CONSTANTS.WRITE_RETRY_DELAY_MS);
-            await accept(attemptsLeft - 1, isUncertain);
-            return;
-          }
-          log.warn("job-not-accepted", {
-            jobId: id,
-            mayStand: isUncertain,
-          });
-          reply.sendError(
-            isUncertain
-              ? callErrors.timedOut("the store did not answer", true)
-              : callErrors.notReady("the store is not reached"),
-          );
-          return;
-        }
-        default:
-          assertNever(outcome);
-      }
-    };
-    await accept(JOB_CONSTANTS.MAX_ACCEPT_ATTEMPTS - 1, false);
-  }
-
-  /** Accepts a duplicate submission only from the customer of the job. */
-  async #answerDuplicate(job: BatchJob, reply: CallReply): Promise<void> {
-    const found = await this.#cache.find(job.id);
-    if (found.kind === "failed") {
-      reply.sendError(callErrors.timedOut("the store did not answer", true));
-      return;
-    }
-    const isOwn = found.kind === "found" && found.job.customer === job.customer;
-    if (isOwn) {
-      reply.sendResponse(buildResponseHead(ACCEPTED), Buffer.alloc(0));
-    } else {
-      reply.sendError(callErrors.badRequest("the job's id is taken"));
-    }
+    const { value } = items;
+    await this.#acceptor.submit(requestId, route, customer, value, reply);
   }
 
   /** Answers a call about an existing job. */
@@ -267,7 +192,7 @@
       const outcome = await store.commit({
         expect: [],
         set: [],
-        remove: [batchKeys.claim(job.id)],
+        remove: [batchKeys.claim(job.id), backlogKeys.openJob(job, job.id)],
       });
       if (outcome.kind === "committed") {
         log.info("job-ended-by-caller", { jobId: job.id });
--- a/packages/gateway/src/jobs/job_sweeper.ts
+++ b/packages/gateway/src/jobs/job_sweeper.ts
@@ -1,6 +1,7 @@
 import {
   BATCHES,
   type BatchJob,
+  backlogKeys,
   batchKeys,
   DUTIES,
   type EventLog,
@@ -80,7 +81,12 @@
       batchKeys.chunk(job.id, index),
     );
     const texts = job.itemIds.map((_, index) => batchKeys.text(job.id, index));
-    const otherKeys = [...texts, ...chunks, batchKeys.progress(job.id)];
+    const otherKeys = [
+      ...texts,
+      ...chunks,
+      batchKeys.progress(job.id),
+      backlogKeys.openJob(job, job.id),
+    ];
     const keys = [...results, ...otherKeys];
     const size = BATCHES.MAX_COMMIT_ENTRIES;
     const groups = Array.from(
--- a/packages/gateway/src/jobs/owned_job.ts
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -4,6 +4,7 @@
   type BatchItem,
   type BatchJob,
   type BatchResult,
+  backlogKeys,
   batchKeys,
   type EventLog,
   type MetadataCommit,
@@ -14,6 +15,7 @@
 import { waitMs } from "../wait_ms.ts";
 import { batchRecords } from "./batch_records.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
+import { countTokens } from "./count_tokens.ts";
 
 type OwnedJobParts = {
   readonly store: MetadataStore;
@@ -27,9 +29,9 @@
 
 /**
  * Commit entries besides results: claim and progress, each once as a
- * precondition and once as a change.
+ * precondition and once as a change, and the job's backlog.
  */
-const BASE_ENTRIES = 4;
+const BASE_ENTRIES = 5;
 /** Per result: its record, and the removal of the saved text it replaces. */
 const RESULT_ENTRIES = 2;
 const MAX_RESULTS = Math.floor(
@@ -162,6 +164,7 @@
     const progressKey = batchKeys.progress(job.id);
     const firstPosition = this.#listed.length;
     const isLast = listed.length >= job.itemIds.length;
+    const backlogKey = backlogKeys.openJob(job, job.id);
     return {
       expect: [
         { key: claimKey, revision: claimRevision },
@@ -169,6 +172,9 @@
       ],
       set: [
         { key: progressKey, value: batchRecords.encode({ listed, writer }) },
+        ...(isLast
+          ? []
+          : [{ key: backlogKey, value: this.#encodeBacklog(listed) }]),
         ...batch.map(({ result }, offset) => ({
           key: batchKeys.result(job.id, firstPosition + offset),
           value: batchRecords.encode(result),
@@ -178,11 +184,17 @@
         ...batch
           .filter(({ index }) => this.#savedTexts.has(index))
           .map(({ index }) => batchKeys.text(job.id, index)),
-        ...(isLast ? [claimKey] : []),
+        ...(isLast ? [claimKey, backlogKey] : []),
       ],
     };
   }
 
+  #encodeBacklog(listed: readonly number[]): Buffer {
+    const done = new Set(listed);
+    const open = this.loaded.items.filter((_, index) => !done.has(index));
+    return batchRecords.encode({ tokens: countTokens(open) });
+  }
+
   #recordListed(listed: readonly number[], revision: number): void {
     const { job } = this.loaded;
     this.#listed = listed;
--- a/packages/gateway/src/metrics/create_gateway_metrics.ts
+++ b/packages/gateway/src/metrics/create_gateway_metrics.ts
@@ -13,7 +13,11 @@
   readonly render: () => Promise<string>;
 };
 
-type GaugeName = "requests_open" | "items_running" | "upstreams_known";
+type GaugeName =
+  | "requests_open"
+  | "items_running"
+  | "upstreams_known"
+  | "jobs_over_limit";
 
 /** Creates the counters, histograms and gauges of an instance. */
 export function createGatewayMetrics(): GatewayMetrics {
@@ -37,6 +41,10 @@
   const gauges = {
     requests_open: gauge("requests_open", "requests under way"),
     items_running: gauge("items_running", "batch items under way"),
+    jobs_over_limit: gauge(
+      "jobs_over_limit",
+      "jobs refused for their customer's unfinished items, since the start",
+    ),
     upstreams_known: gauge("upstreams_known", "upstreams in the directory"),
   };
   return {
--- a/packages/gateway/src/requests/call_errors.ts
+++ b/packages/gateway/src/requests/call_errors.ts
@@ -43,6 +43,19 @@
     run: "not run",
     retryAfterMs: drawRetryAfterMs(availableInMs, Math.random()),
   }),
+  backlogFull: (availableInMs: number): CallError => ({
+    status: 429,
+    code: "backlog_full",
+    message: "the customer's unfinished items are at their limit",
+    run: "not run",
+    retryAfterMs: drawRetryAfterMs(availableInMs, Math.random()),
+  }),
+  backlogTooSmall: (): CallError => ({
+    status: 429,
+    code: "over_backlog_limit",
+    message: "the job alone exceeds the limit on unfinished items",
+    run: "not run",
+  }),
   noCapacity: (message: string, availableInMs: number): CallError => ({
     status: 503,
     code: "no_room",
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -72,9 +72,10 @@
   const shared = { view, pool, dialect: dialect.calls, log, store };
   const state = { isLoaded: false, isStopping: false };
   const resultCounts = new ResultCountFeed(() => view.readNowMs());
+  const jobs = new JobApi({ ...shared, resultCounts });
   const listener = new CallerListener({
     ...shared,
-    jobs: new JobApi({ ...shared, resultCounts }),
+    jobs,
     onDone: metrics.recordRequest,
   });
   const runner = new JobRunner(shared);
@@ -125,6 +126,7 @@
   const report = new StatusListener({
     [METRICS_PATH]: async () => {
       metrics.setGauge("requests_open", listener.countInFlight());
+      metrics.setGauge("jobs_over_limit", jobs.countOverLimit());
       metrics.setGauge("items_running", runner.countRunning());
       metrics.setGauge("upstreams_known", view.directory.count());
       return { status: OK, text: await metrics.render() };
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -48,6 +48,7 @@
   priority: 0,
   dueMs: 0,
   retentionMs: 0,
+  maxBacklogTokens: 0,
 };
 
 /** Runs one request against the given upstreams. */
--- a/packages/gateway/src/testing/start_job.ts
+++ b/packages/gateway/src/testing/start_job.ts
@@ -7,25 +7,9 @@
 import { OwnedJob } from "../jobs/owned_job.ts";
 import { ResultCountFeed } from "../jobs/result_count_feed.ts";
 import { ResultsReader } from "../jobs/results_reader.ts";
+import { JOB_ROUTE } from "./job_route.ts";
 import { SILENT_LOG } from "./silent_log.ts";
 
-const route = {
-  name: "r",
-  host: "h",
-  prefix: "/b/",
-  shape: "job",
-  isIdempotent: true,
-  isResumable: false,
-  isPublic: false,
-  targets: [],
-  maxAttempts: 3,
-  timeoutMs: 1_000,
-  objectiveMs: 300,
-  priority: 0,
-  dueMs: 10_000,
-  retentionMs: 60_000,
-} as const;
-
 /** Accepts a job `j1` of items with these ids; `own` loads it as its owner. */
 export async function startJob(ids: readonly string[] = ["a", "b", "c"]) {
   const metadata = createMetadata();
@@ -40,7 +24,7 @@
   const { job, commit } = buildJob({
     id: "j1",
     customer: "t1",
-    route,
+    route: JOB_ROUTE,
     items,
     submittedAtMs: 0,
     workers: [],
