Answer several changes with one watch of claims and of instances

Each change under a watched prefix ended the watch of every instance, a call each: at 195 instances that register within 0.3 s up to 195 x 195, and for each job two for each worker. A watch of claims now starts at most each 500 ms, one of instances each 250 ms; a job is due in many seconds and peers tell of instances themselves. Test with the fake store's count of calls.

--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -7,6 +7,7 @@
   type MetadataStore,
 } from "@gooseberryline/core";
 import type { RecordDialect } from "../dialect/types.ts";
+import { WATCH_TIMING } from "../store/constants.ts";
 import { PrefixWatch } from "../store/prefix_watch.ts";
 import type { FleetView } from "./fleet_view.ts";
 import { memberRecord } from "./member_record.ts";
@@ -38,8 +39,10 @@
       this.#watch(dialect.upstreamPrefix, (event) =>
         this.#handleUpstreamEvent(event),
       ),
-      this.#watch(memberRecord.prefix, (event) =>
-        this.#handleMemberEvent(event),
+      this.#watch(
+        memberRecord.prefix,
+        (event) => this.#handleMemberEvent(event),
+        WATCH_TIMING.INSTANCES_INTERVAL_MS,
       ),
     ];
   }
@@ -74,7 +77,11 @@
     });
   }
 
-  #watch(prefix: string, onEvent: (event: MetadataEvent) => void): PrefixWatch {
+  #watch(
+    prefix: string,
+    onEvent: (event: MetadataEvent) => void,
+    minIntervalMs = 0,
+  ): PrefixWatch {
     const { store, log, view } = this.#parts;
     const getRank = () => view.getRank();
     return new PrefixWatch({
@@ -83,6 +90,7 @@
       log,
       onEvent,
       getWatchRank: getRank,
+      minIntervalMs,
     });
   }
 
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -21,6 +21,7 @@
 import { createGatewayMetrics } from "./metrics/create_gateway_metrics.ts";
 import type { GatewaySettings } from "./settings/types.ts";
 import { SHUTDOWN_TIMES } from "./shutdown_times.ts";
+import { WATCH_TIMING } from "./store/constants.ts";
 import { PrefixWatch } from "./store/prefix_watch.ts";
 import { RelayListener } from "./store/relay_listener.ts";
 import { RelayedStore } from "./store/relayed_store.ts";
@@ -86,6 +87,7 @@
     log,
     onEvent: (event) => runner.handleClaimEvent(event),
     getWatchRank: () => view.getRank(DUTIES.run),
+    minIntervalMs: WATCH_TIMING.CLAIMS_INTERVAL_MS,
   });
   const watches = new RecordWatches({
     view,
--- a/packages/gateway/src/store/constants.ts
+++ b/packages/gateway/src/store/constants.ts
@@ -21,6 +21,13 @@
   STAGGER_MS: 500,
   /** Time allowed to receive a change that a peer has seen, in ms. */
   BEHIND_TIMEOUT_MS: 300,
+  /**
+   * Minimum time between two watches of the instances' records, in ms; shorter
+   * than `BEHIND_TIMEOUT_MS`, as peers tell each other of changes.
+   */
+  INSTANCES_INTERVAL_MS: 250,
+  /** Minimum time between two watches of the jobs' claims, in ms. */
+  CLAIMS_INTERVAL_MS: 500,
   MIN_RETRY_DELAY_MS: 50,
   MAX_RETRY_DELAY_MS: 800,
 } as const;
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -17,6 +17,11 @@
   /** Returns this instance's rank among the watchers of the same records. */
   readonly getWatchRank: () => WatchRank;
   readonly onEvent: (event: MetadataEvent) => void;
+  /**
+   * Minimum time between the starts of two watches, in ms, so that changes in
+   * quick succession cost one call; none by default.
+   */
+  readonly minIntervalMs?: number;
 };
 
 /**
@@ -35,6 +40,8 @@
   #watchAbort: AbortController | undefined;
   #behindTimer: NodeJS.Timeout | undefined;
   #failures = 0;
+  /** When the last watch started, on the monotonic clock, in ms. */
+  #startedMs = Number.NEGATIVE_INFINITY;
   #isStopped = false;
   #onLoaded: () => void = () => undefined;
   /** Resolves once the prefix has been listed completely. */
@@ -87,7 +94,7 @@
   async #follow(): Promise<void> {
     while (!this.#isStopped) {
       const isReached = this.#isCurrent
-        ? await this.#watch()
+        ? await this.#waitForChanges()
         : await this.#load();
       if (isReached) {
         this.#recordSuccess();
@@ -140,6 +147,16 @@
     }
   }
 
+  async #waitForChanges(): Promise<boolean> {
+    const { minIntervalMs = 0 } = this.#parts;
+    const pauseMs = this.#startedMs + minIntervalMs - performance.now();
+    if (pauseMs > 0) {
+      await waitMs(pauseMs);
+    }
+    this.#startedMs = performance.now();
+    return this.#isStopped || this.#watch();
+  }
+
   async #watch(): Promise<boolean> {
     const { store, prefix, log } = this.#parts;
     const abort = new AbortController();
--- a/packages/gateway/src/store/prefix_watch_test.ts
+++ b/packages/gateway/src/store/prefix_watch_test.ts
@@ -5,7 +5,12 @@
 import { WATCH_TIMING } from "./constants.ts";
 import { PrefixWatch } from "./prefix_watch.ts";
 
-async function startWatch({ silentWatches = 0, rank = 0, watchers = 1 } = {}) {
+async function startWatch({
+  silentWatches = 0,
+  rank = 0,
+  watchers = 1,
+  minIntervalMs = 0,
+} = {}) {
   const metadata = createMetadata();
   metadata.setFaults({ silentWatches });
   const records = new Map<string, string>();
@@ -15,6 +20,7 @@
     prefix: "a/",
     log: SILENT_LOG,
     getWatchRank: () => ({ rank, count: watchers }),
+    minIntervalMs,
     onEvent: (event) => {
       if (event.kind === "set") {
         records.set(event.item.key, event.item.value.toString());
@@ -143,3 +149,30 @@
   await waitUntil(() => records.has("a/3"));
   watch.stop();
 });
+
+test("changes in quick succession cost one call for each interval", async () => {
+  const minIntervalMs = 200;
+  const { metadata, records, watch, waitUntil } = await startWatch({
+    minIntervalMs,
+    watchers: 10,
+    rank: 9,
+  });
+  await waitMs(10);
+  const callsBefore = metadata.calls.watch ?? 0;
+  const startedMs = performance.now();
+  const write = async (index: number): Promise<void> => {
+    if (index < 20) {
+      metadata.writeRecord(`a/x${index}`, "x");
+      await waitMs(10);
+      await write(index + 1);
+    }
+  };
+  await write(0);
+  await waitUntil(() => records.size === 21);
+  const intervals = (performance.now() - startedMs) / minIntervalMs;
+  // One begins with the first change, and one may end by itself.
+  expect((metadata.calls.watch ?? 0) - callsBefore).toBeLessThanOrEqual(
+    intervals + 2,
+  );
+  watch.stop();
+});
