--- a/packages/gateway/src/fleet/load_messages_test.ts
+++ b/packages/measure/src/load_messages/load_messages_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { simulateLoadMessages } from "../testing/simulate_load_messages.ts";
+import { simulateLoadMessages } from "./simulate_load_messages.ts";
 
 const FLEET = {
   perDataCentre: 10,
--- a/packages/gateway/src/testing/simulate_load_messages.ts
+++ b/packages/measure/src/load_messages/simulate_load_messages.ts
@@ -1,8 +1,10 @@
 /** Simulates the load messages of a fleet in virtual time, for tests. */
 import { drawRandom, type FleetMember } from "@gooseberryline/core";
-import { computeGossipIntervalMs } from "../fleet/compute_gossip_interval_ms.ts";
-import { FleetView } from "../fleet/fleet_view.ts";
-import { loadCodec } from "../fleet/load_codec.ts";
+import {
+  computeGossipIntervalMs,
+  FleetView,
+  loadCodec,
+} from "@gooseberryline/gateway";
 
 type FleetOptions = {
   readonly instances: number;
