Log what ran on a connection to an upstream that broke

Whether a part of a prompt crashes upstreams, the neighbours that ran beside it, or the connection alone broke, could not be told from the log: it had neither the parts, nor whether the answer had begun, nor whether the upstream was still there. upstream-broke-off has them; the port is tried once.

--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -31,6 +31,19 @@
     fields: [...REQUEST_FIELDS, "end", "reason", "events"],
     text: "An attempt failed and the request goes to another upstream",
   },
+  "upstream-broke-off": {
+    fields: [
+      "requestId",
+      "upstream",
+      "promptParts",
+      "hasHead",
+      "events",
+      "ranMs",
+      "port",
+      "reason",
+    ],
+    text: "A connection broke while a request ran; port says if the upstream is down",
+  },
   "caller-connection-lost": {
     fields: ["reason"],
     text: "A caller's connection broke, or what came on it was malformed",
--- a/packages/gateway/src/dialect/types.ts
+++ b/packages/gateway/src/dialect/types.ts
@@ -20,6 +20,8 @@
   readonly lastEventId: number | undefined;
   /** Identifies the shared prefix of the prompt, for placement affinity. */
   readonly affinityKey: string | undefined;
+  /** Ids of the prompt's parts that other requests may share, in order. */
+  readonly promptParts: readonly string[];
   /** Time that a read of results may wait for new ones, in ms. */
   readonly waitMs: number;
 };
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -1,5 +1,6 @@
 import {
   assertNever,
+  type BatchItem,
   type BatchResult,
   countItemsToYield,
   decideItemStep,
@@ -56,6 +57,7 @@
           dueAtMs: claim.dueAtMs,
           ranMs: text?.ranMs ?? 0,
           item,
+          promptParts: this.#listPromptParts(item),
           text: text ?? { texts: [], lastEventId: undefined },
           failures: 0,
           tried: new Set<string>(),
@@ -66,6 +68,14 @@
     this.#waiting = [...this.#waiting, ...added];
   }
 
+  #listPromptParts({ headers }: BatchItem): readonly string[] {
+    const lowerCase = Object.entries(headers).map(
+      ([name, value]) => [name.toLowerCase(), value] as const,
+    );
+    return this.#parts.dialect.parseCallHead(Object.fromEntries(lowerCase))
+      .promptParts;
+  }
+
   /** Drops a job's items and stops their runs. */
   dropJob(jobId: string): void {
     this.#jobs.delete(jobId);
--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -43,9 +43,10 @@
     this.#startedMs = parts.view.readNowMs();
     this.#texts = [...waiting.text.texts];
     this.#lastEventId = waiting.text.lastEventId;
+    const { customer } = parts;
+    const { promptParts } = waiting;
     this.#attempt = new Attempt(
-      upstream,
-      "batch",
+      { upstream, lane: "batch", promptParts, customer },
       this.#buildRequest(),
       parts,
       {
@@ -54,6 +55,7 @@
         },
         onChunk: (chunk) => this.#handleChunk(chunk),
         onEnd: (end) => this.#handleExchangeEnd(end),
+        countEvents: () => this.#texts.length - waiting.text.texts.length,
       },
     );
   }
--- a/packages/gateway/src/jobs/text_saver_test.ts
+++ b/packages/gateway/src/jobs/text_saver_test.ts
@@ -13,6 +13,7 @@
     dueAtMs: 0,
     ranMs: 25 * events,
     item: { id: "a", path: "/", headers: {}, body: "", tokens: 1 },
+    promptParts: [],
     text: { texts, lastEventId: events },
     failures: 0,
     tried: new Set<string>(),
--- a/packages/gateway/src/jobs/types.ts
+++ b/packages/gateway/src/jobs/types.ts
@@ -15,6 +15,8 @@
   /** Total time that it has run so far, in ms. */
   readonly ranMs: number;
   readonly item: BatchItem;
+  /** Ids of the prompt parts that other requests may share. */
+  readonly promptParts: readonly string[];
   readonly text: ItemText;
   /** Runs that an upstream answered with an error status. */
   readonly failures: number;
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -5,6 +5,7 @@
 } from "@gooseberryline/core";
 import type { ConnectionPool } from "@gooseberryline/daemon";
 import type { CallDialect } from "../dialect/types.ts";
+import { checkPort } from "../exchange/check_port.ts";
 import type {
   ExchangeEnd,
   ExchangeEvents,
@@ -21,28 +22,45 @@
   readonly log: EventLog;
 };
 
+/** What an attempt sends, and where. */
+export type AttemptWork = {
+  readonly upstream: UpstreamEntry;
+  readonly lane: Lane;
+  /** Ids of the prompt parts that other requests may share. */
+  readonly promptParts: readonly string[];
+  readonly customer: string | undefined;
+};
+
+export type AttemptEvents = ExchangeEvents & {
+  /** Returns how many complete events of the stream this attempt received. */
+  readonly countEvents: () => number;
+};
+
 /**
  * One attempt of a request or a batch item at an upstream, counted towards its
  * load.
  */
 export class Attempt {
   readonly upstream: UpstreamEntry;
-  readonly #lane: Lane;
+  readonly #work: AttemptWork;
+  readonly #requestId: string | undefined;
   readonly #parts: AttemptParts;
-  readonly #events: ExchangeEvents;
+  readonly #events: AttemptEvents;
   readonly #startedMs: number;
   readonly #exchange: UpstreamExchange;
+  #hasHead = false;
   #isEnded = false;
 
   constructor(
-    upstream: UpstreamEntry,
-    lane: Lane,
+    work: AttemptWork,
     options: ExchangeOptions,
     parts: AttemptParts,
-    events: ExchangeEvents,
+    events: AttemptEvents,
   ) {
+    const { upstream, lane } = work;
     this.upstream = upstream;
-    this.#lane = lane;
+    this.#work = work;
+    this.#requestId = options.requestId;
     this.#parts = parts;
     this.#events = events;
     this.#startedMs = parts.view.readNowMs();
@@ -58,6 +76,7 @@
         pool: parts.pool,
         dialect: parts.dialect,
         onHead: (head) => {
+          this.#hasHead = true;
           recordActivity();
           events.onHead(head);
         },
@@ -91,7 +110,7 @@
   #release(): void {
     if (!this.#isEnded) {
       this.#isEnded = true;
-      this.#parts.view.load.recordEnd(this.upstream.id, this.#lane);
+      this.#parts.view.load.recordEnd(this.upstream.id, this.#work.lane);
     }
   }
 
@@ -101,18 +120,41 @@
     switch (end.kind) {
       case "whole":
         load.recordSuccess(this.upstream.id);
-        if (this.#lane === "online") {
+        if (this.#work.lane === "online") {
           const serviceMs = nowMs - this.#startedMs;
           load.recordServiceTime(this.upstream.service, serviceMs);
         }
         return;
+      case "lost":
+        load.recordFailure(this.upstream.id, nowMs);
+        if (!end.isSilent) {
+          void this.#logBreak(end.reason);
+        }
+        return;
       case "unsent":
       case "unexecuted":
-      case "lost":
         load.recordFailure(this.upstream.id, nowMs);
         return;
       default:
         assertNever(end);
     }
   }
+
+  /** Logs what ran on a connection that broke, and if the upstream is down. */
+  async #logBreak(reason: string): Promise<void> {
+    const { promptParts } = this.#work;
+    const events = this.#events.countEvents();
+    const ranMs = this.#parts.view.readNowMs() - this.#startedMs;
+    const port = await checkPort(this.upstream.address);
+    this.#parts.log.info("upstream-broke-off", {
+      requestId: this.#requestId,
+      upstream: this.upstream.id,
+      promptParts: promptParts.join(" "),
+      hasHead: this.#hasHead,
+      events,
+      ranMs: Math.round(ranMs),
+      port,
+      reason,
+    });
+  }
 }
--- /dev/null
+++ b/packages/gateway/src/requests/request_ending.ts
@@ -0,0 +1,76 @@
+import type { AttemptEnd } from "@gooseberryline/core";
+import type { AttemptParts } from "./attempt.ts";
+import type { AttemptTracker } from "./attempt_tracker.ts";
+import type {
+  AdmittedCall,
+  CallError,
+  CallReply,
+  RequestFields,
+} from "./types.ts";
+
+type RequestEndingParts = AttemptParts & {
+  readonly call: AdmittedCall;
+  readonly reply: CallReply;
+  readonly tracker: AttemptTracker;
+  readonly onDone: (outcome: string, tookMs: number) => void;
+};
+
+/** Ends a request once: tells the caller, the log and the metrics. */
+export class RequestEnding {
+  readonly #parts: RequestEndingParts;
+  #isEnded = false;
+
+  constructor(parts: RequestEndingParts) {
+    this.#parts = parts;
+  }
+
+  get isEnded(): boolean {
+    return this.#isEnded;
+  }
+
+  /** Fails the request; a response that has started can only be cut off. */
+  fail(reason: string, error: CallError, hasStarted: boolean): void {
+    if (hasStarted) {
+      this.breakOff(reason);
+    } else {
+      this.refuse(error);
+    }
+  }
+
+  breakOff(reason: string): void {
+    this.#parts.reply.closeConnection();
+    this.finish("broken-off", { reason });
+  }
+
+  refuse(error: CallError): void {
+    this.#parts.reply.sendError(error);
+    this.finish("refused", { status: error.status, reason: error.message });
+  }
+
+  finish(outcome: string, fields: RequestFields): void {
+    if (this.#isEnded) {
+      return;
+    }
+    this.#isEnded = true;
+    const { log, view, call, tracker, onDone } = this.#parts;
+    const tookMs = Math.round(view.readNowMs() - call.receivedMs);
+    log.info("request-ended", {
+      ...tracker.describe(),
+      outcome,
+      ...fields,
+      tookMs,
+    });
+    onDone(outcome, tookMs);
+  }
+
+  /** Logs a retry after `events` events were relayed to the caller. */
+  logRetry(end: AttemptEnd, events: number): void {
+    const { log, tracker } = this.#parts;
+    log.info("request-retry", {
+      ...tracker.describe(),
+      end: end.kind,
+      reason: "reason" in end ? end.reason : `status ${end.status}`,
+      events,
+    });
+  }
+}
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -13,13 +13,9 @@
 import { callErrors } from "./call_errors.ts";
 import { chooseUpstream } from "./choose_upstream.ts";
 import { REQUESTS } from "./constants.ts";
+import { RequestEnding } from "./request_ending.ts";
 import { StreamRelay } from "./stream_relay.ts";
-import type {
-  AdmittedCall,
-  CallError,
-  CallReply,
-  RequestFields,
-} from "./types.ts";
+import type { AdmittedCall, CallError, CallReply } from "./types.ts";
 
 type RequestRunParts = AttemptParts & {
   readonly onDone: (outcome: string, tookMs: number) => void;
@@ -40,13 +36,24 @@
   #body: Buffer[] = [];
   #hasStarted = false;
   #timer: NodeJS.Timeout | undefined;
-  #isEnded = false;
+  readonly #ending: RequestEnding;
 
   constructor(call: AdmittedCall, reply: CallReply, parts: RequestRunParts) {
     this.#call = call;
     this.#reply = reply;
     this.#parts = parts;
     this.#tracker = new AttemptTracker(call, parts.view);
+    const { onDone } = parts;
+    this.#ending = new RequestEnding({
+      ...parts,
+      call,
+      reply,
+      tracker: this.#tracker,
+      onDone: (outcome, tookMs) => {
+        clearTimeout(this.#timer);
+        onDone(outcome, tookMs);
+      },
+    });
     const { lastEventId } = call.head;
     const resume = (): void => this.#attempt?.resume();
     this.#relay = new StreamRelay(reply, lastEventId, resume);
@@ -62,9 +69,9 @@
 
   /** Cancels the request after the caller has disconnected. */
   cancel(): void {
-    if (!this.#isEnded) {
+    if (!this.#ending.isEnded) {
       this.#cancelAttempt();
-      this.#finish("caller-left", {});
+      this.#ending.finish("caller-left", {});
     }
   }
 
@@ -99,7 +106,7 @@
       ? undefined
       : admitCustomer(view, this.#call.customer);
     if (error !== undefined) {
-      this.#refuse(error);
+      this.#ending.refuse(error);
       return;
     }
     this.#isAdmitted = true;
@@ -118,13 +125,22 @@
       runs: this.#tracker.runs,
       lastEventId: this.#relay.lastEventId,
     });
-    this.#attempt = new Attempt(upstream, "online", options, this.#parts, {
-      onHead: (head) => {
-        this.#head = head;
+    const { head, customer } = this.#call;
+    const { promptParts } = head;
+    const eventsBefore = this.#relay.eventCount;
+    this.#attempt = new Attempt(
+      { upstream, lane: "online", promptParts, customer: customer?.name },
+      options,
+      this.#parts,
+      {
+        onHead: (response) => {
+          this.#head = response;
+        },
+        onChunk: (chunk) => this.#handleChunk(chunk),
+        onEnd: (end) => this.#handleEnd(end),
+        countEvents: () => this.#relay.eventCount - eventsBefore,
       },
-      onChunk: (chunk) => this.#handleChunk(chunk),
-      onEnd: (end) => this.#handleEnd(end),
-    });
+    );
   }
 
   #handleChunk(chunk: Buffer): boolean {
@@ -177,7 +193,8 @@
         // A stream resumed after its last event has a head but no events.
         this.#startReply();
         this.#reply.finishStream();
-        this.#finish("answered", { status, events: this.#relay.eventCount });
+        const events = this.#relay.eventCount;
+        this.#ending.finish("answered", { status, events });
       } else {
         this.#handleFailure({
           kind: "lost",
@@ -198,12 +215,11 @@
 
   #sendResponse(status: number): void {
     if (this.#hasStarted || this.#head === undefined) {
-      this.#reply.closeConnection();
-      this.#finish("broken-off", { reason: `an answer of ${status}` });
+      this.#ending.breakOff(`an answer of ${status}`);
       return;
     }
     this.#reply.sendResponse(this.#head, Buffer.concat(this.#body));
-    this.#finish("answered", { status });
+    this.#ending.finish("answered", { status });
   }
 
   #decide(end: AttemptEnd): NextStep {
@@ -214,7 +230,7 @@
     const next = this.#decide(end);
     switch (next.kind) {
       case "retry":
-        this.#logRetry(end);
+        this.#ending.logRetry(end, this.#relay.eventCount);
         this.#place();
         return;
       case "break-off":
@@ -246,19 +262,8 @@
     this.#fail(reason, callErrors.timedOut(reason, this.#tracker.runs > 0));
   }
 
-  /** Fails the request; a response that has started can only be cut off. */
   #fail(reason: string, error: CallError): void {
-    if (this.#hasStarted) {
-      this.#reply.closeConnection();
-      this.#finish("broken-off", { reason });
-    } else {
-      this.#refuse(error);
-    }
-  }
-
-  #refuse(error: CallError): void {
-    this.#reply.sendError(error);
-    this.#finish("refused", { status: error.status, reason: error.message });
+    this.#ending.fail(reason, error, this.#hasStarted);
   }
 
   /** Cancels the current attempt, which may have run the request. */
@@ -270,30 +275,4 @@
       this.#tracker.recordRun();
     }
   }
-
-  #logRetry(end: AttemptEnd): void {
-    this.#parts.log.info("request-retry", {
-      ...this.#tracker.describe(),
-      end: end.kind,
-      reason: "reason" in end ? end.reason : `status ${end.status}`,
-      events: this.#relay.eventCount,
-    });
-  }
-
-  #finish(outcome: string, fields: RequestFields): void {
-    if (this.#isEnded) {
-      return;
-    }
-    this.#isEnded = true;
-    clearTimeout(this.#timer);
-    const { log, view, onDone } = this.#parts;
-    const tookMs = Math.round(view.readNowMs() - this.#call.receivedMs);
-    log.info("request-ended", {
-      ...this.#tracker.describe(),
-      outcome,
-      ...fields,
-      tookMs,
-    });
-    onDone(outcome, tookMs);
-  }
 }
--- a/packages/gateway/src/testing/plain_dialect.ts
+++ b/packages/gateway/src/testing/plain_dialect.ts
@@ -2,12 +2,13 @@
 
 /** A minimal call dialect, for tests without the platform's wire format. */
 export const plainDialect: CallDialect = {
-  parseCallHead: () => ({
+  parseCallHead: (headers) => ({
     requestId: undefined,
     key: undefined,
     deadlineMs: undefined,
     lastEventId: undefined,
     affinityKey: undefined,
+    promptParts: headers.parts?.toString().split(" ") ?? [],
     waitMs: 0,
   }),
   buildHeaders: (_, { requestId, upstreamId, lastEventId }) => ({
