Block prompt parts that crash upstreams

Cause: nothing remembered what was running when an upstream went down. A request that had crashed one upstream was sent to the next, and each later request with the same part did the same at another instance. Class: a failure caused by the request, taken for one of the upstream. The same cause stood in the items of jobs, which were run again without end.

Evidence of all instances travels with the load messages; three crashes block a part; blocks are kept in the store.

The map of recent entries serves two folders now and names its limit.

--- a/packages/core/src/attempts/decide_next_step.ts
+++ b/packages/core/src/attempts/decide_next_step.ts
@@ -10,7 +10,8 @@
 /**
  * Decides how to continue a request after an attempt ended. A request that may
  * have run is retried only if the route allows it; a stream that has started is
- * retried only if it can be resumed.
+ * retried only if it can be resumed. One that may have crashed its upstream is
+ * not sent to another.
  */
 export function decideNextStep(
   policy: RetryPolicy,
@@ -25,7 +26,9 @@
     case "unexecuted":
       return retryUnexecuted(policy, progress, `declined with ${end.status}`);
     case "lost":
-      return retryLostAttempt(policy, progress, end.reason);
+      return end.isSuspect === true
+        ? abandonRequest(progress, end.reason)
+        : retryLostAttempt(policy, progress, end.reason);
     default:
       return assertNever(end);
   }
--- a/packages/core/src/attempts/decide_next_step_test.ts
+++ b/packages/core/src/attempts/decide_next_step_test.ts
@@ -78,6 +78,13 @@
     { runs: 2, begun: true },
     "break-off",
   ],
+  [
+    "its upstream crashed as it began to answer",
+    resumable,
+    { kind: "lost", reason: "the connection broke", isSuspect: true },
+    { runs: 1 },
+    "fail",
+  ],
   ["answered", nonIdempotent, { kind: "answered", status: 200 }, {}, "done"],
 ] as const)("%s", (_, policy, end, overrides, expected) => {
   expect(decide(policy, end, overrides)).toBe(expected);
--- a/packages/core/src/attempts/types.ts
+++ b/packages/core/src/attempts/types.ts
@@ -8,7 +8,15 @@
   /** The complete response arrived, with any status. */
   | { readonly kind: "answered"; readonly status: number }
   /** It is unknown whether the request was executed. */
-  | { readonly kind: "lost"; readonly reason: string };
+  | {
+      readonly kind: "lost";
+      readonly reason: string;
+      /**
+       * Whether the upstream crashed as it began to answer, so that the request
+       * may have crashed it.
+       */
+      readonly isSuspect?: boolean;
+    };
 
 /** Retry rules of a route. */
 export type RetryPolicy = {
--- /dev/null
+++ b/packages/core/src/crashes/constants.ts
@@ -0,0 +1,25 @@
+/** Limits on the evidence about crashes. */
+export const CRASHES = {
+  /** Crashes under a part, without a sound answer since, that block it. */
+  BLOCKING_CRASHES: 3,
+  /** Crashes that block all remaining suspects if none stands out. */
+  MAX_CRASHES: 5,
+  /** Customers from which on a block holds for all customers. */
+  CUSTOMERS_FOR_ALL: 2,
+  /** Reports of an upstream within this time are of one crash, in ms. */
+  SAME_CRASH_MS: 1_000,
+  /** Time for which a crash counts, in ms. */
+  EVIDENCE_MS: 600_000,
+  /** Time for which peers are told of sound answers on its parts, in ms. */
+  SUSPICION_MS: 10_000,
+  /** Time for which a crash is reported to peers, in ms. */
+  REPORT_MS: 3_000,
+  /** Crashes kept as evidence; the oldest go first. */
+  MAX_EVIDENCE: 128,
+  /** Suspects kept of one crash. */
+  MAX_SUSPECTS: 32,
+  /** Blocks in force at the same time. */
+  MAX_BLOCKS: 64,
+  /** Parts whose last sound answer is remembered. */
+  MAX_SOUND_PARTS: 8_192,
+} as const;
--- /dev/null
+++ b/packages/core/src/crashes/types.ts
@@ -0,0 +1,48 @@
+/** Evidence of prompt parts that crash upstreams, and what is blocked by it. */
+
+/** A request that had not begun to answer when its upstream crashed. */
+export type CrashSuspect = {
+  /** Ids of the prompt parts that other requests may share. */
+  readonly parts: readonly string[];
+  /** Name of its customer; empty on a public route. */
+  readonly customer: string;
+  /** Whether the head of the answer had arrived, but no event. */
+  readonly hasHead: boolean;
+};
+
+/** One crash of one upstream process, as seen by one or several instances. */
+export type Crash = {
+  readonly upstreamId: string;
+  /** Monotonic time of the observer, in ms. */
+  readonly atMs: number;
+  readonly suspects: readonly CrashSuspect[];
+};
+
+/** A crash as told to a peer, whose clock differs. */
+export type CrashReport = Omit<Crash, "atMs"> & { readonly ageMs: number };
+
+/**
+ * Prompt parts that are refused where they occur together. More than one as long
+ * as nothing tells which of them crashes upstreams.
+ */
+export type PromptBlock = {
+  readonly parts: readonly string[];
+  /**
+   * Customers whose requests crashed upstreams. From the second one on, the
+   * parts are refused for all.
+   */
+  readonly customers: readonly string[];
+  /** Ids of the upstreams that crashed. */
+  readonly upstreams: readonly string[];
+};
+
+/** What an instance tells its peers about crashes; left out if empty. */
+export type CrashNews = {
+  readonly crashes: readonly CrashReport[];
+  /**
+   * For parts under suspicion: time since the sender last saw an answer begin
+   * on them, in ms.
+   */
+  readonly soundAges: Readonly<Record<string, number>>;
+  readonly blocks: readonly PromptBlock[];
+};
--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -37,12 +37,23 @@
       "upstream",
       "promptParts",
       "hasHead",
-      "events",
       "ranMs",
       "port",
       "reason",
     ],
-    text: "A connection broke while a request ran; port says if the upstream is down",
+    text: "A connection broke before the answer began; port says if the upstream is down",
+  },
+  "prompt-blocked": {
+    fields: ["blockId", "promptParts", "customers", "upstreams", "source"],
+    text: "Prompts with these parts are refused: these upstreams crashed under them; for all customers if there are two",
+  },
+  "prompt-block-lifted": {
+    fields: ["blockId"],
+    text: "A block's record is gone; its parts are served again",
+  },
+  "prompt-block-unreadable": {
+    fields: ["blockId"],
+    text: "A block's record can't be read; it is not applied",
   },
   "caller-connection-lost": {
     fields: ["reason"],
--- /dev/null
+++ b/packages/gateway/src/crashes/block_keeper.ts
@@ -0,0 +1,111 @@
+import type {
+  EventLog,
+  MetadataEvent,
+  MetadataStore,
+  PromptBlock,
+} from "@gooseberryline/core";
+import { blockRecord } from "./block_record.ts";
+import { buildBlockId } from "./build_block_id.ts";
+import { BLOCK_RECORDS } from "./constants.ts";
+import type { CrashTracker } from "./crash_tracker.ts";
+import { listBlockFields } from "./list_block_fields.ts";
+
+type BlockKeeperParts = {
+  readonly store: MetadataStore;
+  readonly tracker: CrashTracker;
+  readonly log: EventLog;
+};
+
+type StoredBlock = {
+  readonly revision: number;
+  readonly customers: readonly string[];
+};
+
+/**
+ * Keeps blocked prompt parts in the store, for instances that start later. An
+ * operator lifts a block by removing its record.
+ */
+export class BlockKeeper {
+  readonly #parts: BlockKeeperParts;
+  readonly #stored = new Map<string, StoredBlock>();
+  readonly #timers = new Map<string, NodeJS.Timeout>();
+  #isStopped = false;
+
+  constructor(parts: BlockKeeperParts) {
+    this.#parts = parts;
+    parts.tracker.onBlock = (block, source) => {
+      parts.log.warn("prompt-blocked", {
+        ...listBlockFields(block),
+        source,
+      });
+      this.#writeLater(block);
+    };
+  }
+
+  /** Handles a change of a block's record in the store. */
+  handleEvent(blockId: string, event: MetadataEvent): void {
+    const { tracker, log } = this.#parts;
+    if (event.kind === "removed") {
+      this.#stored.delete(blockId);
+      log.warn("prompt-block-lifted", { blockId });
+      tracker.dropBlock(blockId);
+      return;
+    }
+    const { value, revision } = event.item;
+    const block = blockRecord.decode(value);
+    if (block === undefined) {
+      log.warn("prompt-block-unreadable", { blockId });
+      return;
+    }
+    this.#stored.set(blockId, { revision, customers: block.customers });
+    tracker.addBlock(block, "store");
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#timers.forEach((timer) => {
+      clearTimeout(timer);
+    });
+  }
+
+  /** Writes a block after a random delay, unless the store has it by then. */
+  #writeLater(block: PromptBlock): void {
+    const blockId = buildBlockId(block);
+    if (this.#isStopped || this.#timers.has(blockId)) {
+      return;
+    }
+    const delayMs = Math.random() * BLOCK_RECORDS.MAX_WRITE_DELAY_MS;
+    const timer = setTimeout(() => {
+      this.#timers.delete(blockId);
+      void this.#write(blockId);
+    }, delayMs);
+    this.#timers.set(blockId, timer);
+  }
+
+  async #write(blockId: string): Promise<void> {
+    const { store, tracker } = this.#parts;
+    const block = tracker.blocks.find(
+      (known) => buildBlockId(known) === blockId,
+    );
+    const stored = this.#stored.get(blockId);
+    if (block === undefined || this.#isStored(block, stored)) {
+      return;
+    }
+    const key = blockRecord.buildKey(block);
+    const written = await store.commit({
+      expect: [{ key, revision: stored?.revision ?? 0 }],
+      set: [{ key, value: blockRecord.encode(block) }],
+      remove: [],
+    });
+    if (written.kind === "committed") {
+      const { revision } = written;
+      this.#stored.set(blockId, { revision, customers: block.customers });
+    } else {
+      this.#writeLater(block);
+    }
+  }
+
+  #isStored(block: PromptBlock, stored: StoredBlock | undefined): boolean {
+    return block.customers.every((name) => stored?.customers.includes(name));
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/crashes/crash_news_schema.ts
@@ -0,0 +1,21 @@
+import { CRASHES } from "@gooseberryline/core";
+import { z } from "zod";
+import { PROMPT_BLOCK_SCHEMA } from "./prompt_block_schema.ts";
+
+const SUSPECT = z.object({
+  parts: z.array(z.string()),
+  customer: z.string(),
+  hasHead: z.boolean(),
+});
+const REPORT = z.object({
+  upstreamId: z.string(),
+  ageMs: z.number(),
+  suspects: z.array(SUSPECT).max(CRASHES.MAX_SUSPECTS),
+});
+
+/** What a peer tells about crashes with its load. */
+export const CRASH_NEWS_SCHEMA = z.object({
+  crashes: z.array(REPORT).max(CRASHES.MAX_EVIDENCE),
+  soundAges: z.record(z.string(), z.number()),
+  blocks: z.array(PROMPT_BLOCK_SCHEMA).max(CRASHES.MAX_BLOCKS),
+});
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -12,6 +12,7 @@
   type ServingConfig,
   type UpstreamEntry,
 } from "@gooseberryline/core";
+import { CrashTracker } from "../crashes/crash_tracker.ts";
 import type { GatewaySettings } from "../settings/types.ts";
 import { computeLoadTimes } from "./compute_load_times.ts";
 import { type Lane, LoadTracker } from "./load_tracker.ts";
@@ -30,6 +31,7 @@
   readonly directory = new UpstreamDirectory();
   readonly members = new MemberRegistry();
   readonly load = new LoadTracker(() => this.#times.ageLimitMs);
+  readonly crashes = new CrashTracker(() => this.readNowMs());
   readonly quotas: QuotaTracker;
   readonly #ramps: RampTracker;
   readonly #readNowMs: () => number;
@@ -148,6 +150,9 @@
       this.quotas.recordPeerMessage(message, nowMs);
       this.onPeerWatchRevisions(message.seen);
       this.onPeerResultCounts(message.listed);
+      if (message.crashes !== undefined) {
+        this.crashes.recordPeerNews(message.crashes);
+      }
     }
     this.onPeerLoad();
     return true;
@@ -249,6 +254,7 @@
       unheard: unreached,
       seen: this.readWatchRevisions(),
       listed: this.readResultCounts(),
+      crashes: this.crashes.buildNews(),
       isLeaving,
     };
   }
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -1,5 +1,6 @@
 import { DUTIES, type LoadMessage } from "@gooseberryline/core";
 import { z } from "zod";
+import { CRASH_NEWS_SCHEMA } from "../crashes/crash_news_schema.ts";
 import { decodeJson } from "../decode_json.ts";
 
 const WORK = z.object({ online: z.number(), batch: z.number() });
@@ -22,6 +23,7 @@
   unheard: z.array(z.string()),
   seen: z.record(z.string(), z.number()),
   listed: z.record(z.string(), z.number()),
+  crashes: CRASH_NEWS_SCHEMA.optional(),
   isLeaving: z.boolean(),
 });
 
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -18,6 +18,7 @@
     this.#view = view;
     this.#log = log;
     view.onUpstreamOverloaded = () => this.#sendSoon();
+    view.crashes.onUrgentNews = () => this.#sendSoon();
     this.#socket = createSocket("udp4");
     this.#socket.on("message", (bytes, { address }) =>
       this.#handleDatagram(bytes, address),
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -6,6 +6,8 @@
   type MetadataItem,
   type MetadataStore,
 } from "@gooseberryline/core";
+import type { BlockKeeper } from "../crashes/block_keeper.ts";
+import { blockRecord } from "../crashes/block_record.ts";
 import type { RecordDialect } from "../dialect/types.ts";
 import { WATCH_TIMING } from "../store/constants.ts";
 import { PrefixWatch } from "../store/prefix_watch.ts";
@@ -17,6 +19,7 @@
   readonly store: MetadataStore;
   readonly dialect: RecordDialect;
   readonly log: EventLog;
+  readonly blocks: BlockKeeper;
   readonly onConfig: () => void;
   /**
    * Called when this instance is to hand over its jobs, or no longer has to.
@@ -173,7 +176,12 @@
   }
 
   #handleMemberEvent(event: MetadataEvent): void {
-    const { view, log } = this.#parts;
+    const { view, log, blocks } = this.#parts;
+    const blockId = blockRecord.parseKey(getEventKey(event));
+    if (blockId !== undefined) {
+      blocks.handleEvent(blockId, event);
+      return;
+    }
     if (event.kind === "removed") {
       const id = memberRecord.parseKey(event.key);
       log.info("member-unlisted", { instance: id });
--- a/packages/gateway/src/jobs/backlog_tracker.ts
+++ b/packages/gateway/src/jobs/backlog_tracker.ts
@@ -12,8 +12,9 @@
   type MetadataStore,
   updateBacklogDrain,
 } from "@gooseberryline/core";
-import { addRecentEntry } from "./add_recent_entry.ts";
+import { addRecentEntry } from "../add_recent_entry.ts";
 import { batchRecords } from "./batch_records.ts";
+import { JOB_CONSTANTS } from "./constants.ts";
 
 type TrackerParts = {
   readonly store: MetadataStore;
@@ -173,7 +174,12 @@
       waiting,
       accepted,
     });
-    addRecentEntry(this.#measured, key, { waiting, atMs, drain });
+    addRecentEntry(
+      this.#measured,
+      key,
+      { waiting, atMs, drain },
+      JOB_CONSTANTS.MAX_CACHED_JOBS,
+    );
   }
 
   /**
--- a/packages/gateway/src/jobs/item_placer.ts
+++ b/packages/gateway/src/jobs/item_placer.ts
@@ -1,6 +1,8 @@
 import {
+  type BatchJob,
   chooseService,
   findRoute,
+  type PromptBlock,
   placeItem,
   type UpstreamEntry,
 } from "@gooseberryline/core";
@@ -8,10 +10,14 @@
 import { StartLimiter } from "./start_limiter.ts";
 import type { WaitingItem } from "./types.ts";
 
+type ItemJob = Pick<BatchJob, "host" | "customer">;
+
 /** Outcome of placing an item. */
 export type ItemPlacement =
   | { readonly kind: "placed"; readonly upstream: UpstreamEntry }
   | { readonly kind: "wait" }
+  /** Parts of the item's prompt are blocked. */
+  | { readonly kind: "blocked"; readonly block: PromptBlock }
   /** No route matches the item, or its route has no service. */
   | { readonly kind: "no-route" };
 
@@ -25,11 +31,17 @@
     this.#startLimiter = new StartLimiter(view.settings.instanceId);
   }
 
-  place({ item, tried }: WaitingItem, host: string): ItemPlacement {
-    const { table } = this.#view;
+  place(waiting: WaitingItem, job: ItemJob): ItemPlacement {
+    const { item, tried, promptParts } = waiting;
+    const { host, customer } = job;
+    const { table, crashes } = this.#view;
     if (table === undefined) {
       return { kind: "wait" };
     }
+    const block = crashes.findBlock(promptParts, customer);
+    if (block !== undefined) {
+      return { kind: "blocked", block };
+    }
     const route = findRoute(table, host, item.path);
     const service = route && chooseService(route, item.id);
     if (service === undefined) {
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -1,17 +1,20 @@
 import {
   assertNever,
-  type BatchItem,
+  type BatchJob,
   type BatchResult,
   countItemsToYield,
   decideItemStep,
   ITEM_RESULTS,
   orderItems,
+  type PromptBlock,
   updateMeanSlots,
 } from "@gooseberryline/core";
+import { describeBlock } from "../crashes/describe_block.ts";
 import type { AttemptParts } from "../requests/attempt.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
 import { ItemPlacer } from "./item_placer.ts";
 import { ItemRun } from "./item_run.ts";
+import { listItemParts } from "./list_item_parts.ts";
 import type { LoadedJob } from "./owned_job.ts";
 import type { ItemRunEnd, WaitingItem } from "./types.ts";
 
@@ -57,7 +60,7 @@
           dueAtMs: claim.dueAtMs,
           ranMs: text?.ranMs ?? 0,
           item,
-          promptParts: this.#listPromptParts(item),
+          promptParts: listItemParts(item, this.#parts.dialect),
           text: text ?? { texts: [], lastEventId: undefined },
           failures: 0,
           tried: new Set<string>(),
@@ -68,14 +71,6 @@
     this.#waiting = [...this.#waiting, ...added];
   }
 
-  #listPromptParts({ headers }: BatchItem): readonly string[] {
-    const lowerCase = Object.entries(headers).map(
-      ([name, value]) => [name.toLowerCase(), value] as const,
-    );
-    return this.#parts.dialect.parseCallHead(Object.fromEntries(lowerCase))
-      .promptParts;
-  }
-
   /** Drops a job's items and stops their runs. */
   dropJob(jobId: string): void {
     this.#jobs.delete(jobId);
@@ -139,10 +134,13 @@
       return true;
     }
     const { host, customer } = loaded.job;
-    const placement = this.#placer.place(waiting, host);
+    const placement = this.#placer.place(waiting, loaded.job);
     switch (placement.kind) {
       case "wait":
         return false;
+      case "blocked":
+        this.#abandonBlocked(waiting, loaded.job, placement.block);
+        return true;
       case "no-route":
         this.#dropWaiting(waiting);
         this.#reportErrored(
@@ -166,6 +164,18 @@
     }
   }
 
+  /** Gives a blocked item up once its job need not be kept any longer. */
+  #abandonBlocked(
+    waiting: WaitingItem,
+    { submittedAtMs, retentionMs }: BatchJob,
+    block: PromptBlock,
+  ): void {
+    if (Date.now() > submittedAtMs + retentionMs) {
+      this.#dropWaiting(waiting);
+      this.#reportErrored(waiting, describeBlock(block));
+    }
+  }
+
   #dropWaiting(waiting: WaitingItem): void {
     this.#waiting = this.#waiting.filter((other) => other !== waiting);
   }
--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -4,8 +4,12 @@
   splitEvents,
   type UpstreamEntry,
 } from "@gooseberryline/core";
-import type { ExchangeEnd, ExchangeHead } from "../exchange/types.ts";
-import { Attempt, type AttemptParts } from "../requests/attempt.ts";
+import type { ExchangeHead } from "../exchange/types.ts";
+import {
+  Attempt,
+  type AttemptParts,
+  type AttemptResult,
+} from "../requests/attempt.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
 import type { ItemRunEnd, ItemText, WaitingItem } from "./types.ts";
 
@@ -137,7 +141,7 @@
     return true;
   }
 
-  #handleExchangeEnd(end: ExchangeEnd): void {
+  #handleExchangeEnd(end: AttemptResult): void {
     const text = this.#getText();
     switch (end.kind) {
       case "whole":
--- a/packages/gateway/src/jobs/job_cache.ts
+++ b/packages/gateway/src/jobs/job_cache.ts
@@ -4,9 +4,10 @@
   type MetadataFailure,
   type MetadataStore,
 } from "@gooseberryline/core";
+import { addRecentEntry } from "../add_recent_entry.ts";
 import { readImmutable } from "../store/read_immutable.ts";
-import { addRecentEntry } from "./add_recent_entry.ts";
 import { batchRecords } from "./batch_records.ts";
+import { JOB_CONSTANTS } from "./constants.ts";
 
 export type JobLookup =
   | { readonly kind: "found"; readonly job: BatchJob }
@@ -23,7 +24,7 @@
   }
 
   add(job: BatchJob): void {
-    addRecentEntry(this.#jobs, job.id, job);
+    addRecentEntry(this.#jobs, job.id, job, JOB_CONSTANTS.MAX_CACHED_JOBS);
   }
 
   async find(id: string): Promise<JobLookup> {
--- a/packages/gateway/src/jobs/result_count_feed.ts
+++ b/packages/gateway/src/jobs/result_count_feed.ts
@@ -1,4 +1,4 @@
-import { addRecentEntry } from "./add_recent_entry.ts";
+import { addRecentEntry } from "../add_recent_entry.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
 
 /** Whether results beyond a position are listed, by the owner's report. */
@@ -27,7 +27,12 @@
       const knownCount = this.#reported.get(jobId)?.count ?? 0;
       // Results are never unlisted, so a lower count is out of date.
       if (count >= knownCount) {
-        addRecentEntry(this.#reported, jobId, { count, atMs });
+        addRecentEntry(
+          this.#reported,
+          jobId,
+          { count, atMs },
+          JOB_CONSTANTS.MAX_CACHED_JOBS,
+        );
       }
       if (count > knownCount) {
         this.#waiters.get(jobId)?.forEach((endWait) => {
--- a/packages/gateway/src/jobs/results_reader.ts
+++ b/packages/gateway/src/jobs/results_reader.ts
@@ -9,9 +9,10 @@
   type MetadataItem,
   type MetadataStore,
 } from "@gooseberryline/core";
+import { addRecentEntry } from "../add_recent_entry.ts";
 import { listImmutable } from "../store/list_immutable.ts";
-import { addRecentEntry } from "./add_recent_entry.ts";
 import { batchRecords } from "./batch_records.ts";
+import { JOB_CONSTANTS } from "./constants.ts";
 import type { ResultCountFeed } from "./result_count_feed.ts";
 
 type ResultsPage =
@@ -92,7 +93,12 @@
     const revision = page.items.at(-1)?.revision ?? page.storeRevision;
     const reached = { position, revision };
     if (!page.hasMore && results.length === page.items.length) {
-      addRecentEntry(this.#positions, job.id, reached);
+      addRecentEntry(
+        this.#positions,
+        job.id,
+        reached,
+        JOB_CONSTANTS.MAX_CACHED_JOBS,
+      );
     }
     return results.length > 0 || maxWaitMs <= 0
       ? { kind: "read", results }
@@ -119,10 +125,15 @@
         // The store's revision may be ahead of changes not delivered yet, so
         // the position keeps the revision of the last result received.
         if (last !== undefined && results.length === items.length) {
-          addRecentEntry(this.#positions, job.id, {
-            position: position + results.length,
-            revision: last.revision,
-          });
+          addRecentEntry(
+            this.#positions,
+            job.id,
+            {
+              position: position + results.length,
+              revision: last.revision,
+            },
+            JOB_CONSTANTS.MAX_CACHED_JOBS,
+          );
         }
         return { kind: "read", results };
       }
--- a/packages/gateway/src/metrics/create_gateway_metrics.ts
+++ b/packages/gateway/src/metrics/create_gateway_metrics.ts
@@ -17,7 +17,8 @@
   | "requests_open"
   | "items_running"
   | "upstreams_known"
-  | "jobs_over_limit";
+  | "jobs_over_limit"
+  | "prompt_blocks";
 
 /** Creates the counters, histograms and gauges of an instance. */
 export function createGatewayMetrics(): GatewayMetrics {
@@ -45,6 +46,10 @@
       "jobs_over_limit",
       "jobs refused for their customer's unfinished items, since the start",
     ),
+    prompt_blocks: gauge(
+      "prompt_blocks",
+      "blocks of prompt parts that crash upstreams",
+    ),
     upstreams_known: gauge("upstreams_known", "upstreams in the directory"),
   };
   return {
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -4,6 +4,8 @@
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import type { ConnectionPool } from "@gooseberryline/daemon";
+import type { PendingAttempt } from "../crashes/crash_tracker.ts";
+import { describeBlock } from "../crashes/describe_block.ts";
 import type { CallDialect } from "../dialect/types.ts";
 import { checkPort } from "../exchange/check_port.ts";
 import type {
@@ -31,7 +33,11 @@
   readonly customer: string | undefined;
 };
 
-export type AttemptEvents = ExchangeEvents & {
+/** How an attempt ended; `isSuspect` as in the core's `AttemptEnd`. */
+export type AttemptResult = ExchangeEnd & { readonly isSuspect?: boolean };
+
+export type AttemptEvents = Omit<ExchangeEvents, "onEnd"> & {
+  readonly onEnd: (end: AttemptResult) => void;
   /** Returns how many complete events of the stream this attempt received. */
   readonly countEvents: () => number;
 };
@@ -48,8 +54,11 @@
   readonly #events: AttemptEvents;
   readonly #startedMs: number;
   readonly #exchange: UpstreamExchange;
+  readonly #pending: PendingAttempt;
   #hasHead = false;
+  #hasBegun = false;
   #isEnded = false;
+  #isCancelled = false;
 
   constructor(
     work: AttemptWork,
@@ -64,6 +73,12 @@
     this.#parts = parts;
     this.#events = events;
     this.#startedMs = parts.view.readNowMs();
+    this.#pending = {
+      parts: work.promptParts,
+      customer: work.customer ?? "",
+      stop: (block) => this.#stop(describeBlock(block)),
+    };
+    parts.view.crashes.addPending(this.#pending);
     parts.view.recordSend(upstream, lane);
     const { load } = parts.view;
     const hasActivitySince = (sinceMs: number) =>
@@ -82,7 +97,11 @@
         },
         onChunk: (chunk) => {
           recordActivity();
-          return events.onChunk(chunk);
+          const hasRoom = events.onChunk(chunk);
+          if (!this.#hasBegun && events.countEvents() > 0) {
+            this.#recordSoundStart();
+          }
+          return hasRoom;
         },
         onEnd: (end) => this.#handleEnd(end),
       },
@@ -93,10 +112,17 @@
    * Cancels the attempt without calling `onEnd`; the upstream stops its work.
    */
   cancel(): void {
+    this.#isCancelled = true;
     this.#exchange.cancel();
     this.#release();
   }
 
+  #stop(reason: string): void {
+    this.cancel();
+    const isSuspect = true;
+    this.#events.onEnd({ kind: "lost", reason, isSilent: false, isSuspect });
+  }
+
   resume(): void {
     this.#exchange.resume();
   }
@@ -104,12 +130,25 @@
   #handleEnd(end: ExchangeEnd): void {
     this.#release();
     this.#recordEnd(end);
+    if (end.kind === "lost" && !end.isSilent && !this.#hasBegun) {
+      void this.#handleBreak(end);
+      return;
+    }
     this.#events.onEnd(end);
   }
 
+  /** The answer has begun, so the prompt does not crash upstreams. */
+  #recordSoundStart(): void {
+    const { crashes } = this.#parts.view;
+    this.#hasBegun = true;
+    crashes.dropPending(this.#pending);
+    crashes.recordSoundStart(this.#work.promptParts);
+  }
+
   #release(): void {
     if (!this.#isEnded) {
       this.#isEnded = true;
+      this.#parts.view.crashes.dropPending(this.#pending);
       this.#parts.view.load.recordEnd(this.upstream.id, this.#work.lane);
     }
   }
@@ -119,6 +158,7 @@
     const nowMs = this.#parts.view.readNowMs();
     switch (end.kind) {
       case "whole":
+        this.#recordSoundStart();
         load.recordSuccess(this.upstream.id);
         if (this.#work.lane === "online") {
           const serviceMs = nowMs - this.#startedMs;
@@ -126,11 +166,6 @@
         }
         return;
       case "lost":
-        load.recordFailure(this.upstream.id, nowMs);
-        if (!end.isSilent) {
-          void this.#logBreak(end.reason);
-        }
-        return;
       case "unsent":
       case "unexecuted":
         load.recordFailure(this.upstream.id, nowMs);
@@ -140,21 +175,32 @@
     }
   }
 
-  /** Logs what ran on a connection that broke, and if the upstream is down. */
-  async #logBreak(reason: string): Promise<void> {
-    const { promptParts } = this.#work;
-    const events = this.#events.countEvents();
-    const ranMs = this.#parts.view.readNowMs() - this.#startedMs;
+  /**
+   * Handles a connection that broke before the answer began: if the upstream is
+   * down, this request or one beside it may have crashed it.
+   */
+  async #handleBreak(end: ExchangeEnd & { kind: "lost" }): Promise<void> {
+    const { promptParts: parts, customer = "" } = this.#work;
+    const { view, log } = this.#parts;
+    const hasHead = this.#hasHead;
+    const ranMs = view.readNowMs() - this.#startedMs;
     const port = await checkPort(this.upstream.address);
-    this.#parts.log.info("upstream-broke-off", {
+    log.info("upstream-broke-off", {
       requestId: this.#requestId,
       upstream: this.upstream.id,
-      promptParts: promptParts.join(" "),
-      hasHead: this.#hasHead,
-      events,
+      promptParts: parts.join(" "),
+      hasHead,
       ranMs: Math.round(ranMs),
       port,
-      reason,
+      reason: end.reason,
     });
+    const isCrash = port === "refused";
+    if (isCrash) {
+      const suspect = { parts, customer, hasHead };
+      view.crashes.recordCrash(this.upstream.id, suspect);
+    }
+    if (!this.#isCancelled) {
+      this.#events.onEnd({ ...end, isSuspect: isCrash && hasHead });
+    }
   }
 }
--- a/packages/gateway/src/requests/attempt_tracker.ts
+++ b/packages/gateway/src/requests/attempt_tracker.ts
@@ -2,6 +2,7 @@
   type AttemptEnd,
   decideNextStep,
   type NextStep,
+  type PromptBlock,
 } from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { REQUESTS } from "./constants.ts";
@@ -71,6 +72,13 @@
     return Math.max(0, endMs - this.#view.readNowMs());
   }
 
+  /** Returns the block that holds for the request, if any. */
+  findBlock(): PromptBlock | undefined {
+    const { head, customer } = this.#call;
+    const { crashes } = this.#view;
+    return crashes.findBlock(head.promptParts, customer?.name ?? "");
+  }
+
   decideNextStep(end: AttemptEnd, hasStarted: boolean): NextStep {
     const leftMs = this.computeRemainingMs();
     const upstreamCount = this.#attemptedIds.length;
--- a/packages/gateway/src/requests/call_errors.ts
+++ b/packages/gateway/src/requests/call_errors.ts
@@ -70,6 +70,13 @@
     run: "not run",
     retryAfterMs: drawRetryAfterMs(NOT_READY_RETRY_MS, Math.random()),
   }),
+  /** The prompt has crashed upstreams, so no retry can help. */
+  promptBlocked: (message: string, mayHaveRun: boolean): CallError => ({
+    status: 400,
+    code: "prompt_blocked",
+    message,
+    run: mayHaveRun ? "may have run" : "not run",
+  }),
   upstreamFailed: (message: string): CallError => ({
     status: 502,
     code: "upstream_failed",
--- /dev/null
+++ b/packages/gateway/src/requests/crashing_request_test.ts
@@ -0,0 +1,103 @@
+import { expect, test } from "vitest";
+import type { FleetView } from "../fleet/fleet_view.ts";
+import { createView } from "../testing/create_view.ts";
+import { runRequest } from "../testing/run_request.ts";
+import { startUpstream } from "../testing/start_upstream.ts";
+
+const STREAM = { "content-type": "text/event-stream" };
+const EVENT = "id: 1\ndata: text\n\n";
+
+/** Starts an upstream that ends as it begins to answer. */
+async function startCrashing() {
+  const upstream = await startUpstream((_, res) => {
+    res.writeHead(200, STREAM).flushHeaders();
+    setTimeout(() => void upstream.close(), 5);
+  });
+  return upstream;
+}
+
+async function startSound() {
+  return await startUpstream((_, res) => {
+    res.writeHead(200, STREAM).end(EVENT);
+  });
+}
+
+/**
+ * Runs a request with an upstream that crashes as it begins to answer, and a
+ * sound one. `round` tells their processes from those of other rounds.
+ */
+async function runCrashing(
+  view: FleetView,
+  round: number,
+  promptParts: readonly string[],
+) {
+  const first = await startCrashing();
+  const second = await startSound();
+  const addresses = [first.address, second.address];
+  const idPrefix = `u${round}-`;
+  const run = runRequest({ addresses, view, promptParts, idPrefix });
+  await run.ended;
+  const seen = [first.seen.length, second.seen.length];
+  await Promise.all([first.close(), second.close()]);
+  addresses.forEach((_, index) => {
+    view.directory.remove(`${idPrefix}${index}`, performance.now());
+  });
+  return { answer: run.answer, seen };
+}
+
+test("a request that crashed its upstream is not sent to another", async () => {
+  const { answer, seen } = await runCrashing(createView(), 0, ["a", "x"]);
+  expect(seen).toEqual([1, 0]);
+  expect(answer.status).toBe(502);
+  expect(answer.run).toBe("may have run");
+});
+
+test("a request is refused once its part has crashed three upstreams", async () => {
+  const view = createView();
+  await runCrashing(view, 1, ["a", "x"]);
+  await runCrashing(view, 2, ["b", "x"]);
+  await runCrashing(view, 3, ["a", "x"]);
+  const { answer, seen } = await runCrashing(view, 4, ["c", "x"]);
+  expect(seen).toEqual([0, 0]);
+  expect(answer.status).toBe(400);
+  expect(answer.run).toBe("not run");
+});
+
+test("a sound request beside one that crashes upstreams is sent to another", async () => {
+  const first = await startUpstream((_, res) => {
+    res.writeHead(200, STREAM).write("id: 0\ndata: text\n\n");
+    setTimeout(() => void first.close(), 20);
+  });
+  const second = await startSound();
+  const addresses = [first.address, second.address];
+  const run = runRequest({ addresses, promptParts: ["a", "y"] });
+  expect(await run.ended).toBe("answered");
+  expect(second.seen).toHaveLength(1);
+  expect(run.view.crashes.buildNews()).toBeUndefined();
+  await second.close();
+});
+
+test("a broken connection to an upstream that lives speaks against no part", async () => {
+  const first = await startUpstream((_, res) => {
+    res.writeHead(200, STREAM).flushHeaders();
+    setTimeout(() => res.destroy(), 5);
+  });
+  const second = await startSound();
+  const addresses = [first.address, second.address];
+  const run = runRequest({ addresses, promptParts: ["a", "y"] });
+  expect(await run.ended).toBe("answered");
+  expect(run.view.crashes.buildNews()).toBeUndefined();
+  await Promise.all([first.close(), second.close()]);
+});
+
+test("a block stops the requests under way that it holds for", async () => {
+  const upstream = await startUpstream(() => undefined);
+  const addresses = [upstream.address];
+  const run = runRequest({ addresses, promptParts: ["a", "x"] });
+  const block = { parts: ["x"], customers: ["", "c2"], upstreams: [] };
+  setTimeout(() => run.view.crashes.addBlock(block, "peer"), 20);
+  expect(await run.ended).toBe("refused");
+  expect(run.answer.status).toBe(400);
+  expect(run.answer.run).toBe("may have run");
+  await upstream.close();
+});
--- a/packages/gateway/src/requests/request_ending.ts
+++ b/packages/gateway/src/requests/request_ending.ts
@@ -1,6 +1,8 @@
-import type { AttemptEnd } from "@gooseberryline/core";
+import type { AttemptEnd, PromptBlock } from "@gooseberryline/core";
+import { describeBlock } from "../crashes/describe_block.ts";
 import type { AttemptParts } from "./attempt.ts";
 import type { AttemptTracker } from "./attempt_tracker.ts";
+import { callErrors } from "./call_errors.ts";
 import type {
   AdmittedCall,
   CallError,
@@ -37,6 +39,14 @@
     }
   }
 
+  /** Ends a request that a block holds for. */
+  refuseBlocked(block: PromptBlock, hasStarted: boolean): void {
+    const text = describeBlock(block);
+    const mayHaveRun = this.#parts.tracker.runs > 0;
+    const error = callErrors.promptBlocked(text, mayHaveRun);
+    this.fail(text, error, hasStarted);
+  }
+
   breakOff(reason: string): void {
     this.#parts.reply.closeConnection();
     this.finish("broken-off", { reason });
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -5,9 +5,9 @@
   type NextStep,
   type UpstreamEntry,
 } from "@gooseberryline/core";
-import type { ExchangeEnd, ExchangeHead } from "../exchange/types.ts";
+import type { ExchangeHead } from "../exchange/types.ts";
 import { admitCustomer } from "./admit_customer.ts";
-import { Attempt, type AttemptParts } from "./attempt.ts";
+import { Attempt, type AttemptParts, type AttemptResult } from "./attempt.ts";
 import { AttemptTracker } from "./attempt_tracker.ts";
 import { buildExchangeOptions } from "./build_exchange_options.ts";
 import { callErrors } from "./call_errors.ts";
@@ -77,6 +77,11 @@
 
   #place(): void {
     const { view } = this.#parts;
+    const block = this.#tracker.findBlock();
+    if (block !== undefined) {
+      this.#ending.refuseBlocked(block, this.#hasStarted);
+      return;
+    }
     const leftMs = this.#tracker.computeRemainingMs();
     const placement = chooseUpstream(
       view,
@@ -173,7 +178,7 @@
     );
   }
 
-  #handleEnd(end: ExchangeEnd): void {
+  #handleEnd(end: AttemptResult): void {
     this.#attempt = undefined;
     if (end.kind === "whole" || end.kind === "lost") {
       this.#tracker.recordRun();
@@ -247,6 +252,11 @@
 
   /** Ends a request that can't be retried. */
   #abandon(reason: string, availableInMs: number): void {
+    const block = this.#tracker.findBlock();
+    if (block !== undefined) {
+      this.#ending.refuseBlocked(block, this.#hasStarted);
+      return;
+    }
     const mayHaveRun = this.#tracker.runs > 0;
     this.#fail(
       reason,
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -6,6 +6,8 @@
   type MetadataStore,
 } from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
+import { BlockKeeper } from "./crashes/block_keeper.ts";
+import { listBlockFields } from "./crashes/list_block_fields.ts";
 import type { Dialect } from "./dialect/types.ts";
 import { EXCHANGE } from "./exchange/constants.ts";
 import { FleetView } from "./fleet/fleet_view.ts";
@@ -45,6 +47,7 @@
 };
 
 const METRICS_PATH = "/metrics";
+const BLOCKS_PATH = "/blocks";
 const OK = 200;
 const UNAVAILABLE = 503;
 
@@ -89,9 +92,11 @@
     getWatchRank: () => view.getRank(DUTIES.run),
     minIntervalMs: WATCH_TIMING.CLAIMS_INTERVAL_MS,
   });
+  const blocks = new BlockKeeper({ store, tracker: view.crashes, log });
   const watches = new RecordWatches({
     view,
     store,
+    blocks,
     dialect: dialect.records,
     log,
     onConfig: () => listener.applyLimits(),
@@ -126,8 +131,13 @@
     },
   });
   const report = new StatusListener({
+    [BLOCKS_PATH]: () => ({
+      status: OK,
+      text: JSON.stringify(view.crashes.blocks.map(listBlockFields)),
+    }),
     [METRICS_PATH]: async () => {
       metrics.setGauge("requests_open", listener.countInFlight());
+      metrics.setGauge("prompt_blocks", view.crashes.blocks.length);
       metrics.setGauge("jobs_over_limit", jobs.countOverLimit());
       metrics.setGauge("items_running", runner.countRunning());
       metrics.setGauge("upstreams_known", view.directory.count());
@@ -171,6 +181,7 @@
     sweeper.stop();
     claims.stop();
     watches.stop();
+    blocks.stop();
     await membership.stop();
     peers.stop();
     relay.stop();
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -21,6 +21,12 @@
   readonly addresses: readonly string[];
   readonly route?: Partial<Route>;
   readonly lastEventId?: number;
+  /** Ids of the prompt's parts that other requests may share. */
+  readonly promptParts?: readonly string[];
+  /** Prefix of the upstreams' ids, which end with their index. */
+  readonly idPrefix?: string;
+  /** The view of the instance; a new one by default. */
+  readonly view?: FleetView;
 };
 
 /** A request of a test: its answer, and a way to cancel it. */
@@ -56,11 +62,13 @@
   addresses,
   route,
   lastEventId,
+  promptParts = [],
+  idPrefix = "u",
+  view = createView(),
 }: RunParts): TestRun {
-  const view = createView();
   addresses.forEach((address, index) => {
     view.directory.set({
-      id: `u${index}`,
+      id: `${idPrefix}${index}`,
       service: SERVICE,
       address,
       // The first upstream is in the own data centre, so it is tried first.
@@ -78,7 +86,12 @@
     run: undefined,
   };
   const call = {
-    head: { ...plainDialect.parseCallHead({}), requestId: "r1", lastEventId },
+    head: {
+      ...plainDialect.parseCallHead({}),
+      requestId: "r1",
+      lastEventId,
+      promptParts,
+    },
     route: { ...ROUTE, ...route },
     service: SERVICE,
     customer: undefined,
