Keep the limits that upstreams name in their answers

Cause: nothing read the limit. Class: a signal of overload that placing does not follow. Repeated items were a quarter of the requests, but callers' requests alone were over it.

The tracker of customers' quotas keeps those of upstreams too, among a few senders chosen as for cold upstreams.

--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -1,6 +1,7 @@
 /** Registration records of instances and the load messages between them. */
 import type { CrashNews } from "../crashes/types.ts";
 import type { InFlightWork } from "../placing/types.ts";
+import type { LimitNews } from "../upstream_limits/types.ts";
 
 export const DUTIES = { serve: "serve", run: "run" } as const;
 
@@ -56,6 +57,8 @@
   readonly seen: Readonly<Record<string, number>>;
   /** Number of listed results, by job that the sender runs or ran recently. */
   readonly listed: Readonly<Record<string, number>>;
+  /** By upstream that names a limit; left out as `crashes` is. */
+  readonly limits?: Readonly<Record<string, LimitNews>> | undefined;
   /** Left out if there is none, and by earlier builds. */
   readonly crashes?: CrashNews | undefined;
   /** Set in the one message that an instance sends on shutdown. */
--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -150,6 +150,10 @@
     fields: ["upstream", "dataCentre", "isDraining", "coldMs"],
     text: "An upstream's entry is new or has changed",
   },
+  "upstream-limit": {
+    fields: ["upstream", "perSecond", "source"],
+    text: "An upstream names another limit on its requests; none if perSecond is missing",
+  },
   "upstream-removed": {
     fields: ["upstream"],
     text: "An upstream's entry is gone",
--- a/packages/core/src/placing/place_item.ts
+++ b/packages/core/src/placing/place_item.ts
@@ -12,7 +12,7 @@
 ): UpstreamEntry | undefined {
   const [best] = candidates
     .filter(({ entry }) => !entry.isDraining && !tried.has(entry.id))
-    .filter(({ isRampOpen }) => isRampOpen)
+    .filter(({ isRateOpen }) => isRateOpen)
     .filter(({ entry }) => entry.coldUntilMs <= nowMs)
     .filter(({ suspectUntilMs }) => suspectUntilMs <= nowMs)
     .map(({ entry, open: inFlight }) => ({
--- a/packages/core/src/placing/place_request.ts
+++ b/packages/core/src/placing/place_request.ts
@@ -14,7 +14,8 @@
  * that a batch item has to yield, and those to a queue. Among upstreams within
  * `AFFINITY_SLACK` of the least load, the own data centre comes first, then
  * rendezvous hashing by the prompt's shared prefix, so that prompts with the
- * same prefix go to the same upstream. Under overload a queue is accepted while
+ * same prefix go to the same upstream. Upstreams that limit their requests come
+ * after the others, so that what they take is left for a rise of traffic. Under overload a queue is accepted while
  * its wait meets the objective, then up to the caller's longest wait; beyond
  * that the result says when an upstream is expected to have room.
  */
@@ -22,7 +23,7 @@
   const usable = request.candidates
     .filter(({ entry }) => !entry.isDraining)
     .filter(({ entry }) => !request.tried.has(entry.id))
-    .filter(({ isRampOpen }) => isRampOpen)
+    .filter(({ isRateOpen }) => isRateOpen)
     .map((candidate) => describeCandidate(candidate, request));
   if (usable.length === 0) {
     return request.candidates.some(({ entry }) => !entry.isDraining)
@@ -56,16 +57,23 @@
   candidate: Candidate,
   request: PlaceRequest,
 ): RatedCandidate {
-  const { entry, open: inFlight } = candidate;
+  const { entry, open: inFlight, isLimited } = candidate;
   const isCold = entry.coldUntilMs > request.nowMs;
-  const waitMs = estimateWaitMs(entry, inFlight, request.meanServiceMs);
+  const freeWaitMs = estimateWaitMs(entry, inFlight, request.meanServiceMs);
+  // A slot that an item yields is used before a request of a limit.
+  const waitMs = isLimited
+    ? Math.max(freeWaitMs, PLACING.YIELD_MS)
+    : freeWaitMs;
   // With all slots in use, batch items yield theirs, so they add no load.
   const countedWork =
     waitMs > 0 ? inFlight.online : inFlight.online + inFlight.batch;
   return {
     candidate,
     waitMs,
-    load: countedWork + (isCold ? PLACING.COLD_LOAD_PENALTY : 0),
+    load:
+      countedWork +
+      (isCold ? PLACING.COLD_LOAD_PENALTY : 0) +
+      (isLimited ? entry.slots + PLACING.AFFINITY_SLACK : 0),
   };
 }
 
--- a/packages/core/src/placing/place_request_test.ts
+++ b/packages/core/src/placing/place_request_test.ts
@@ -11,7 +11,8 @@
     entry: { ...ENTRY_FIXTURE, id, dataCentre: overrides.dataCentre ?? "a" },
     open: overrides.open ?? { online: 0, batch: 0 },
     suspectUntilMs: overrides.suspectUntilMs ?? 0,
-    isRampOpen: overrides.isRampOpen ?? true,
+    isLimited: overrides.isLimited ?? false,
+    isRateOpen: overrides.isRateOpen ?? true,
   };
 }
 
@@ -103,10 +104,22 @@
 });
 
 test("an upstream with a closed ramp gets no request", () => {
-  const candidates = [createCandidate("a", { isRampOpen: false })];
+  const candidates = [createCandidate("a", { isRateOpen: false })];
   expect(place({ candidates })).toBe("full");
 });
 
 test("without upstreams no wait is given", () => {
   expect(place({})).toBe("none");
 });
+
+test("an upstream with a limit is used once the others have no slot left", () => {
+  const createCandidates = (open: Candidate["open"]) => [
+    createCandidate("limited", { isLimited: true }),
+    createCandidate("other", { dataCentre: "b", open }),
+  ];
+  const busy = { online: 7, batch: 0 };
+  const yielding = { online: 7, batch: 1 };
+  expect(place({ candidates: createCandidates(busy) })).toBe("other");
+  expect(place({ candidates: createCandidates(yielding) })).toBe("other");
+  expect(place({ candidates: createCandidates(full) })).toBe("limited");
+});
--- a/packages/core/src/placing/types.ts
+++ b/packages/core/src/placing/types.ts
@@ -30,8 +30,13 @@
   readonly open: InFlightWork;
   /** Until this time the upstream is used only as a last resort, in ms. */
   readonly suspectUntilMs: number;
-  /** Whether the ramp allows this instance to send a request now. */
-  readonly isRampOpen: boolean;
+  /** Whether it names a limit on the requests that it takes. */
+  readonly isLimited: boolean;
+  /**
+   * Whether its ramp and the limit that it names allow this instance to send a
+   * request now.
+   */
+  readonly isRateOpen: boolean;
 };
 
 /** A request to place, with the upstreams to choose from. */
--- a/packages/gateway/src/dialect/types.ts
+++ b/packages/gateway/src/dialect/types.ts
@@ -40,6 +40,8 @@
   readonly requestId: string | undefined;
   /** Whether the upstream reports that it did not run the request. */
   readonly isUnexecuted: boolean;
+  /** Requests per second that it takes from all; undefined: it names none. */
+  readonly limitPerSecond: number | undefined;
 };
 
 /** A call of the job API, parsed from its method and path. */
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -1,5 +1,6 @@
 /** Types of one request to one upstream. */
 import type { IncomingHttpHeaders } from "node:http";
+import type { ResponseHead } from "../dialect/types.ts";
 
 export type ExchangeOptions = {
   /** IP address and port of the upstream. */
@@ -47,6 +48,8 @@
     };
 
 export type ExchangeEvents = {
+  /** Called for each answer to this request, also if it was not executed. */
+  readonly onAnswer?: (status: number, head: ResponseHead) => void;
   readonly onHead: (head: ExchangeHead) => void;
   /**
    * Returns false if the receiver's buffer is full; `resume` continues the
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -113,6 +113,7 @@
       this.#request.destroy();
       return;
     }
+    this.#parts.onAnswer?.(status, responseHead);
     if (responseHead.isUnexecuted) {
       response.resume();
       this.#end({ kind: "unexecuted", status });
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -1,13 +1,13 @@
 import {
   buildRouteTable,
   type Candidate,
+  createQuota,
   DUTIES,
   type Duty,
   type FleetMember,
   type LoadMessage,
-  listMessageTargets,
-  listRelayTargets,
   listUnreachableDataCentres,
+  QUOTAS,
   type RouteTable,
   type ServingConfig,
   type UpstreamEntry,
@@ -17,9 +17,11 @@
 import { computeLoadTimes } from "./compute_load_times.ts";
 import { type Lane, LoadTracker } from "./load_tracker.ts";
 import { MemberRegistry } from "./member_registry.ts";
+import { MessageRouter } from "./message_router.ts";
 import { QuotaTracker } from "./quota_tracker.ts";
 import { RampTracker } from "./ramp_tracker.ts";
 import { UpstreamDirectory } from "./upstream_directory.ts";
+import { UpstreamLimitTracker } from "./upstream_limit_tracker.ts";
 
 /** Share of the quota slack that an instance may spend when it starts. */
 const INITIAL_TOKENS_SHARE = 0.5;
@@ -33,7 +35,9 @@
   readonly load = new LoadTracker(() => this.#times.ageLimitMs);
   readonly crashes = new CrashTracker(() => this.readNowMs());
   readonly quotas: QuotaTracker;
+  readonly limits: UpstreamLimitTracker;
   readonly #ramps: RampTracker;
+  readonly #router: MessageRouter;
   readonly #readNowMs: () => number;
   #table: RouteTable | undefined;
   readonly #startedMs: number;
@@ -71,13 +75,28 @@
     const { members, load } = this;
     const startedMs = readNowMs();
     this.#startedMs = startedMs;
+    const initialTokens = settings.quotaSlack * INITIAL_TOKENS_SHARE;
     this.quotas = new QuotaTracker({
       instanceId,
+      load,
+      listSpenders: (_, nowMs) => members.listSpenders(DUTIES.serve, nowMs),
+      getTimeoutMs: () =>
+        Math.max(QUOTAS.PEER_TIMEOUT_MS, this.#times.ageLimitMs),
+      createQuota: () => createQuota(startedMs, initialTokens),
+    });
+    this.limits = new UpstreamLimitTracker({
+      instanceId,
+      members,
+      load,
+      readNowMs,
+    });
+    this.#router = new MessageRouter({
+      settings,
       members,
       load,
-      getAgeLimitMs: () => this.#times.ageLimitMs,
-      startedMs,
-      initialTokens: settings.quotaSlack * INITIAL_TOKENS_SHARE,
+      listPeers: () => this.listPeers(),
+      getPeerTimeoutMs: () => this.#times.peerTimeoutMs,
+      readNowMs,
     });
     this.#ramps = new RampTracker({ instanceId, members, bounds: ramp });
   }
@@ -102,9 +121,10 @@
   }
 
   /**
-   * Lists a service's upstreams with their load, as candidates for a request.
+   * Lists a service's upstreams with their load, as candidates for a request or
+   * an item.
    */
-  listCandidates(service: string): readonly Candidate[] {
+  listCandidates(service: string, lane: Lane): readonly Candidate[] {
     const nowMs = this.readNowMs();
     const perSecond = this.#getColdRate(service);
     const unreachable = this.#listUnreachableDataCentres(nowMs);
@@ -114,13 +134,18 @@
       suspectUntilMs: unreachable.has(entry.dataCentre)
         ? Number.POSITIVE_INFINITY
         : this.load.getSuspectUntilMs(entry.id, nowMs),
-      isRampOpen: this.#ramps.canSend(entry, perSecond, nowMs),
+      isLimited: this.limits.isLimited(entry.id),
+      isRateOpen:
+        this.#ramps.canSend(entry, perSecond, nowMs) &&
+        this.limits.canSend(entry.id, lane, nowMs),
     }));
   }
 
   /** Records that a request is being sent to an upstream. */
   recordSend(entry: UpstreamEntry, lane: Lane): void {
-    this.#ramps.take(entry, this.#getColdRate(entry.service), this.readNowMs());
+    const nowMs = this.readNowMs();
+    this.#ramps.take(entry, this.#getColdRate(entry.service), nowMs);
+    this.limits.take(entry.id, nowMs);
     this.load.recordStart(entry.id, lane);
     if (lane === "online") {
       this.#reportIfOverloaded(entry);
@@ -147,7 +172,8 @@
     if (message.isLeaving) {
       this.members.dropIncarnation(message.from, message.incarnation);
     } else {
-      this.quotas.recordPeerMessage(message, nowMs);
+      this.quotas.recordPeerUsage(message, message.use, nowMs);
+      this.limits.recordPeerNews(message, message.limits ?? {});
       this.onPeerWatchRevisions(message.seen);
       this.onPeerResultCounts(message.listed);
       if (message.crashes !== undefined) {
@@ -173,57 +199,18 @@
 
   /** Lists the peers that the next load message is sent to. */
   listMessageTargets(): readonly FleetMember[] {
-    const { instanceId: id, dataCentre } = this.settings;
-    const nowMs = this.readNowMs();
-    const timeoutMs = this.#times.peerTimeoutMs;
-    return listMessageTargets(
-      { id, dataCentre },
-      this.listPeers(),
-      (peerId) => this.load.hasDirectContact(peerId, timeoutMs, nowMs),
-      this.#sequence,
-    );
+    return this.#router.listTargets(this.#sequence);
   }
 
   /**
    * Handles a load message that arrived from the address `sender`; returns the
-   * peers to which this instance passes it on. A message from another data
-   * centre goes to all of this one, as its sender sent it here only.
+   * peers to which this instance passes it on.
    */
   receiveMessage(message: LoadMessage, sender: string): readonly FleetMember[] {
-    const { dataCentre } = this.settings;
-    const isFromPeer = this.members.hasAddress(message.from, sender);
-    const isFromAfar = message.dataCentre !== dataCentre;
-    const isDirect =
-      isFromPeer ||
-      (isFromAfar && this.members.getDataCentre(sender) === dataCentre);
-    if (!this.handleMessage(message, isDirect) || message.isLeaving) {
-      return [];
-    }
-    return [
-      ...(isFromPeer && isFromAfar ? this.#listNearPeers() : []),
-      ...(isDirect ? this.#listRelayTargets(message.from) : []),
-    ];
-  }
-
-  /** Lists the peers of this instance's data centre. */
-  #listNearPeers(): readonly FleetMember[] {
-    const { dataCentre } = this.settings;
-    return this.listPeers().filter((peer) => peer.dataCentre === dataCentre);
-  }
-
-  /** Lists the peers to which this instance relays messages of `origin`. */
-  #listRelayTargets(origin: string): readonly FleetMember[] {
-    const { instanceId } = this.settings;
-    const nowMs = this.readNowMs();
-    if (!this.load.isUnheardByPeer(origin)) {
-      return [];
-    }
-    const unreachedByPeer = this.load.listUnreachedByPeer(
-      this.#times.peerTimeoutMs,
-      nowMs,
-    );
-    const ids = listRelayTargets(origin, instanceId, unreachedByPeer);
-    return this.listPeers().filter(({ id }) => ids.includes(id));
+    const path = this.#router.locateSender(message, sender);
+    return !this.handleMessage(message, path.isDirect) || message.isLeaving
+      ? []
+      : this.#router.listRecipients(message, path);
   }
 
   buildMessage(isLeaving: boolean): LoadMessage {
@@ -250,7 +237,10 @@
       waitingItems: this.load.waitingItems,
       quietMs: this.load.listActivityAges(nowMs),
       suspects: this.load.listSuspects(nowMs),
-      use: isServing ? this.quotas.listUsage(customers, nowMs) : {},
+      use: isServing
+        ? this.quotas.listUsage((name) => customers.get(name), nowMs)
+        : {},
+      limits: this.limits.buildNews(),
       unheard: unreached,
       seen: this.readWatchRevisions(),
       listed: this.readResultCounts(),
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -5,6 +5,12 @@
 
 const WORK = z.object({ online: z.number(), batch: z.number() });
 const USE = z.object({ admitted: z.number(), tokens: z.number() });
+const LIMIT = z.object({
+  perSecond: z.number().nonnegative(),
+  ageMs: z.number(),
+  admitted: z.number(),
+  tokens: z.number(),
+});
 
 const SCHEMA = z.object({
   from: z.string(),
@@ -23,6 +29,7 @@
   unheard: z.array(z.string()),
   seen: z.record(z.string(), z.number()),
   listed: z.record(z.string(), z.number()),
+  limits: z.record(z.string(), LIMIT).optional(),
   crashes: CRASH_NEWS_SCHEMA.optional(),
   isLeaving: z.boolean(),
 });
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -19,6 +19,7 @@
     this.#log = log;
     view.onUpstreamOverloaded = () => this.#sendSoon();
     view.crashes.onUrgentNews = () => this.#sendSoon();
+    view.limits.onUrgentNews = () => this.#sendSoon();
     this.#socket = createSocket("udp4");
     this.#socket.on("message", (bytes, { address }) =>
       this.#handleDatagram(bytes, address),
--- a/packages/gateway/src/jobs/item_placer.ts
+++ b/packages/gateway/src/jobs/item_placer.ts
@@ -49,7 +49,7 @@
     }
     const nowMs = this.#view.readNowMs();
     const workers = this.#view.load.listPeersWithWaitingItems(nowMs);
-    const listed = this.#view.listCandidates(service);
+    const listed = this.#view.listCandidates(service, "batch");
     const candidates = this.#startLimiter.listStartable(listed, workers, nowMs);
     // An upstream that failed before is better than none.
     const upstream =
--- a/packages/gateway/src/requests/admit_customer.ts
+++ b/packages/gateway/src/requests/admit_customer.ts
@@ -14,7 +14,7 @@
   if (customer === undefined) {
     return undefined;
   }
-  const taken = view.quotas.take(customer, view.readNowMs());
+  const taken = view.quotas.take(customer.name, customer, view.readNowMs());
   return taken.kind === "over"
     ? callErrors.rateLimited(taken.freeInMs)
     : undefined;
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -6,7 +6,7 @@
 import type { ConnectionPool } from "@gooseberryline/daemon";
 import type { PendingAttempt } from "../crashes/crash_tracker.ts";
 import { describeBlock } from "../crashes/describe_block.ts";
-import type { CallDialect } from "../dialect/types.ts";
+import type { CallDialect, ResponseHead } from "../dialect/types.ts";
 import { checkPort } from "../exchange/check_port.ts";
 import type {
   ExchangeEnd,
@@ -17,6 +17,9 @@
 import type { FleetView } from "../fleet/fleet_view.ts";
 import type { Lane } from "../fleet/load_tracker.ts";
 
+/** Status of an upstream that is not the one that was meant. */
+const MISDIRECTED = 421;
+
 export type AttemptParts = {
   readonly view: FleetView;
   readonly pool: ConnectionPool;
@@ -90,6 +93,7 @@
       {
         pool: parts.pool,
         dialect: parts.dialect,
+        onAnswer: (status, head) => this.#recordLimit(status, head),
         onHead: (head) => {
           this.#hasHead = true;
           recordActivity();
@@ -137,6 +141,14 @@
     this.#events.onEnd(end);
   }
 
+  /** Records the limit of an answer, unless it is another upstream's. */
+  #recordLimit(status: number, { limitPerSecond }: ResponseHead): void {
+    if (status !== MISDIRECTED) {
+      const { limits } = this.#parts.view;
+      limits.recordAnswer(this.upstream.id, limitPerSecond, this.#startedMs);
+    }
+  }
+
   /** The answer has begun, so the prompt does not crash upstreams. */
   #recordSoundStart(): void {
     const { crashes } = this.#parts.view;
--- a/packages/gateway/src/requests/choose_upstream.ts
+++ b/packages/gateway/src/requests/choose_upstream.ts
@@ -16,7 +16,7 @@
   const { service, head, path, receivedMs, route } = call;
   const nowMs = view.readNowMs();
   const request = {
-    candidates: view.listCandidates(service),
+    candidates: view.listCandidates(service, "online"),
     tried,
     ownDataCentre: view.settings.dataCentre,
     affinityKey: head.affinityKey ?? head.requestId ?? path,
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -117,6 +117,8 @@
       duty: settings.duty,
     },
   });
+  view.limits.onChange = (upstream, perSecond, source) =>
+    log.info("upstream-limit", { upstream, perSecond, source });
   view.onPeerLoad = () => runner.handleLoadChange();
   view.readResultCounts = () => runner.listResultCounts();
   view.onPeerResultCounts = (listed) => resultCounts.recordCounts(listed);
--- a/packages/gateway/src/testing/plain_dialect.ts
+++ b/packages/gateway/src/testing/plain_dialect.ts
@@ -19,6 +19,8 @@
   readResponseHead: (headers) => ({
     requestId: headers["request-id"]?.toString(),
     isUnexecuted: headers["not-run"] !== undefined,
+    limitPerSecond:
+      headers.limit === undefined ? undefined : Number(headers.limit),
   }),
   parseJobCall: () => undefined,
   parseJob: () => ({ kind: "unreadable", reason: "not in this test" }),
--- a/packages/measure/src/capacity/measure_gateway.ts
+++ b/packages/measure/src/capacity/measure_gateway.ts
@@ -62,7 +62,7 @@
   });
   const placeMs = measureMeanCpuMs((round) => {
     placeRequest({
-      candidates: view.listCandidates(SERVICE),
+      candidates: view.listCandidates(SERVICE, "online"),
       tried: new Set(),
       ownDataCentre: SETTINGS.dataCentre,
       affinityKey: `prompt-${round}`,
--- a/packages/measure/src/load_messages/simulate_load_messages.ts
+++ b/packages/measure/src/load_messages/simulate_load_messages.ts
@@ -157,5 +157,5 @@
 }
 
 function serveRequest(view: FleetView, customer: string): void {
-  view.quotas.take(buildCustomer(customer), view.readNowMs());
+  view.quotas.take(customer, buildCustomer(customer), view.readNowMs());
 }
