Resume a stream that ends inside an event at another upstream

A caller got a stream broken off although it could be resumed: an answer without length or chunks that ends with its connection inside an event counted as a success of its upstream, so the request went back to it.

Cause: the end of the connection is a whole answer to the exchange; only the relay knows that the last event is cut off, and it did not mark the upstream as tried. Found by tests at real sockets of answers that end with their connection: end, reset, silence, end inside an event and the head, bytes after an answer. One of nine failed before (broken-off for whole).

--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -201,6 +201,7 @@
         const events = this.#relay.eventCount;
         this.#ending.finish("answered", { status, events });
       } else {
+        this.#tracker.recordFailure();
         this.#handleFailure({
           kind: "lost",
           reason: "the last event is cut off",
--- /dev/null
+++ b/packages/gateway/src/testing/start_raw_upstream.ts
@@ -0,0 +1,40 @@
+import { type AddressInfo, createServer, type Socket } from "node:net";
+
+/** An upstream that writes bytes as they are, on a loopback address. */
+export type RawUpstream = {
+  readonly address: string;
+  /** Number of requests received. */
+  readonly countRequests: () => number;
+  readonly close: () => Promise<void>;
+};
+
+/** Starts an upstream that answers each request head with `answer`. */
+export async function startRawUpstream(
+  answer: (socket: Socket) => void,
+): Promise<RawUpstream> {
+  const sockets = new Set<Socket>();
+  let requests = 0;
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => sockets.delete(socket));
+    socket.once("data", () => {
+      requests += 1;
+      answer(socket);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    countRequests: () => requests,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        sockets.forEach((socket) => {
+          socket.destroy();
+        });
+      }),
+  };
+}
