Tell a crash also where the connection ends in order

Found in reading: a stream with neither length nor chunks whose upstream crashes before its first event ends like a whole, empty answer. The caller got it as complete, and it cleared the part that had crashed the upstream.

Cause: only the framing tells a whole answer from a broken one, and such an answer has none. A close-delimited stream without an event now counts as lost, the upstream's port is tried as for a broken connection, and a stream clears its parts by an event only.

Tests: two fail with the check taken out (an empty body for events 2 and 3, 200 for 502).

--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -33,6 +33,8 @@
   /** Alternating names and values, as received. */
   readonly rawHeaders: readonly string[];
   readonly isEventStream: boolean;
+  /** Whether the body has neither length nor chunks and ends with its connection. */
+  readonly isCloseDelimited: boolean;
 };
 
 export type ExchangeEnd =
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -208,5 +208,8 @@
   const { headers, rawHeaders } = response;
   const type = headers["content-type"] ?? "";
   const isEventStream = type.startsWith("text/event-stream");
-  return { status, headers, rawHeaders, isEventStream };
+  const isCloseDelimited =
+    headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+  return { status, headers, rawHeaders, isEventStream, isCloseDelimited };
 }
--- a/packages/gateway/src/jobs/job_acceptor.ts
+++ b/packages/gateway/src/jobs/job_acceptor.ts
@@ -53,6 +53,7 @@
   headers: {},
   rawHeaders: [],
   isEventStream: false,
+  isCloseDelimited: false,
 };
 
 /**
--- a/packages/gateway/src/jobs/job_api.ts
+++ b/packages/gateway/src/jobs/job_api.ts
@@ -210,5 +210,11 @@
 
 function buildResponseHead(status: number, type?: string) {
   const rawHeaders = type === undefined ? [] : ["Content-Type", type];
-  return { status, headers: {}, rawHeaders, isEventStream: false };
+  return {
+    status,
+    headers: {},
+    rawHeaders,
+    isEventStream: false,
+    isCloseDelimited: false,
+  };
 }
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -11,6 +11,7 @@
 import type {
   ExchangeEnd,
   ExchangeEvents,
+  ExchangeHead,
   ExchangeOptions,
 } from "../exchange/types.ts";
 import { UpstreamExchange } from "../exchange/upstream_exchange.ts";
@@ -20,6 +21,12 @@
 /** Status of an upstream that is not the one that was meant. */
 const MISDIRECTED = 421;
 
+const CUT_OFF = {
+  kind: "lost",
+  reason: "the stream ended before its first event",
+  isSilent: false,
+} as const;
+
 export type AttemptParts = {
   readonly view: FleetView;
   readonly pool: ConnectionPool;
@@ -58,7 +65,7 @@
   readonly #startedMs: number;
   readonly #exchange: UpstreamExchange;
   readonly #pending: PendingAttempt;
-  #hasHead = false;
+  #head: ExchangeHead | undefined;
   #hasBegun = false;
   #isEnded = false;
   #isCancelled = false;
@@ -95,7 +102,7 @@
         dialect: parts.dialect,
         onAnswer: (status, head) => this.#recordLimit(status, head),
         onHead: (head) => {
-          this.#hasHead = true;
+          this.#head = head;
           recordActivity();
           events.onHead(head);
         },
@@ -131,7 +138,8 @@
     this.#exchange.resume();
   }
 
-  #handleEnd(end: ExchangeEnd): void {
+  #handleEnd(exchangeEnd: ExchangeEnd): void {
+    const end = this.#isCutOff(exchangeEnd) ? CUT_OFF : exchangeEnd;
     this.#release();
     this.#recordEnd(end);
     if (end.kind === "lost" && !end.isSilent && !this.#hasBegun) {
@@ -141,6 +149,18 @@
     this.#events.onEnd(end);
   }
 
+  /**
+   * Returns whether a stream ended with its connection before its first event:
+   * the same bytes come from an upstream that ended by itself.
+   */
+  #isCutOff({ kind }: ExchangeEnd): boolean {
+    const { isEventStream = false, isCloseDelimited = false } =
+      this.#head ?? {};
+    return (
+      kind === "whole" && isEventStream && isCloseDelimited && !this.#hasBegun
+    );
+  }
+
   /** Records the limit of an answer, unless it is another upstream's. */
   #recordLimit(status: number, { limitPerSecond }: ResponseHead): void {
     if (status !== MISDIRECTED) {
@@ -170,7 +190,9 @@
     const nowMs = this.#parts.view.readNowMs();
     switch (end.kind) {
       case "whole":
-        this.#recordSoundStart();
+        if (this.#head?.isEventStream !== true) {
+          this.#recordSoundStart();
+        }
         load.recordSuccess(this.upstream.id);
         if (this.#work.lane === "online") {
           const serviceMs = nowMs - this.#startedMs;
@@ -194,7 +216,7 @@
   async #handleBreak(end: ExchangeEnd & { kind: "lost" }): Promise<void> {
     const { promptParts: parts, customer = "" } = this.#work;
     const { view, log } = this.#parts;
-    const hasHead = this.#hasHead;
+    const hasHead = this.#head !== undefined;
     const ranMs = view.readNowMs() - this.#startedMs;
     const port = await checkPort(this.upstream.address);
     log.info("upstream-broke-off", {
--- a/packages/gateway/src/requests/close_delimited_test.ts
+++ b/packages/gateway/src/requests/close_delimited_test.ts
@@ -84,6 +84,13 @@
   expect(answer.body).toBe([1, 2, 3].map(buildEvent).join(""));
 });
 
+test("a stream whose connection ends before its first event is sent to another", async () => {
+  const first = buildEnd(STREAM_HEAD);
+  const { answer, counts } = await runClosed(first, REST);
+  expect(answer.body).toBe([2, 3].map(buildEvent).join(""));
+  expect(counts).toEqual([1, 1]);
+});
+
 test("an answer that ends inside its head is sent to another", async () => {
   const first = buildEnd("HTTP/1.1 200 OK\r\nContent-Ty");
   const { answer, counts } = await runClosed(first, REST);
--- a/packages/gateway/src/requests/crashing_request_test.ts
+++ b/packages/gateway/src/requests/crashing_request_test.ts
@@ -2,6 +2,10 @@
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { createView } from "../testing/create_view.ts";
 import { runRequest } from "../testing/run_request.ts";
+import {
+  type RawUpstream,
+  startRawUpstream,
+} from "../testing/start_raw_upstream.ts";
 import { startUpstream } from "../testing/start_upstream.ts";
 
 const STREAM = { "content-type": "text/event-stream" };
@@ -16,6 +20,15 @@
   return upstream;
 }
 
+/** Starts one that ends its connections in order as it crashes. */
+async function startEnding(): Promise<RawUpstream> {
+  const upstream = await startRawUpstream((socket) => {
+    upstream.stopListening();
+    socket.end(`HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n`);
+  });
+  return upstream;
+}
+
 async function startSound() {
   return await startUpstream((_, res) => {
     res.writeHead(200, STREAM).end(EVENT);
@@ -101,3 +114,14 @@
   expect(run.answer.run).toBe("may have run");
   await upstream.close();
 });
+
+test("a crash that ends the connection in order speaks against a part, too", async () => {
+  const first = await startEnding();
+  const second = await startSound();
+  const addresses = [first.address, second.address];
+  const run = runRequest({ addresses, promptParts: ["a", "x"] });
+  await run.ended;
+  expect(run.answer.status).toBe(502);
+  expect(run.view.crashes.buildNews()?.crashes).toHaveLength(1);
+  await second.close();
+});
--- a/packages/gateway/src/testing/start_raw_upstream.ts
+++ b/packages/gateway/src/testing/start_raw_upstream.ts
@@ -5,6 +5,8 @@
   readonly address: string;
   /** Number of requests received. */
   readonly countRequests: () => number;
+  /** Refuses new connections; open ones stay. */
+  readonly stopListening: () => void;
   readonly close: () => Promise<void>;
 };
 
@@ -29,6 +31,9 @@
   return {
     address: `127.0.0.1:${port}`,
     countRequests: () => requests,
+    stopListening: () => {
+      server.close();
+    },
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
