Pass an answer without length or chunks on as such

Cause: an answer that ends with its connection was given a length, or the last chunk, as if it were known to be whole. Only the caller, by the seal, can tell. It now gets the framing of the upstream, and a reset where the stream breaks off.

--- a/packages/gateway/src/http/build_reply.ts
+++ b/packages/gateway/src/http/build_reply.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import type { ExchangeHead } from "../exchange/types.ts";
 import type { CallError, CallReply } from "../requests/types.ts";
 
 /**
@@ -26,15 +27,34 @@
       res.end(body);
     }
   };
+  /**
+   * Nothing tells whether such an answer is whole, so the caller gets it with
+   * the same framing: a length or chunks would say that it is.
+   */
+  const startCloseDelimited = ({ status, rawHeaders }: ExchangeHead): void => {
+    res.useChunkedEncodingByDefault = false;
+    res.shouldKeepAlive = false;
+    if (isConnected()) {
+      res.writeHead(status, listForwardedHeaders(rawHeaders));
+    }
+  };
   return {
     isConnected,
     sendError: (error) =>
       send(error.status, listErrorHeaders(error), encodeError(error)),
-    sendResponse: ({ status, rawHeaders }, body) =>
-      send(status, listForwardedHeaders(rawHeaders), body),
-    startStream: ({ status, rawHeaders }) => {
-      if (isConnected()) {
-        res.writeHead(status, listForwardedHeaders(rawHeaders));
+    sendResponse: (head, body) => {
+      if (head.isCloseDelimited) {
+        startCloseDelimited(head);
+        res.end(body);
+      } else {
+        send(head.status, listForwardedHeaders(head.rawHeaders), body);
+      }
+    },
+    startStream: (head) => {
+      if (head.isCloseDelimited) {
+        startCloseDelimited(head);
+      } else if (isConnected()) {
+        res.writeHead(head.status, listForwardedHeaders(head.rawHeaders));
       }
     },
     writeStream: (bytes, onDrain) => {
@@ -50,6 +70,10 @@
       }
     },
     closeConnection: () => {
+      // Without length and chunks, an end in order would look complete.
+      if (!res.shouldKeepAlive && res.headersSent) {
+        res.socket?.resetAndDestroy();
+      }
       res.destroy();
     },
   };
