--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -34,6 +34,7 @@
   "upstream-broke-off": {
     fields: [
       "requestId",
+      "requestKey",
       "upstream",
       "promptParts",
       "hasHead",
--- /dev/null
+++ b/packages/gateway/src/crashes/request_key.ts
@@ -0,0 +1,61 @@
+import { createHash } from "node:crypto";
+
+/** What the repeats of a request have in common. */
+type RequestContent = {
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  /** Name of the customer; empty on a public route. */
+  readonly customer: string;
+  readonly body: Buffer;
+};
+
+const BRIEF_LENGTH = 16;
+const DIGEST_LENGTH = 32;
+
+/**
+ * Identifies a request by its method, path, customer and body, so that repeats
+ * have equal keys. Hashes only when it is asked to: a body of several megabytes
+ * takes milliseconds. The hash resists collisions, since a customer chooses the
+ * body.
+ */
+export class RequestKey {
+  readonly #content: RequestContent;
+  #brief: string | undefined;
+  #full: string | undefined;
+
+  constructor(content: RequestContent) {
+    this.#content = content;
+  }
+
+  /** Returns the part of a key that tells nothing of the body's bytes. */
+  static getBrief(key: string): string {
+    return key.slice(0, BRIEF_LENGTH);
+  }
+
+  /** The hash of all but the bytes of the body; the key begins with it. */
+  get brief(): string {
+    this.#brief ??= this.#hashBrief();
+    return this.#brief;
+  }
+
+  get full(): string {
+    this.#full ??= this.brief + hashHex(this.#content.body, DIGEST_LENGTH);
+    return this.#full;
+  }
+
+  /** Returns whether a key is this one; reads the body only if it may be. */
+  matches(key: string): boolean {
+    return RequestKey.getBrief(key) === this.brief && key === this.full;
+  }
+
+  #hashBrief(): string {
+    const { method, path, customer, body } = this.#content;
+    const text = JSON.stringify([method, path, customer, body.length]);
+    return hashHex(text, BRIEF_LENGTH);
+  }
+}
+
+function hashHex(data: string | Buffer, length: number): string {
+  return createHash("sha256").update(data).digest("hex").slice(0, length);
+}
--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import { CALL_SHAPES, chooseService } from "@gooseberryline/core";
 import Koa, { type Context } from "koa";
+import { RequestKey } from "../crashes/request_key.ts";
 import type { JobApi } from "../jobs/job_api.ts";
 import type { AttemptParts } from "../requests/attempt.ts";
 import { callErrors } from "../requests/call_errors.ts";
@@ -152,7 +153,14 @@
       reply.sendError(callErrors.noCapacity("the route has no service", 0));
       return;
     }
+    const content = {
+      method,
+      path,
+      customer: customer?.name ?? "",
+      body: body.bytes,
+    };
     const call = {
+      key: new RequestKey(content),
       head,
       route,
       service,
--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -50,7 +50,7 @@
     const { customer } = parts;
     const { promptParts } = waiting;
     this.#attempt = new Attempt(
-      { upstream, lane: "batch", promptParts, customer },
+      { upstream, lane: "batch", key: undefined, promptParts, customer },
       this.#buildRequest(),
       parts,
       {
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -6,6 +6,7 @@
 import type { ConnectionPool } from "@gooseberryline/daemon";
 import type { PendingAttempt } from "../crashes/crash_tracker.ts";
 import { describeBlock } from "../crashes/describe_block.ts";
+import type { RequestKey } from "../crashes/request_key.ts";
 import type { CallDialect, ResponseHead } from "../dialect/types.ts";
 import { checkPort } from "../exchange/check_port.ts";
 import type {
@@ -38,6 +39,8 @@
 export type AttemptWork = {
   readonly upstream: UpstreamEntry;
   readonly lane: Lane;
+  /** Undefined for an item of a job. */
+  readonly key: RequestKey | undefined;
   /** Ids of the prompt parts that other requests may share. */
   readonly promptParts: readonly string[];
   readonly customer: string | undefined;
@@ -214,13 +217,14 @@
    * down, this request or one beside it may have crashed it.
    */
   async #handleBreak(end: ExchangeEnd & { kind: "lost" }): Promise<void> {
-    const { promptParts: parts, customer = "" } = this.#work;
+    const { promptParts: parts, customer = "", key } = this.#work;
     const { view, log } = this.#parts;
     const hasHead = this.#head !== undefined;
     const ranMs = view.readNowMs() - this.#startedMs;
     const port = await checkPort(this.upstream.address);
     log.info("upstream-broke-off", {
       requestId: this.#requestId,
+      requestKey: key?.full,
       upstream: this.upstream.id,
       promptParts: parts.join(" "),
       hasHead,
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -130,11 +130,11 @@
       runs: this.#tracker.runs,
       lastEventId: this.#relay.lastEventId,
     });
-    const { head, customer } = this.#call;
+    const { key, head, customer } = this.#call;
     const { promptParts } = head;
     const eventsBefore = this.#relay.eventCount;
     this.#attempt = new Attempt(
-      { upstream, lane: "online", promptParts, customer: customer?.name },
+      { upstream, lane: "online", key, promptParts, customer: customer?.name },
       options,
       this.#parts,
       {
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -1,11 +1,13 @@
 /** Types of a caller's request while the gateway serves it. */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Route, RouteCustomer } from "@gooseberryline/core";
+import type { RequestKey } from "../crashes/request_key.ts";
 import type { CallHead } from "../dialect/types.ts";
 import type { ExchangeHead } from "../exchange/types.ts";
 
 /** A request whose route and API key have been checked. */
 export type AdmittedCall = {
+  readonly key: RequestKey;
   readonly head: CallHead;
   readonly route: Route;
   readonly service: string;
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -1,5 +1,6 @@
 import { CALL_SHAPES, type Route } from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
+import { RequestKey } from "../crashes/request_key.ts";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { RequestRun } from "../requests/request_run.ts";
 import type { CallReply } from "../requests/types.ts";
@@ -25,6 +26,8 @@
   readonly promptParts?: readonly string[];
   /** Prefix of the upstreams' ids, which end with their index. */
   readonly idPrefix?: string;
+  /** The request's body. */
+  readonly body?: string;
   /** The view of the instance; a new one by default. */
   readonly view?: FleetView;
 };
@@ -64,6 +67,7 @@
   lastEventId,
   promptParts = [],
   idPrefix = "u",
+  body = "prompt",
   view = createView(),
 }: RunParts): TestRun {
   addresses.forEach((address, index) => {
@@ -85,7 +89,15 @@
     end: "open",
     run: undefined,
   };
+  const content = {
+    method: "POST",
+    path: "/x",
+    customer: "",
+    body: Buffer.from(body),
+  };
   const call = {
+    ...content,
+    key: new RequestKey(content),
     head: {
       ...plainDialect.parseCallHead({}),
       requestId: "r1",
@@ -95,10 +107,7 @@
     route: { ...ROUTE, ...route },
     service: SERVICE,
     customer: undefined,
-    method: "POST",
-    path: "/x",
     headers: {},
-    body: Buffer.from("prompt"),
     receivedMs: view.readNowMs(),
   };
   const pool = new ConnectionPool(1_000);
