Ask other instances whether an upstream is down before it counts as crashed

Cause: a broken connection and a refused one are what a cut looks like from one place; one instance alone saw three "crashes" within 10 ms and blocked the first part of most prompts, for good.

Fix: a crash counts once two instances found the upstream down or the platform lists its successor, and none reached the process: up to three others, of other data centres first, try a connection, and data that arrives anywhere later is a sign of life. A block whose crashes turn out to be none ends by itself, its record too. A request with a head and no event waits up to 250 ms to know; if only the path was cut it goes to another upstream.

The test at sockets failed before ("refused" for "answered").

--- a/packages/core/src/crashes/constants.ts
+++ b/packages/core/src/crashes/constants.ts
@@ -4,6 +4,24 @@
   BLOCKING_CRASHES: 3,
   /** Crashes that block all remaining suspects if none stands out. */
   MAX_CRASHES: 5,
+  /** Instances that have to find an upstream down before it counts as crashed. */
+  CONFIRMING_WITNESSES: 2,
+  /** Instances that look, besides those that lost a connection. */
+  ASKED_WITNESSES: 3,
+  /** Time in which an instance that still reaches the upstream can object, in ms. */
+  SETTLE_MS: 150,
+  /**
+   * Time after a crash in which data may still arrive that was sent before it,
+   * in ms.
+   */
+  ARRIVAL_MARGIN_MS: 250,
+  /**
+   * Time after a crash in which data can only come from the same process, as one
+   * that starts again takes seconds, in ms.
+   */
+  LIFE_SIGN_MS: 1_500,
+  /** Time after a crash in which its successor is listed, in ms. */
+  SUCCESSOR_MS: 20_000,
   /** Customers from which on a block holds for all customers. */
   CUSTOMERS_FOR_ALL: 2,
   /** Reports of an upstream within this time are of one crash, in ms. */
--- a/packages/core/src/crashes/merge_crash.ts
+++ b/packages/core/src/crashes/merge_crash.ts
@@ -10,23 +10,40 @@
   crashes: readonly Crash[],
   crash: Crash,
 ): readonly Crash[] {
-  const { upstreamId } = crash;
   const known = crashes.find(
     (other) =>
-      other.upstreamId === upstreamId &&
+      other.upstreamId === crash.upstreamId &&
       Math.abs(other.atMs - crash.atMs) < CRASHES.SAME_CRASH_MS,
   );
-  const suspects = mergeSuspects(known?.suspects ?? [], crash.suspects);
-  if (suspects.length === known?.suspects.length) {
+  const merged = known === undefined ? crash : mergeReports(known, crash);
+  if (known !== undefined && hasSameContent(known, merged)) {
     return crashes;
   }
-  const others = crashes.filter((other) => other !== known);
-  const atMs = Math.min(crash.atMs, known?.atMs ?? crash.atMs);
-  return [...others, { upstreamId, atMs, suspects }]
+  return [...crashes.filter((other) => other !== known), merged]
     .filter((other) => crash.atMs - other.atMs < CRASHES.EVIDENCE_MS)
     .slice(-CRASHES.MAX_EVIDENCE);
 }
 
+function mergeReports(known: Crash, added: Crash): Crash {
+  return {
+    upstreamId: known.upstreamId,
+    atMs: Math.min(known.atMs, added.atMs),
+    suspects: mergeSuspects(known.suspects, added.suspects),
+    downAt: [...new Set([...known.downAt, ...added.downAt])],
+    reachedAt: [...new Set([...known.reachedAt, ...added.reachedAt])],
+    isReplaced: known.isReplaced || added.isReplaced,
+  };
+}
+
+function hasSameContent(known: Crash, merged: Crash): boolean {
+  return (
+    merged.suspects.length === known.suspects.length &&
+    merged.downAt.length === known.downAt.length &&
+    merged.reachedAt.length === known.reachedAt.length &&
+    merged.isReplaced === known.isReplaced
+  );
+}
+
 function mergeSuspects(
   known: readonly CrashSuspect[],
   added: readonly CrashSuspect[],
--- a/packages/core/src/crashes/types.ts
+++ b/packages/core/src/crashes/types.ts
@@ -10,16 +10,30 @@
   readonly hasHead: boolean;
 };
 
-/** One crash of one upstream process, as seen by one or several instances. */
+/**
+ * A possible crash of one upstream process, as seen by the instances whose ids it
+ * holds.
+ */
 export type Crash = {
   readonly upstreamId: string;
   /** Monotonic time of the observer, in ms. */
   readonly atMs: number;
   readonly suspects: readonly CrashSuspect[];
+  /** Instances that found nothing listening there. */
+  readonly downAt: readonly string[];
+  /** Instances that reached the process later, so that only paths were cut. */
+  readonly reachedAt: readonly string[];
+  /** Whether the platform lists another process in its place. */
+  readonly isReplaced: boolean;
 };
 
+/** What a possible crash was, as far as is known. */
+export type CrashVerdict = "unknown" | "crashed" | "reached";
+
 /** A crash as told to a peer, whose clock differs. */
-export type CrashReport = Omit<Crash, "atMs"> & { readonly ageMs: number };
+export type CrashReport = Omit<Crash, "atMs" | "isReplaced"> & {
+  readonly ageMs: number;
+};
 
 /**
  * Prompt parts that are refused where they occur together. More than one as long
--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -44,13 +44,21 @@
     ],
     text: "A connection broke before the answer began; port says if the upstream is down",
   },
+  "upstream-looked-at": {
+    fields: ["upstream", "port"],
+    text: "A peer lost a connection to this upstream and found it down; port says what this instance found",
+  },
+  "upstream-verdict": {
+    fields: ["upstream", "verdict", "downAt", "reachedAt"],
+    text: "Whether an upstream crashed or was reached by other paths, and the instances that found it down or reached it",
+  },
   "prompt-blocked": {
     fields: ["blockId", "promptParts", "customers", "upstreams", "source"],
     text: "Prompts with these parts are refused: these upstreams crashed under them; for all customers if there are two",
   },
   "prompt-block-lifted": {
-    fields: ["blockId"],
-    text: "A block's record is gone; its parts are served again",
+    fields: ["blockId", "reason"],
+    text: "A block ended: an operator removed its record, or its upstreams were reached after all",
   },
   "prompt-block-unreadable": {
     fields: ["blockId"],
--- a/packages/core/src/placing/types.ts
+++ b/packages/core/src/placing/types.ts
@@ -15,6 +15,8 @@
    * clock, in ms.
    */
   readonly coldUntilMs: number;
+  /** Start of its process, by its own clock, in ms; undefined if not told. */
+  readonly bornMs?: number | undefined;
 };
 
 /** Requests and batch items in flight at an upstream. */
--- a/packages/gateway/src/crashes/block_keeper.ts
+++ b/packages/gateway/src/crashes/block_keeper.ts
@@ -40,6 +40,11 @@
       });
       this.#writeLater(block);
     };
+    parts.tracker.onLift = (block, reason) => {
+      const blockId = buildBlockId(block);
+      parts.log.warn("prompt-block-lifted", { blockId, reason });
+      this.#writeLater(block);
+    };
   }
 
   /** Handles a change of a block's record in the store. */
@@ -47,7 +52,6 @@
     const { tracker, log } = this.#parts;
     if (event.kind === "removed") {
       this.#stored.delete(blockId);
-      log.warn("prompt-block-lifted", { blockId });
       tracker.dropBlock(blockId);
       return;
     }
@@ -68,7 +72,10 @@
     });
   }
 
-  /** Writes a block after a random delay, unless the store has it by then. */
+  /**
+   * Writes or removes a block's record after a random delay, unless the store
+   * agrees by then.
+   */
   #writeLater(block: PromptBlock): void {
     const blockId = buildBlockId(block);
     if (this.#isStopped || this.#timers.has(blockId)) {
@@ -77,35 +84,43 @@
     const delayMs = Math.random() * BLOCK_RECORDS.MAX_WRITE_DELAY_MS;
     const timer = setTimeout(() => {
       this.#timers.delete(blockId);
-      void this.#write(blockId);
+      void this.#write(block);
     }, delayMs);
     this.#timers.set(blockId, timer);
   }
 
-  async #write(blockId: string): Promise<void> {
+  async #write(block: PromptBlock): Promise<void> {
+    const blockId = buildBlockId(block);
     const { store, tracker } = this.#parts;
-    const block = tracker.blocks.find(
+    const inForce = tracker.blocks.find(
       (known) => buildBlockId(known) === blockId,
     );
     const stored = this.#stored.get(blockId);
-    if (block === undefined || this.#isStored(block, stored)) {
+    if (this.#isStored(inForce, stored)) {
       return;
     }
     const key = blockRecord.buildKey(block);
     const written = await store.commit({
       expect: [{ key, revision: stored?.revision ?? 0 }],
-      set: [{ key, value: blockRecord.encode(block) }],
-      remove: [],
+      set: inForce ? [{ key, value: blockRecord.encode(inForce) }] : [],
+      remove: inForce ? [] : [key],
     });
-    if (written.kind === "committed") {
-      const { revision } = written;
-      this.#stored.set(blockId, { revision, customers: block.customers });
-    } else {
+    if (written.kind !== "committed") {
       this.#writeLater(block);
+    } else if (inForce === undefined) {
+      this.#stored.delete(blockId);
+    } else {
+      const { revision } = written;
+      this.#stored.set(blockId, { revision, customers: inForce.customers });
     }
   }
 
-  #isStored(block: PromptBlock, stored: StoredBlock | undefined): boolean {
-    return block.customers.every((name) => stored?.customers.includes(name));
+  #isStored(
+    inForce: PromptBlock | undefined,
+    stored: StoredBlock | undefined,
+  ): boolean {
+    return inForce === undefined
+      ? stored === undefined
+      : inForce.customers.every((name) => stored?.customers.includes(name));
   }
 }
--- a/packages/gateway/src/crashes/constants.ts
+++ b/packages/gateway/src/crashes/constants.ts
@@ -6,3 +6,11 @@
    */
   MAX_WRITE_DELAY_MS: 1_500,
 } as const;
+
+/** Times of the verdict on a possible crash. */
+export const CRASH_TIMES = {
+  /** Time for which a request waits to know whether its upstream crashed, in ms. */
+  MAX_VERDICT_WAIT_MS: 250,
+  /** Interval at which recent crashes are reviewed, in ms. */
+  REVIEW_INTERVAL_MS: 150,
+} as const;
--- a/packages/gateway/src/crashes/crash_news_schema.ts
+++ b/packages/gateway/src/crashes/crash_news_schema.ts
@@ -11,6 +11,9 @@
   upstreamId: z.string(),
   ageMs: z.number(),
   suspects: z.array(SUSPECT).max(CRASHES.MAX_SUSPECTS),
+  // Earlier builds leave these out; what they saw has no witness.
+  downAt: z.array(z.string()).default([]),
+  reachedAt: z.array(z.string()).default([]),
 });
 
 /** What a peer tells about crashes with its load. */
--- a/packages/gateway/src/crashes/crash_tracker.ts
+++ b/packages/gateway/src/crashes/crash_tracker.ts
@@ -3,47 +3,78 @@
   type Crash,
   type CrashNews,
   type CrashSuspect,
+  type CrashVerdict,
+  decideCrashVerdict,
   decidePromptBlocks,
   holdsBlock,
   mergeCrash,
   mergePromptBlock,
   type PromptBlock,
+  type UpstreamEntry,
 } from "@gooseberryline/core";
 import { addRecentEntry } from "../add_recent_entry.ts";
 import { buildBlockId } from "./build_block_id.ts";
+import { CRASH_TIMES } from "./constants.ts";
 
 /** How a block became known. */
 export type BlockSource = "evidence" | "peer" | "store";
 
+/** Why a block no longer holds. */
+export type LiftReason = "record removed" | "upstreams reached";
+
 /** An attempt in flight whose answer has not begun. */
 export type PendingAttempt = Omit<CrashSuspect, "hasHead"> & {
   /** Stops the attempt, since a block holds for it. */
   readonly stop: (block: PromptBlock) => void;
 };
 
+type VerdictWait = {
+  readonly upstreamId: string;
+  readonly settle: (verdict: CrashVerdict) => void;
+};
+
+type CrashTrackerParts = {
+  readonly instanceId: string;
+  readonly readNowMs: () => number;
+  /** Returns whether an upstream has sent data to any instance since then. */
+  readonly hasActivitySince: (upstreamId: string, sinceMs: number) => boolean;
+  readonly findUpstream: (upstreamId: string) => UpstreamEntry | undefined;
+};
+
 /**
  * Tracks which prompt parts were being answered when upstreams crashed, and
  * which are blocked for it. Evidence and blocks are those of the whole fleet, as
  * far as peers have told.
  */
 export class CrashTracker {
-  readonly #readNowMs: () => number;
+  readonly #parts: CrashTrackerParts;
   #crashes: readonly Crash[] = [];
   #blocks: readonly PromptBlock[] = [];
-  /** The crashes that this instance saw itself, to report to peers. */
+  /** What this instance saw itself, to report to peers. */
   #ownCrashes: readonly Crash[] = [];
+  /** The registrations of upstreams that may have crashed, by their ids. */
+  readonly #entries = new Map<string, UpstreamEntry>();
   /** When an answer last began on a part, here or at a peer. */
   readonly #lastSoundMs = new Map<string, number>();
   /** When an operator lifted a block, by its id. */
   readonly #liftedMs = new Map<string, number>();
   readonly #pending = new Set<PendingAttempt>();
+  /** The verdicts that were told, by upstream. */
+  readonly #verdicts = new Map<string, CrashVerdict>();
+  readonly #waiting = new Set<VerdictWait>();
   /** Called for what peers have to learn before the next interval. */
   onUrgentNews: () => void = () => undefined;
+  /** Called for each possible crash that this instance had not heard of. */
+  onNewCrash: (crash: Crash) => void = () => undefined;
   /** Called when a block is new here, or holds for more customers. */
   onBlock: (block: PromptBlock, source: BlockSource) => void = () => undefined;
+  /** Called when a block no longer holds. */
+  onLift: (block: PromptBlock, reason: LiftReason) => void = () => undefined;
+  /** Called once it is known what a possible crash was. */
+  onVerdict: (crash: Crash, verdict: CrashVerdict) => void = () => undefined;
 
-  constructor(readNowMs: () => number) {
-    this.#readNowMs = readNowMs;
+  constructor(parts: CrashTrackerParts) {
+    this.#parts = parts;
   }
 
   get blocks(): readonly PromptBlock[] {
@@ -57,6 +88,33 @@
     return this.#blocks.find((block) => holdsBlock(block, parts, customer));
   }
 
+  /** Returns what the latest possible crash of an upstream was. */
+  findVerdict(upstreamId: string): CrashVerdict {
+    const crash = this.#crashes.findLast(
+      (known) => known.upstreamId === upstreamId,
+    );
+    return crash === undefined
+      ? "unknown"
+      : decideCrashVerdict(crash, this.#parts.readNowMs());
+  }
+
+  /** Waits until it is known what a crash was; `unknown` after some time. */
+  awaitVerdict(upstreamId: string): Promise<CrashVerdict> {
+    return new Promise((resolve) => {
+      const settle = (verdict: CrashVerdict): void => {
+        clearTimeout(timer);
+        this.#waiting.delete(wait);
+        resolve(verdict);
+      };
+      const wait = { upstreamId, settle };
+      const timer = setTimeout(() => {
+        settle(this.findVerdict(upstreamId));
+      }, CRASH_TIMES.MAX_VERDICT_WAIT_MS);
+      this.#waiting.add(wait);
+      this.#tellVerdicts();
+    });
+  }
+
   /** Follows an attempt until its answer begins or it ends. */
   addPending(attempt: PendingAttempt): void {
     this.#pending.add(attempt);
@@ -68,31 +126,60 @@
 
   /** Records that an answer began on a prompt with these parts. */
   recordSoundStart(parts: readonly string[]): void {
-    const nowMs = this.#readNowMs();
+    const nowMs = this.#parts.readNowMs();
     parts.forEach((part) => {
       this.#setLastSoundMs(part, nowMs);
     });
   }
 
-  /** Records a request that had not begun when its upstream crashed. */
-  recordCrash(upstreamId: string, suspect: CrashSuspect): void {
-    if (suspect.parts.length === 0) {
-      return;
-    }
-    const atMs = this.#readNowMs();
-    const crash = { upstreamId, atMs, suspects: [suspect] };
-    this.#crashes = mergeCrash(this.#crashes, crash);
+  /**
+   * Records that this instance found an upstream down after its connections broke
+   * at `atMs`, and the request that had not begun there by then, if any.
+   */
+  recordDown(
+    upstreamId: string,
+    atMs: number,
+    suspects: readonly CrashSuspect[],
+  ): void {
+    const downAt = [this.#parts.instanceId];
+    this.#recordOwn({ upstreamId, atMs, suspects, downAt, reachedAt: [] });
+  }
+
+  /** Records that this instance reached a process that others found down. */
+  recordReached({ upstreamId, atMs }: Crash): void {
+    const reachedAt = [this.#parts.instanceId];
+    this.#recordOwn({ upstreamId, atMs, suspects: [], downAt: [], reachedAt });
+  }
+
+  #recordOwn(seen: Omit<Crash, "isReplaced">): void {
+    const crash = { ...seen, isReplaced: false };
     this.#ownCrashes = mergeCrash(this.#ownCrashes, crash);
-    this.#decide();
+    this.#addCrashes([crash]);
     this.onUrgentNews();
   }
 
+  /** Records that the platform lists this process, maybe in another's place. */
+  recordListed(entry: UpstreamEntry): void {
+    const nowMs = this.#parts.readNowMs();
+    const replaced = this.#crashes.filter(
+      ({ upstreamId, atMs, isReplaced }) =>
+        !isReplaced &&
+        nowMs - atMs < CRASHES.SUCCESSOR_MS &&
+        isSuccessor(entry, this.#entries.get(upstreamId)),
+    );
+    if (replaced.length > 0) {
+      this.#addCrashes(
+        replaced.map((crash) => ({ ...crash, isReplaced: true })),
+      );
+    }
+  }
+
   /** Returns what to tell peers; undefined if there is nothing. */
   buildNews(): CrashNews | undefined {
-    const nowMs = this.#readNowMs();
+    const nowMs = this.#parts.readNowMs();
     const crashes = this.#ownCrashes
       .filter(({ atMs }) => nowMs - atMs < CRASHES.REPORT_MS)
-      .map(({ atMs, ...crash }) => ({
+      .map(({ atMs, isReplaced, ...crash }) => ({
         ...crash,
         ageMs: Math.round(nowMs - atMs),
       }));
@@ -120,25 +207,119 @@
   }
 
   recordPeerNews({ crashes, soundAges, blocks }: CrashNews): void {
-    const nowMs = this.#readNowMs();
+    const nowMs = this.#parts.readNowMs();
     Object.entries(soundAges).forEach(([part, ageMs]) => {
       const atMs = nowMs - ageMs;
       if (atMs > this.#getLastSoundMs(part)) {
         this.#setLastSoundMs(part, atMs);
       }
     });
-    const before = this.#crashes;
-    this.#crashes = crashes
-      .map(({ ageMs, ...crash }) => ({ ...crash, atMs: nowMs - ageMs }))
-      .reduce(mergeCrash, before);
+    this.#addCrashes(
+      crashes.map(({ ageMs, ...crash }) => ({
+        ...crash,
+        atMs: nowMs - ageMs,
+        isReplaced: false,
+      })),
+    );
     blocks
       .filter((block) => !this.#isLifted(block, nowMs))
+      .filter((block) => !this.#isUnfounded(block))
       .forEach((block) => {
         this.addBlock(block, "peer");
       });
-    if (this.#crashes !== before) {
-      this.#decide();
+  }
+
+  #addCrashes(crashes: readonly Crash[]): void {
+    const before = this.#crashes;
+    this.#crashes = crashes.reduce(mergeCrash, before);
+    if (this.#crashes === before) {
+      return;
     }
+    this.#crashes
+      .filter((crash) => !before.some((known) => isSameCrash(known, crash)))
+      .forEach((crash) => {
+        this.#keepEntry(crash.upstreamId);
+        this.onNewCrash(crash);
+      });
+    this.review();
+  }
+
+  #keepEntry(upstreamId: string): void {
+    const entry = this.#parts.findUpstream(upstreamId);
+    if (entry !== undefined) {
+      const maxEntries = CRASHES.MAX_EVIDENCE;
+      addRecentEntry(this.#entries, upstreamId, entry, maxEntries);
+    }
+  }
+
+  /**
+   * Decides anew what is blocked, since more is known of crashes or time has
+   * passed. Lifts blocks by crashes that were none.
+   */
+  review(): void {
+    this.#recordLifeSigns();
+    const unfounded = this.#blocks.filter((block) => this.#isUnfounded(block));
+    this.#blocks = this.#blocks.filter((block) => !unfounded.includes(block));
+    unfounded.forEach((block) => {
+      this.onLift(block, "upstreams reached");
+    });
+    const nowMs = this.#parts.readNowMs();
+    const crashed = this.#crashes.filter(
+      (crash) => decideCrashVerdict(crash, nowMs) === "crashed",
+    );
+    decidePromptBlocks(crashed, (part) => this.#getLastSoundMs(part)).forEach(
+      (block) => {
+        this.addBlock(block, "evidence");
+      },
+    );
+    this.#tellVerdicts();
+  }
+
+  #tellVerdicts(): void {
+    [...this.#waiting].forEach(({ upstreamId, settle }) => {
+      const verdict = this.findVerdict(upstreamId);
+      if (verdict !== "unknown") {
+        settle(verdict);
+      }
+    });
+    const nowMs = this.#parts.readNowMs();
+    this.#crashes.forEach((crash) => {
+      const { upstreamId } = crash;
+      const verdict = decideCrashVerdict(crash, nowMs);
+      const isKnown =
+        verdict === "unknown" || this.#verdicts.get(upstreamId) === verdict;
+      if (!isKnown) {
+        const maxEntries = CRASHES.MAX_EVIDENCE;
+        addRecentEntry(this.#verdicts, upstreamId, verdict, maxEntries);
+        this.onVerdict(crash, verdict);
+      }
+    });
+  }
+
+  /** Records of which upstreams data arrived after they seemed to crash. */
+  #recordLifeSigns(): void {
+    const { readNowMs, hasActivitySince, instanceId } = this.#parts;
+    const nowMs = readNowMs();
+    const alive = this.#crashes
+      .filter(({ atMs }) => nowMs - atMs < CRASHES.LIFE_SIGN_MS)
+      .filter(({ reachedAt }) => !reachedAt.includes(instanceId))
+      .filter(({ upstreamId, atMs }) =>
+        hasActivitySince(upstreamId, atMs + CRASHES.ARRIVAL_MARGIN_MS),
+      )
+      .map((crash) => ({ ...crash, suspects: [], reachedAt: [instanceId] }));
+    this.#crashes = alive.reduce(mergeCrash, this.#crashes);
+    this.#ownCrashes = alive.reduce(mergeCrash, this.#ownCrashes);
+  }
+
+  /** Returns whether too few of the crashes that led to a block were crashes. */
+  #isUnfounded({ upstreams }: PromptBlock): boolean {
+    const crashed = upstreams.filter(
+      (upstreamId) => this.findVerdict(upstreamId) !== "reached",
+    );
+    return (
+      crashed.length < upstreams.length &&
+      crashed.length < CRASHES.BLOCKING_CRASHES
+    );
   }
 
   /** Puts a block in force and stops the attempts that it holds for. */
@@ -163,14 +344,15 @@
    * peers that have yet to hear of it do not bring it back.
    */
   dropBlock(blockId: string): void {
-    const nowMs = this.#readNowMs();
+    const nowMs = this.#parts.readNowMs();
     this.#liftedMs.set(blockId, nowMs);
     const lifted = this.#blocks.filter(
       (block) => buildBlockId(block) === blockId,
     );
     this.#blocks = this.#blocks.filter((block) => !lifted.includes(block));
-    lifted.forEach(({ parts }) => {
-      this.recordSoundStart(parts);
+    lifted.forEach((block) => {
+      this.recordSoundStart(block.parts);
+      this.onLift(block, "record removed");
     });
   }
 
@@ -179,14 +361,6 @@
     return atMs !== undefined && nowMs - atMs < CRASHES.EVIDENCE_MS;
   }
 
-  #decide(): void {
-    decidePromptBlocks(this.#crashes, (part) =>
-      this.#getLastSoundMs(part),
-    ).forEach((block) => {
-      this.addBlock(block, "evidence");
-    });
-  }
-
   #setLastSoundMs(part: string, atMs: number): void {
     addRecentEntry(this.#lastSoundMs, part, atMs, CRASHES.MAX_SOUND_PARTS);
   }
@@ -195,3 +369,23 @@
     return this.#lastSoundMs.get(part) ?? Number.NEGATIVE_INFINITY;
   }
 }
+
+function isSameCrash(a: Crash, b: Crash): boolean {
+  return (
+    a.upstreamId === b.upstreamId &&
+    Math.abs(a.atMs - b.atMs) < CRASHES.SAME_CRASH_MS
+  );
+}
+
+/** Returns whether a listed process has taken the place of an earlier one. */
+function isSuccessor(
+  entry: UpstreamEntry,
+  earlier: UpstreamEntry | undefined,
+): boolean {
+  if (earlier === undefined) {
+    return false;
+  }
+  return entry.id === earlier.id
+    ? entry.bornMs !== earlier.bornMs
+    : entry.address === earlier.address;
+}
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -33,7 +33,7 @@
   readonly directory = new UpstreamDirectory();
   readonly members = new MemberRegistry();
   readonly load = new LoadTracker(() => this.#times.ageLimitMs);
-  readonly crashes = new CrashTracker(() => this.readNowMs());
+  readonly crashes: CrashTracker;
   readonly quotas: QuotaTracker;
   readonly limits: UpstreamLimitTracker;
   readonly #ramps: RampTracker;
@@ -84,6 +84,12 @@
         Math.max(QUOTAS.PEER_TIMEOUT_MS, this.#times.ageLimitMs),
       createQuota: () => createQuota(startedMs, initialTokens),
     });
+    this.crashes = new CrashTracker({
+      instanceId,
+      readNowMs,
+      hasActivitySince: (id, sinceMs) => load.hasActivitySince(id, sinceMs),
+      findUpstream: (id) => this.directory.find(id),
+    });
     this.limits = new UpstreamLimitTracker({
       instanceId,
       members,
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -173,6 +173,7 @@
       coldMs: Math.max(0, Math.round(coldUntilMs - nowMs)),
     });
     directory.set(entry.value);
+    view.crashes.recordListed(entry.value);
   }
 
   #handleMemberEvent(event: MetadataEvent): void {
--- a/packages/gateway/src/fleet/upstream_directory.ts
+++ b/packages/gateway/src/fleet/upstream_directory.ts
@@ -22,6 +22,10 @@
     this.#held.set(entry.id, { entry });
   }
 
+  find(id: string): UpstreamEntry | undefined {
+    return this.#held.get(id)?.entry;
+  }
+
   remove(id: string, nowMs: number): void {
     const known = this.#held.get(id);
     if (known === undefined) {
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -220,7 +220,7 @@
     const { promptParts: parts, customer = "", key } = this.#work;
     const { view, log } = this.#parts;
     const hasHead = this.#head !== undefined;
-    const ranMs = view.readNowMs() - this.#startedMs;
+    const brokeMs = view.readNowMs();
     const port = await checkPort(this.upstream.address);
     log.info("upstream-broke-off", {
       requestId: this.#requestId,
@@ -228,17 +228,25 @@
       upstream: this.upstream.id,
       promptParts: parts.join(" "),
       hasHead,
-      ranMs: Math.round(ranMs),
+      ranMs: Math.round(brokeMs - this.#startedMs),
       port,
       reason: end.reason,
     });
-    const isCrash = port === "refused";
-    if (isCrash) {
+    const isDown = port === "refused";
+    if (isDown) {
       const suspect = { parts, customer, hasHead };
-      view.crashes.recordCrash(this.upstream.id, suspect);
+      view.crashes.recordDown(this.upstream.id, brokeMs, [suspect]);
     }
+    const mayBeCrash = isDown && hasHead;
+    const isSuspect = mayBeCrash && !(await this.#isReachedElsewhere());
     if (!this.#isCancelled) {
-      this.#events.onEnd({ ...end, isSuspect: isCrash && hasHead });
+      this.#events.onEnd({ ...end, isSuspect });
     }
   }
+
+  /** Returns whether only this instance's path to the upstream is cut. */
+  async #isReachedElsewhere(): Promise<boolean> {
+    const { crashes } = this.#parts.view;
+    return (await crashes.awaitVerdict(this.upstream.id)) === "reached";
+  }
 }
--- a/packages/gateway/src/requests/crashing_request_test.ts
+++ b/packages/gateway/src/requests/crashing_request_test.ts
@@ -1,3 +1,4 @@
+import { CRASHES } from "@gooseberryline/core";
 import { expect, test } from "vitest";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { createView } from "../testing/create_view.ts";
@@ -7,6 +8,7 @@
   startRawUpstream,
 } from "../testing/start_raw_upstream.ts";
 import { startUpstream } from "../testing/start_upstream.ts";
+import { waitMs } from "../wait_ms.ts";
 
 const STREAM = { "content-type": "text/event-stream" };
 const EVENT = "id: 1\ndata: text\n\n";
@@ -37,12 +39,14 @@
 
 /**
  * Runs a request with an upstream that crashes as it begins to answer, and a
- * sound one. `round` tells their processes from those of other rounds.
+ * sound one. `round` tells their processes from those of other rounds;
+ * `isSeenByPeer` says whether a peer finds the first one down, too.
  */
 async function runCrashing(
   view: FleetView,
   round: number,
   promptParts: readonly string[],
+  isSeenByPeer = true,
 ) {
   const first = await startCrashing();
   const second = await startSound();
@@ -51,6 +55,13 @@
   const run = runRequest({ addresses, view, promptParts, idPrefix });
   await run.ended;
   const seen = [first.seen.length, second.seen.length];
+  if (isSeenByPeer && seen[0] === 1) {
+    const report = { upstreamId: `${idPrefix}0`, ageMs: 0, suspects: [] };
+    const crashes = [{ ...report, downAt: ["i2"], reachedAt: [] }];
+    view.crashes.recordPeerNews({ crashes, soundAges: {}, blocks: [] });
+    await waitMs(CRASHES.SETTLE_MS);
+    view.crashes.review();
+  }
   await Promise.all([first.close(), second.close()]);
   addresses.forEach((_, index) => {
     view.directory.remove(`${idPrefix}${index}`, performance.now());
@@ -76,6 +87,20 @@
   expect(answer.run).toBe("not run");
 });
 
+test("cut paths to three upstreams are not taken for crashes", async () => {
+  const view = createView();
+  await runCrashing(view, 1, ["a", "x"], false);
+  await runCrashing(view, 2, ["b", "x"], false);
+  await runCrashing(view, 3, ["a", "x"], false);
+  await waitMs(CRASHES.SETTLE_MS);
+  view.crashes.review();
+  const sound = await startSound();
+  const addresses = [sound.address];
+  const run = runRequest({ addresses, view, promptParts: ["c", "x"] });
+  expect(await run.ended).toBe("answered");
+  await sound.close();
+});
+
 test("a sound request beside one that crashes upstreams is sent to another", async () => {
   const first = await startUpstream((_, res) => {
     res.writeHead(200, STREAM).write("id: 0\ndata: text\n\n");
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -7,6 +7,7 @@
 } from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
 import { BlockKeeper } from "./crashes/block_keeper.ts";
+import { CrashWatch } from "./crashes/crash_watch.ts";
 import { listBlockFields } from "./crashes/list_block_fields.ts";
 import type { Dialect } from "./dialect/types.ts";
 import { EXCHANGE } from "./exchange/constants.ts";
@@ -93,6 +94,7 @@
     minIntervalMs: WATCH_TIMING.CLAIMS_INTERVAL_MS,
   });
   const blocks = new BlockKeeper({ store, tracker: view.crashes, log });
+  const crashWatch = new CrashWatch({ view, log });
   const watches = new RecordWatches({
     view,
     store,
@@ -184,6 +186,7 @@
     claims.stop();
     watches.stop();
     blocks.stop();
+    crashWatch.stop();
     await membership.stop();
     peers.stop();
     relay.stop();
