Block the request that crashes upstreams, and parts only where different requests crash

Cause: the evidence was about parts. What comes again is a request: same method, path, customer and body.

Fix: suspects carry the request's key, and the finest key that recurs explains a crash. Parts are blocked where different requests crash. A whole answer clears a request, at all instances. After two crashes under it a request is not sent on. Keys are hashed where a request is a suspect, or its method, path, customer and length are those of one. Messages and records keep to what earlier builds read; blocks of theirs are not taken over.

--- a/packages/core/src/crashes/constants.ts
+++ b/packages/core/src/crashes/constants.ts
@@ -1,11 +1,17 @@
 /** Limits on the evidence about crashes. */
 export const CRASHES = {
-  /** Crashes under a part, without a sound answer since, that block it. */
+  /** Crashes under a request or part, without a sound answer since, that block it. */
   BLOCKING_CRASHES: 3,
   /** Crashes that block all remaining suspects if none stands out. */
   MAX_CRASHES: 5,
+  /** Crashes besides those of a blocked request that block a part of it, too. */
+  CRASHES_BESIDE_BLOCKED_REQUEST: 2,
+  /** Crashes under a request from which on it is not sent to another upstream. */
+  CRASHES_WITHOUT_RETRY: 2,
   /** Instances that have to find an upstream down before it counts as crashed. */
   CONFIRMING_WITNESSES: 2,
+  /** Instances that find it down after which there is no need to wait. */
+  CERTAIN_WITNESSES: 4,
   /** Instances that look, besides those that lost a connection. */
   ASKED_WITNESSES: 3,
   /** Time in which an instance that still reaches the upstream can object, in ms. */
--- a/packages/core/src/crashes/crash_verdict_test.ts
+++ b/packages/core/src/crashes/crash_verdict_test.ts
@@ -37,6 +37,11 @@
   expect(decide(crash, CRASHES.SETTLE_MS - 1)).toBe("unknown");
 });
 
+test("four that find it down need not wait for others", () => {
+  const downAt = ["a1", "b1", "b2", "c1"];
+  expect(decide({ downAt }, 0)).toBe("crashed");
+});
+
 test("an instance that reaches it outweighs those that do not", () => {
   const downAt = ["a1", "a2", "a3"];
   expect(decide({ downAt, reachedAt: ["b1"] })).toBe("reached");
--- a/packages/core/src/crashes/decide_prompt_blocks.ts
+++ b/packages/core/src/crashes/decide_prompt_blocks.ts
@@ -1,86 +1,88 @@
+import { collectEvidence, type KeyEvidence } from "./collect_evidence.ts";
 import { CRASHES } from "./constants.ts";
 import { listLikelySuspects } from "./list_likely_suspects.ts";
-import type { Crash, PromptBlock } from "./types.ts";
-
-/** Crashes that speak against a part, since its last sound answer. */
-type PartEvidence = {
-  readonly part: string;
-  readonly crashes: readonly Crash[];
-};
+import { listRivals } from "./list_rivals.ts";
+import type { Crash, CrashSuspect, PromptBlock } from "./types.ts";
 
 /**
  * Decides which prompt parts to block. A crash speaks against each part of the
  * requests that had not begun by then, a sound answer on a part for it. The part
  * with the most crashes explains them, so they no longer speak against the parts
- * that ran beside it. Parts that can't be told apart are blocked together only.
+ * that ran beside it. Parts that can't be told apart are blocked together only,
+ * and crashes by repeats of one request say nothing of its parts.
  */
 export function decidePromptBlocks(
   crashes: readonly Crash[],
   getLastSoundMs: (part: string) => number,
 ): readonly PromptBlock[] {
-  const evidence = collectEvidence(crashes, getLastSoundMs);
+  const evidence = collectEvidence(
+    crashes,
+    (crash) => listLikelySuspects(crash).flatMap(({ parts }) => parts),
+    getLastSoundMs,
+  ).filter(isOfSeveralRequests);
   const [worst] = evidence;
   if (worst === undefined || worst.crashes.length < CRASHES.BLOCKING_CRASHES) {
     return [];
   }
-  const rivals = evidence.filter((other) => hasSameCrashes(other, worst));
+  const rivals = listRivals(evidence);
   const companions = rivals.filter((other) => isAlwaysBeside(other, worst));
   const isClear = companions.length === rivals.length;
   if (!isClear && worst.crashes.length < CRASHES.MAX_CRASHES) {
     return [];
   }
-  const block = buildBlock(companions.map(({ part }) => part).sort(), worst);
+  const block = buildBlock(companions.map(({ key }) => key).sort(), worst);
   const unexplained = crashes.filter((crash) => !worst.crashes.includes(crash));
   return [block, ...decidePromptBlocks(unexplained, getLastSoundMs)];
 }
 
-/** Lists the parts with crashes against them, those with most crashes first. */
-function collectEvidence(
-  crashes: readonly Crash[],
-  getLastSoundMs: (part: string) => number,
-): readonly PartEvidence[] {
-  const byPart = new Map<string, Crash[]>();
-  crashes.forEach((crash) => {
-    const parts = listLikelySuspects(crash).flatMap((suspect) => suspect.parts);
-    [...new Set(parts)]
-      .filter((part) => getLastSoundMs(part) < crash.atMs)
-      .forEach((part) => {
-        byPart.set(part, [...(byPart.get(part) ?? []), crash]);
-      });
-  });
-  return [...byPart]
-    .map(([part, against]) => ({ part, crashes: against }))
-    .sort(
-      (a, b) =>
-        b.crashes.length - a.crashes.length || a.part.localeCompare(b.part),
-    );
+/**
+ * Returns whether enough of the crashes are not of one request's repeats: any, or
+ * several if that request has to be blocked itself.
+ */
+function isOfSeveralRequests({ key, crashes }: KeyEvidence): boolean {
+  const requests = crashes.map(
+    (crash) =>
+      new Set(listSuspectsWith(crash, [key]).map(({ request }) => request)),
+  );
+  const isExplainedBy = (request: string): number =>
+    requests.filter((suspects) => suspects.has(request)).length;
+  const byOneRequest = requests
+    .flatMap((suspects) => [...suspects])
+    .filter((request) => request !== "")
+    .map(isExplainedBy);
+  const explained = Math.max(0, ...byOneRequest);
+  const needed =
+    explained < CRASHES.BLOCKING_CRASHES
+      ? 1
+      : CRASHES.CRASHES_BESIDE_BLOCKED_REQUEST;
+  return crashes.length - explained >= needed;
 }
 
-function hasSameCrashes(a: PartEvidence, b: PartEvidence): boolean {
-  return (
-    a.crashes.length === b.crashes.length &&
-    a.crashes.every((crash) => b.crashes.includes(crash))
+/** Returns whether each crash has a suspect with both parts. */
+function isAlwaysBeside(a: KeyEvidence, b: KeyEvidence): boolean {
+  return a.crashes.every(
+    (crash) => listSuspectsWith(crash, [a.key, b.key]).length > 0,
   );
 }
 
-/** Returns whether each crash has a suspect with both parts. */
-function isAlwaysBeside(a: PartEvidence, b: PartEvidence): boolean {
-  return a.crashes.every((crash) =>
-    listLikelySuspects(crash).some(
-      ({ parts }) => parts.includes(a.part) && parts.includes(b.part),
-    ),
+function listSuspectsWith(
+  crash: Crash,
+  parts: readonly string[],
+): readonly CrashSuspect[] {
+  return listLikelySuspects(crash).filter((suspect) =>
+    parts.every((part) => suspect.parts.includes(part)),
   );
 }
 
 function buildBlock(
   parts: readonly string[],
-  { crashes }: PartEvidence,
+  { crashes }: KeyEvidence,
 ): PromptBlock {
   const customers = crashes
-    .flatMap((crash) => listLikelySuspects(crash))
-    .filter((suspect) => parts.every((part) => suspect.parts.includes(part)))
+    .flatMap((crash) => listSuspectsWith(crash, parts))
     .map(({ customer }) => customer);
   return {
+    kind: "prompt",
     parts,
     customers: [...new Set(customers)],
     upstreams: crashes.map(({ upstreamId }) => upstreamId),
--- a/packages/core/src/crashes/types.ts
+++ b/packages/core/src/crashes/types.ts
@@ -1,7 +1,12 @@
-/** Evidence of prompt parts that crash upstreams, and what is blocked by it. */
+/**
+ * Evidence of requests and prompt parts that crash upstreams, and what is blocked
+ * by it.
+ */
 
 /** A request that had not begun to answer when its upstream crashed. */
 export type CrashSuspect = {
+  /** Its key, which its repeats share; empty if an earlier build told of it. */
+  readonly request: string;
   /** Ids of the prompt parts that other requests may share. */
   readonly parts: readonly string[];
   /** Name of its customer; empty on a public route. */
@@ -35,11 +40,21 @@
   readonly ageMs: number;
 };
 
+/** A request that is refused, with its repeats. */
+export type RequestBlock = {
+  readonly kind: "request";
+  /** Its key. */
+  readonly request: string;
+  /** Ids of the upstreams that crashed. */
+  readonly upstreams: readonly string[];
+};
+
 /**
  * Prompt parts that are refused where they occur together. More than one as long
  * as nothing tells which of them crashes upstreams.
  */
 export type PromptBlock = {
+  readonly kind: "prompt";
   readonly parts: readonly string[];
   /**
    * Customers whose requests crashed upstreams. From the second one on, the
@@ -50,13 +65,25 @@
   readonly upstreams: readonly string[];
 };
 
+export type CrashBlock = RequestBlock | PromptBlock;
+
+/** A request that a block may hold for. */
+export type BlockSubject = {
+  readonly parts: readonly string[];
+  readonly customer: string;
+  /** Returns whether this is the request's key. */
+  readonly hasKey: (request: string) => boolean;
+};
+
 /** What an instance tells its peers about crashes; left out if empty. */
 export type CrashNews = {
   readonly crashes: readonly CrashReport[];
   /**
-   * For parts under suspicion: time since the sender last saw an answer begin
-   * on them, in ms.
+   * For parts and requests under suspicion: time since the sender last saw an
+   * answer begin on the part, or the request answered whole, in ms.
    */
   readonly soundAges: Readonly<Record<string, number>>;
-  readonly blocks: readonly PromptBlock[];
+  /** Empty. Earlier builds need it; what they block has one witness only. */
+  readonly blocks: readonly never[];
+  readonly inForce: readonly CrashBlock[];
 };
--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -56,6 +56,10 @@
     fields: ["blockId", "promptParts", "customers", "upstreams", "source"],
     text: "Prompts with these parts are refused: these upstreams crashed under them; for all customers if there are two",
   },
+  "request-blocked": {
+    fields: ["blockId", "requestKey", "upstreams", "source"],
+    text: "This request and its repeats are refused: these upstreams crashed under it",
+  },
   "prompt-block-lifted": {
     fields: ["blockId", "reason"],
     text: "A block ended: an operator removed its record, or its upstreams were reached after all",
--- a/packages/gateway/src/crashes/block_keeper.ts
+++ b/packages/gateway/src/crashes/block_keeper.ts
@@ -1,8 +1,8 @@
 import type {
+  CrashBlock,
   EventLog,
   MetadataEvent,
   MetadataStore,
-  PromptBlock,
 } from "@gooseberryline/core";
 import { blockRecord } from "./block_record.ts";
 import { buildBlockId } from "./build_block_id.ts";
@@ -22,7 +22,7 @@
 };
 
 /**
- * Keeps blocked prompt parts in the store, for instances that start later. An
+ * Keeps blocks in the store, for instances that start later. An
  * operator lifts a block by removing its record.
  */
 export class BlockKeeper {
@@ -34,10 +34,9 @@
   constructor(parts: BlockKeeperParts) {
     this.#parts = parts;
     parts.tracker.onBlock = (block, source) => {
-      parts.log.warn("prompt-blocked", {
-        ...listBlockFields(block),
-        source,
-      });
+      const event =
+        block.kind === "request" ? "request-blocked" : "prompt-blocked";
+      parts.log.warn(event, { ...listBlockFields(block), source });
       this.#writeLater(block);
     };
     parts.tracker.onLift = (block, reason) => {
@@ -61,7 +60,7 @@
       log.warn("prompt-block-unreadable", { blockId });
       return;
     }
-    this.#stored.set(blockId, { revision, customers: block.customers });
+    this.#stored.set(blockId, { revision, customers: listCustomers(block) });
     tracker.addBlock(block, "store");
   }
 
@@ -76,7 +75,7 @@
    * Writes or removes a block's record after a random delay, unless the store
    * agrees by then.
    */
-  #writeLater(block: PromptBlock): void {
+  #writeLater(block: CrashBlock): void {
     const blockId = buildBlockId(block);
     if (this.#isStopped || this.#timers.has(blockId)) {
       return;
@@ -89,7 +88,7 @@
     this.#timers.set(blockId, timer);
   }
 
-  async #write(block: PromptBlock): Promise<void> {
+  async #write(block: CrashBlock): Promise<void> {
     const blockId = buildBlockId(block);
     const { store, tracker } = this.#parts;
     const inForce = tracker.blocks.find(
@@ -111,16 +110,25 @@
       this.#stored.delete(blockId);
     } else {
       const { revision } = written;
-      this.#stored.set(blockId, { revision, customers: inForce.customers });
+      const customers = listCustomers(inForce);
+      this.#stored.set(blockId, { revision, customers });
     }
   }
 
   #isStored(
-    inForce: PromptBlock | undefined,
+    inForce: CrashBlock | undefined,
     stored: StoredBlock | undefined,
   ): boolean {
-    return inForce === undefined
-      ? stored === undefined
-      : inForce.customers.every((name) => stored?.customers.includes(name));
+    if (inForce === undefined || stored === undefined) {
+      return inForce === stored;
+    }
+    return listCustomers(inForce).every((name) =>
+      stored.customers.includes(name),
+    );
   }
 }
+
+/** Lists the customers whose number a block depends on. */
+function listCustomers(block: CrashBlock): readonly string[] {
+  return block.kind === "prompt" ? block.customers : [];
+}
--- a/packages/gateway/src/crashes/crash_news_schema.ts
+++ b/packages/gateway/src/crashes/crash_news_schema.ts
@@ -1,8 +1,9 @@
 import { CRASHES } from "@gooseberryline/core";
 import { z } from "zod";
-import { PROMPT_BLOCK_SCHEMA } from "./prompt_block_schema.ts";
+import { CRASH_BLOCK_SCHEMA } from "./crash_block_schema.ts";
 
 const SUSPECT = z.object({
+  request: z.string().default(""),
   parts: z.array(z.string()),
   customer: z.string(),
   hasHead: z.boolean(),
@@ -11,7 +12,7 @@
   upstreamId: z.string(),
   ageMs: z.number(),
   suspects: z.array(SUSPECT).max(CRASHES.MAX_SUSPECTS),
-  // Earlier builds leave these out; what they saw has no witness.
+  // Earlier builds leave these out: what they saw has no witness.
   downAt: z.array(z.string()).default([]),
   reachedAt: z.array(z.string()).default([]),
 });
@@ -20,5 +21,6 @@
 export const CRASH_NEWS_SCHEMA = z.object({
   crashes: z.array(REPORT).max(CRASHES.MAX_EVIDENCE),
   soundAges: z.record(z.string(), z.number()),
-  blocks: z.array(PROMPT_BLOCK_SCHEMA).max(CRASHES.MAX_BLOCKS),
+  blocks: z.array(z.unknown()).transform((): readonly never[] => []),
+  inForce: z.array(CRASH_BLOCK_SCHEMA).max(CRASHES.MAX_BLOCKS).default([]),
 });
--- a/packages/gateway/src/crashes/crash_tracker.ts
+++ b/packages/gateway/src/crashes/crash_tracker.ts
@@ -1,20 +1,22 @@
 import {
+  type BlockSubject,
   CRASHES,
   type Crash,
+  type CrashBlock,
   type CrashNews,
   type CrashSuspect,
   type CrashVerdict,
+  decideCrashBlocks,
   decideCrashVerdict,
-  decidePromptBlocks,
   holdsBlock,
   mergeCrash,
-  mergePromptBlock,
-  type PromptBlock,
+  mergeCrashBlock,
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import { addRecentEntry } from "../add_recent_entry.ts";
 import { buildBlockId } from "./build_block_id.ts";
 import { CRASH_TIMES } from "./constants.ts";
+import { RequestKey } from "./request_key.ts";
 
 /** How a block became known. */
 export type BlockSource = "evidence" | "peer" | "store";
@@ -23,9 +25,9 @@
 export type LiftReason = "record removed" | "upstreams reached";
 
 /** An attempt in flight whose answer has not begun. */
-export type PendingAttempt = Omit<CrashSuspect, "hasHead"> & {
+export type PendingAttempt = BlockSubject & {
   /** Stops the attempt, since a block holds for it. */
-  readonly stop: (block: PromptBlock) => void;
+  readonly stop: (block: CrashBlock) => void;
 };
 
 type VerdictWait = {
@@ -42,19 +44,22 @@
 };
 
 /**
- * Tracks which prompt parts were being answered when upstreams crashed, and
- * which are blocked for it. Evidence and blocks are those of the whole fleet, as
+ * Tracks which requests and prompt parts were being answered when upstreams
+ * crashed, and which are blocked for it. Evidence and blocks are those of the whole fleet, as
  * far as peers have told.
  */
 export class CrashTracker {
   readonly #parts: CrashTrackerParts;
   #crashes: readonly Crash[] = [];
-  #blocks: readonly PromptBlock[] = [];
+  #blocks: readonly CrashBlock[] = [];
   /** What this instance saw itself, to report to peers. */
   #ownCrashes: readonly Crash[] = [];
   /** The registrations of upstreams that may have crashed, by their ids. */
   readonly #entries = new Map<string, UpstreamEntry>();
-  /** When an answer last began on a part, here or at a peer. */
+  /**
+   * When an answer last began on a part, or a request was answered whole, here or
+   * at a peer.
+   */
   readonly #lastSoundMs = new Map<string, number>();
   /** When an operator lifted a block, by its id. */
   readonly #liftedMs = new Map<string, number>();
@@ -67,9 +72,9 @@
   /** Called for each possible crash that this instance had not heard of. */
   onNewCrash: (crash: Crash) => void = () => undefined;
   /** Called when a block is new here, or holds for more customers. */
-  onBlock: (block: PromptBlock, source: BlockSource) => void = () => undefined;
+  onBlock: (block: CrashBlock, source: BlockSource) => void = () => undefined;
   /** Called when a block no longer holds. */
-  onLift: (block: PromptBlock, reason: LiftReason) => void = () => undefined;
+  onLift: (block: CrashBlock, reason: LiftReason) => void = () => undefined;
   /** Called once it is known what a possible crash was. */
   onVerdict: (crash: Crash, verdict: CrashVerdict) => void = () => undefined;
 
@@ -77,15 +82,25 @@
     this.#parts = parts;
   }
 
-  get blocks(): readonly PromptBlock[] {
+  get blocks(): readonly CrashBlock[] {
     return this.#blocks;
   }
 
-  findBlock(
-    parts: readonly string[],
-    customer: string,
-  ): PromptBlock | undefined {
-    return this.#blocks.find((block) => holdsBlock(block, parts, customer));
+  findBlock(subject: BlockSubject): CrashBlock | undefined {
+    return this.#blocks.find((block) => holdsBlock(block, subject));
+  }
+
+  /**
+   * Counts the possible crashes under a request since it was last answered
+   * whole, without those that were only cut paths.
+   */
+  countCrashesUnder(request: string): number {
+    return this.#crashes.filter(
+      (crash) =>
+        crash.reachedAt.length === 0 &&
+        this.#getLastSoundMs(request) < crash.atMs &&
+        crash.suspects.some((suspect) => suspect.request === request),
+    ).length;
   }
 
   /** Returns what the latest possible crash of an upstream was. */
@@ -124,6 +139,18 @@
     this.#pending.delete(attempt);
   }
 
+  /** Records that a request was answered whole. */
+  recordWholeAnswer(key: RequestKey): void {
+    const isSuspected = this.#crashes.some(({ suspects }) =>
+      suspects.some(
+        ({ request }) => RequestKey.getBrief(request) === key.brief,
+      ),
+    );
+    if (isSuspected) {
+      this.#setLastSoundMs(key.full, this.#parts.readNowMs());
+    }
+  }
+
   /** Records that an answer began on a prompt with these parts. */
   recordSoundStart(parts: readonly string[]): void {
     const nowMs = this.#parts.readNowMs();
@@ -184,19 +211,20 @@
         ageMs: Math.round(nowMs - atMs),
       }));
     const soundAges = this.#listSoundAges(nowMs);
-    const blocks = this.#blocks;
+    const inForce = this.#blocks;
     const isEmpty =
       crashes.length === 0 &&
-      blocks.length === 0 &&
+      inForce.length === 0 &&
       Object.keys(soundAges).length === 0;
-    return isEmpty ? undefined : { crashes, soundAges, blocks };
+    return isEmpty ? undefined : { crashes, soundAges, blocks: [], inForce };
   }
 
-  /** Lists the ages of sound answers on parts that recent crashes speak against. */
+  /** Lists the ages of sound answers that speak against recent suspicions. */
   #listSoundAges(nowMs: number): Readonly<Record<string, number>> {
     const suspected = this.#crashes
       .filter(({ atMs }) => nowMs - atMs < CRASHES.SUSPICION_MS)
-      .flatMap(({ suspects }) => suspects.flatMap(({ parts }) => parts));
+      .flatMap(({ suspects }) => suspects)
+      .flatMap(({ request, parts }) => [request, ...parts]);
     const ages = [...new Set(suspected)].flatMap((part) => {
       const atMs = this.#lastSoundMs.get(part);
       return atMs === undefined || nowMs - atMs > CRASHES.REPORT_MS
@@ -206,7 +234,7 @@
     return Object.fromEntries(ages);
   }
 
-  recordPeerNews({ crashes, soundAges, blocks }: CrashNews): void {
+  recordPeerNews({ crashes, soundAges, inForce }: CrashNews): void {
     const nowMs = this.#parts.readNowMs();
     Object.entries(soundAges).forEach(([part, ageMs]) => {
       const atMs = nowMs - ageMs;
@@ -221,7 +249,7 @@
         isReplaced: false,
       })),
     );
-    blocks
+    inForce
       .filter((block) => !this.#isLifted(block, nowMs))
       .filter((block) => !this.#isUnfounded(block))
       .forEach((block) => {
@@ -267,7 +295,7 @@
     const crashed = this.#crashes.filter(
       (crash) => decideCrashVerdict(crash, nowMs) === "crashed",
     );
-    decidePromptBlocks(crashed, (part) => this.#getLastSoundMs(part)).forEach(
+    decideCrashBlocks(crashed, (key) => this.#getLastSoundMs(key)).forEach(
       (block) => {
         this.addBlock(block, "evidence");
       },
@@ -312,7 +340,7 @@
   }
 
   /** Returns whether too few of the crashes that led to a block were crashes. */
-  #isUnfounded({ upstreams }: PromptBlock): boolean {
+  #isUnfounded({ upstreams }: CrashBlock): boolean {
     const crashed = upstreams.filter(
       (upstreamId) => this.findVerdict(upstreamId) !== "reached",
     );
@@ -323,16 +351,16 @@
   }
 
   /** Puts a block in force and stops the attempts that it holds for. */
-  addBlock(block: PromptBlock, source: BlockSource): void {
+  addBlock(block: CrashBlock, source: BlockSource): void {
     const before = this.#blocks;
-    this.#blocks = mergePromptBlock(before, block);
+    this.#blocks = mergeCrashBlock(before, block);
     if (this.#blocks === before) {
       return;
     }
     this.onBlock(block, source);
     this.onUrgentNews();
     [...this.#pending].forEach((attempt) => {
-      const held = this.findBlock(attempt.parts, attempt.customer);
+      const held = this.findBlock(attempt);
       if (held !== undefined) {
         attempt.stop(held);
       }
@@ -351,22 +379,23 @@
     );
     this.#blocks = this.#blocks.filter((block) => !lifted.includes(block));
     lifted.forEach((block) => {
-      this.recordSoundStart(block.parts);
+      const keys = block.kind === "request" ? [block.request] : block.parts;
+      this.recordSoundStart(keys);
       this.onLift(block, "record removed");
     });
   }
 
-  #isLifted(block: PromptBlock, nowMs: number): boolean {
+  #isLifted(block: CrashBlock, nowMs: number): boolean {
     const atMs = this.#liftedMs.get(buildBlockId(block));
     return atMs !== undefined && nowMs - atMs < CRASHES.EVIDENCE_MS;
   }
 
-  #setLastSoundMs(part: string, atMs: number): void {
-    addRecentEntry(this.#lastSoundMs, part, atMs, CRASHES.MAX_SOUND_PARTS);
+  #setLastSoundMs(key: string, atMs: number): void {
+    addRecentEntry(this.#lastSoundMs, key, atMs, CRASHES.MAX_SOUND_PARTS);
   }
 
-  #getLastSoundMs(part: string): number {
-    return this.#lastSoundMs.get(part) ?? Number.NEGATIVE_INFINITY;
+  #getLastSoundMs(key: string): number {
+    return this.#lastSoundMs.get(key) ?? Number.NEGATIVE_INFINITY;
   }
 }
 
--- a/packages/gateway/src/crashes/describe_block.ts
+++ b/packages/gateway/src/crashes/describe_block.ts
@@ -1,8 +1,9 @@
-import type { PromptBlock } from "@gooseberryline/core";
+import type { CrashBlock } from "@gooseberryline/core";
 import { buildBlockId } from "./build_block_id.ts";
 
-/** Describes a block for callers and logs: its id and its parts' ids. */
-export function describeBlock(block: PromptBlock): string {
-  const parts = block.parts.join(" ");
-  return `block ${buildBlockId(block)}: upstreams crashed under ${parts}`;
+/** Describes a block for callers and logs: its id and what it refuses. */
+export function describeBlock(block: CrashBlock): string {
+  const refused =
+    block.kind === "request" ? "this request" : block.parts.join(" ");
+  return `block ${buildBlockId(block)}: upstreams crashed under ${refused}`;
 }
--- a/packages/gateway/src/jobs/item_placer.ts
+++ b/packages/gateway/src/jobs/item_placer.ts
@@ -1,8 +1,8 @@
 import {
   type BatchJob,
+  type CrashBlock,
   chooseService,
   findRoute,
-  type PromptBlock,
   placeItem,
   type UpstreamEntry,
 } from "@gooseberryline/core";
@@ -17,7 +17,7 @@
   | { readonly kind: "placed"; readonly upstream: UpstreamEntry }
   | { readonly kind: "wait" }
   /** Parts of the item's prompt are blocked. */
-  | { readonly kind: "blocked"; readonly block: PromptBlock }
+  | { readonly kind: "blocked"; readonly block: CrashBlock }
   /** No route matches the item, or its route has no service. */
   | { readonly kind: "no-route" };
 
@@ -38,7 +38,11 @@
     if (table === undefined) {
       return { kind: "wait" };
     }
-    const block = crashes.findBlock(promptParts, customer);
+    const block = crashes.findBlock({
+      parts: promptParts,
+      customer,
+      hasKey: () => false,
+    });
     if (block !== undefined) {
       return { kind: "blocked", block };
     }
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -2,11 +2,11 @@
   assertNever,
   type BatchJob,
   type BatchResult,
+  type CrashBlock,
   countItemsToYield,
   decideItemStep,
   ITEM_RESULTS,
   orderItems,
-  type PromptBlock,
   updateMeanSlots,
 } from "@gooseberryline/core";
 import { describeBlock } from "../crashes/describe_block.ts";
@@ -168,7 +168,7 @@
   #abandonBlocked(
     waiting: WaitingItem,
     { submittedAtMs, retentionMs }: BatchJob,
-    block: PromptBlock,
+    block: CrashBlock,
   ): void {
     if (Date.now() > submittedAtMs + retentionMs) {
       this.#dropWaiting(waiting);
--- a/packages/gateway/src/metrics/create_gateway_metrics.ts
+++ b/packages/gateway/src/metrics/create_gateway_metrics.ts
@@ -48,7 +48,7 @@
     ),
     prompt_blocks: gauge(
       "prompt_blocks",
-      "blocks of prompt parts that crash upstreams",
+      "blocks of requests and prompt parts that crash upstreams",
     ),
     upstreams_known: gauge("upstreams_known", "upstreams in the directory"),
   };
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,5 +1,6 @@
 import {
   assertNever,
+  CRASHES,
   type EventLog,
   type UpstreamEntry,
 } from "@gooseberryline/core";
@@ -89,6 +90,7 @@
     this.#pending = {
       parts: work.promptParts,
       customer: work.customer ?? "",
+      hasKey: (request) => work.key?.matches(request) === true,
       stop: (block) => this.#stop(describeBlock(block)),
     };
     parts.view.crashes.addPending(this.#pending);
@@ -180,6 +182,13 @@
     crashes.recordSoundStart(this.#work.promptParts);
   }
 
+  #recordWholeAnswer(): void {
+    const { key } = this.#work;
+    if (key !== undefined) {
+      this.#parts.view.crashes.recordWholeAnswer(key);
+    }
+  }
+
   #release(): void {
     if (!this.#isEnded) {
       this.#isEnded = true;
@@ -196,6 +205,7 @@
         if (this.#head?.isEventStream !== true) {
           this.#recordSoundStart();
         }
+        this.#recordWholeAnswer();
         load.recordSuccess(this.upstream.id);
         if (this.#work.lane === "online") {
           const serviceMs = nowMs - this.#startedMs;
@@ -233,17 +243,28 @@
       reason: end.reason,
     });
     const isDown = port === "refused";
+    const request = key?.full ?? "";
     if (isDown) {
-      const suspect = { parts, customer, hasHead };
+      const suspect = { request, parts, customer, hasHead };
       view.crashes.recordDown(this.upstream.id, brokeMs, [suspect]);
     }
-    const mayBeCrash = isDown && hasHead;
-    const isSuspect = mayBeCrash && !(await this.#isReachedElsewhere());
+    const isLikelyCause = hasHead || this.#hasCrashedBefore(request);
+    const isSuspect =
+      isDown && isLikelyCause && !(await this.#isReachedElsewhere());
     if (!this.#isCancelled) {
       this.#events.onEnd({ ...end, isSuspect });
     }
   }
 
+  /** Returns whether this crash under the request is not its first one. */
+  #hasCrashedBefore(request: string): boolean {
+    const { crashes } = this.#parts.view;
+    return (
+      request !== "" &&
+      crashes.countCrashesUnder(request) >= CRASHES.CRASHES_WITHOUT_RETRY
+    );
+  }
+
   /** Returns whether only this instance's path to the upstream is cut. */
   async #isReachedElsewhere(): Promise<boolean> {
     const { crashes } = this.#parts.view;
--- a/packages/gateway/src/requests/attempt_tracker.ts
+++ b/packages/gateway/src/requests/attempt_tracker.ts
@@ -1,8 +1,8 @@
 import {
   type AttemptEnd,
+  type CrashBlock,
   decideNextStep,
   type NextStep,
-  type PromptBlock,
 } from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { REQUESTS } from "./constants.ts";
@@ -73,10 +73,13 @@
   }
 
   /** Returns the block that holds for the request, if any. */
-  findBlock(): PromptBlock | undefined {
-    const { head, customer } = this.#call;
-    const { crashes } = this.#view;
-    return crashes.findBlock(head.promptParts, customer?.name ?? "");
+  findBlock(): CrashBlock | undefined {
+    const { head, customer, key } = this.#call;
+    return this.#view.crashes.findBlock({
+      parts: head.promptParts,
+      customer: customer?.name ?? "",
+      hasKey: (request) => key.matches(request),
+    });
   }
 
   decideNextStep(end: AttemptEnd, hasStarted: boolean): NextStep {
--- a/packages/gateway/src/requests/call_errors.ts
+++ b/packages/gateway/src/requests/call_errors.ts
@@ -1,3 +1,4 @@
+import type { CrashBlock } from "@gooseberryline/core";
 import { drawRetryAfterMs } from "./draw_retry_after_ms.ts";
 import type { CallError } from "./types.ts";
 
@@ -70,10 +71,14 @@
     run: "not run",
     retryAfterMs: drawRetryAfterMs(NOT_READY_RETRY_MS, Math.random()),
   }),
-  /** The prompt has crashed upstreams, so no retry can help. */
-  promptBlocked: (message: string, mayHaveRun: boolean): CallError => ({
+  /** The request has crashed upstreams, so no retry can help. */
+  blocked: (
+    { kind }: CrashBlock,
+    message: string,
+    mayHaveRun: boolean,
+  ): CallError => ({
     status: 400,
-    code: "prompt_blocked",
+    code: `${kind}_blocked`,
     message,
     run: mayHaveRun ? "may have run" : "not run",
   }),
--- a/packages/gateway/src/requests/request_ending.ts
+++ b/packages/gateway/src/requests/request_ending.ts
@@ -1,4 +1,4 @@
-import type { AttemptEnd, PromptBlock } from "@gooseberryline/core";
+import type { AttemptEnd, CrashBlock } from "@gooseberryline/core";
 import { describeBlock } from "../crashes/describe_block.ts";
 import type { AttemptParts } from "./attempt.ts";
 import type { AttemptTracker } from "./attempt_tracker.ts";
@@ -40,10 +40,10 @@
   }
 
   /** Ends a request that a block holds for. */
-  refuseBlocked(block: PromptBlock, hasStarted: boolean): void {
+  refuseBlocked(block: CrashBlock, hasStarted: boolean): void {
     const text = describeBlock(block);
     const mayHaveRun = this.#parts.tracker.runs > 0;
-    const error = callErrors.promptBlocked(text, mayHaveRun);
+    const error = callErrors.blocked(block, text, mayHaveRun);
     this.fail(text, error, hasStarted);
   }
 
--- a/packages/gateway/src/testing/create_crash_trackers.ts
+++ b/packages/gateway/src/testing/create_crash_trackers.ts
@@ -5,6 +5,8 @@
 } from "@gooseberryline/core";
 import { CrashTracker } from "../crashes/crash_tracker.ts";
 
+const NO_NEWS = { crashes: [], soundAges: {}, blocks: [], inForce: [] };
+
 /** Trackers of several instances of a test, which share a clock. */
 export type CrashTrackers = {
   readonly clock: { nowMs: number };
@@ -53,7 +55,7 @@
       trackers
         .filter((to) => to !== from && news !== undefined)
         .forEach((to) => {
-          to.recordPeerNews(news ?? { crashes: [], soundAges: {}, blocks: [] });
+          to.recordPeerNews(news ?? NO_NEWS);
         });
     });
   };
