Suspect what had begun when its upstream crashed, too

A request that crashes its upstream in the middle of its answer was sound by its first event each time, and a stream that may be resumed carried on at the next upstream.

Cause: evidence counted only what had not begun, since a part shows in the first event whether it is sound. A request does so only when it is answered whole.

Fix: attempts that had begun are suspects by their request, after those that had not, and only a whole answer clears a request. A stream is resumed at once after the first crash under it; after the second it is broken off. The test at sockets failed before: three upstreams were sent the stream, now two.

--- a/packages/core/src/crashes/crashes_test.ts
+++ b/packages/core/src/crashes/crashes_test.ts
@@ -14,7 +14,8 @@
   customer = "c1",
   hasHead = true,
 ): CrashSuspect {
-  return { request: "", parts: parts.split(" "), customer, hasHead };
+  const progress = { hasHead, hasBegun: false };
+  return { request: "", parts: parts.split(" "), customer, ...progress };
 }
 
 /** Creates a crash; suspects without a key are of requests of their own. */
@@ -169,6 +170,7 @@
       parts: fc.subarray(["a", "b", "x", "y"], { minLength: 1 }),
       customer: fc.constantFrom("c1", "c2"),
       hasHead: fc.boolean(),
+      hasBegun: fc.boolean(),
     }),
     { minLength: 1, maxLength: 3 },
   );
@@ -317,3 +319,22 @@
     { seed: 1, numRuns: 200 },
   );
 });
+
+test("a request that crashes upstreams in the middle of its answer is blocked", () => {
+  const begun = { ...createRequest("r"), parts: [], hasBegun: true };
+  const crashes = [1, 2, 3].map((atMs) => {
+    const beside = { ...createRequest(`n${atMs}`), parts: [], hasBegun: true };
+    return createCrash(atMs, begun, beside, createSuspect(`a t${atMs}`));
+  });
+  expect(listRequests(crashes.slice(0, 2))).toEqual([]);
+  expect(listRequests(crashes)).toEqual(["r"]);
+  expect(listParts(crashes)).toEqual([]);
+});
+
+test("what had begun is not suspected where a likely suspect recurs", () => {
+  const begun = { ...createRequest("sound"), parts: [], hasBegun: true };
+  const crashes = [1, 2, 3].map((atMs) =>
+    createCrash(atMs, begun, createRequest("r")),
+  );
+  expect(listRequests(crashes)).toEqual(["r"]);
+});
--- a/packages/core/src/crashes/types.ts
+++ b/packages/core/src/crashes/types.ts
@@ -3,7 +3,7 @@
  * by it.
  */
 
-/** A request that had not begun to answer when its upstream crashed. */
+/** A request that was under way when its upstream crashed. */
 export type CrashSuspect = {
   /** Its key, which its repeats share; empty if an earlier build told of it. */
   readonly request: string;
@@ -13,6 +13,8 @@
   readonly customer: string;
   /** Whether the head of the answer had arrived, but no event. */
   readonly hasHead: boolean;
+  /** Whether its answer had begun; told without parts and head, then. */
+  readonly hasBegun: boolean;
 };
 
 /**
--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -38,11 +38,12 @@
       "upstream",
       "promptParts",
       "hasHead",
+      "hasBegun",
       "ranMs",
       "port",
       "reason",
     ],
-    text: "A connection broke before the answer began; port says if the upstream is down",
+    text: "A connection broke during a request; port says if the upstream is down",
   },
   "upstream-looked-at": {
     fields: ["upstream", "port"],
--- a/packages/gateway/src/crashes/crash_news_schema.ts
+++ b/packages/gateway/src/crashes/crash_news_schema.ts
@@ -7,6 +7,7 @@
   parts: z.array(z.string()),
   customer: z.string(),
   hasHead: z.boolean(),
+  hasBegun: z.boolean().default(false),
 });
 const REPORT = z.object({
   upstreamId: z.string(),
--- a/packages/gateway/src/crashes/crash_tracker.ts
+++ b/packages/gateway/src/crashes/crash_tracker.ts
@@ -16,7 +16,7 @@
 import { addRecentEntry } from "../add_recent_entry.ts";
 import { buildBlockId } from "./build_block_id.ts";
 import { CRASH_TIMES } from "./constants.ts";
-import { RequestKey } from "./request_key.ts";
+import type { RequestKey } from "./request_key.ts";
 
 /** How a block became known. */
 export type BlockSource = "evidence" | "peer" | "store";
@@ -24,7 +24,7 @@
 /** Why a block no longer holds. */
 export type LiftReason = "record removed" | "upstreams reached";
 
-/** An attempt in flight whose answer has not begun. */
+/** An attempt in flight; told without parts once its answer has begun. */
 export type PendingAttempt = BlockSubject & {
   /** Stops the attempt, since a block holds for it. */
   readonly stop: (block: CrashBlock) => void;
@@ -94,12 +94,12 @@
    * Counts the possible crashes under a request since it was last answered
    * whole, without those that were only cut paths.
    */
-  countCrashesUnder(request: string): number {
+  countCrashesUnder(key: RequestKey): number {
     return this.#crashes.filter(
-      (crash) =>
-        crash.reachedAt.length === 0 &&
-        this.#getLastSoundMs(request) < crash.atMs &&
-        crash.suspects.some((suspect) => suspect.request === request),
+      ({ reachedAt, suspects, atMs }) =>
+        reachedAt.length === 0 &&
+        suspects.some(({ request }) => key.matches(request)) &&
+        this.#getLastSoundMs(key.full) < atMs,
     ).length;
   }
 
@@ -130,7 +130,7 @@
     });
   }
 
-  /** Follows an attempt until its answer begins or it ends. */
+  /** Follows an attempt until it ends. */
   addPending(attempt: PendingAttempt): void {
     this.#pending.add(attempt);
   }
@@ -142,11 +142,10 @@
   /** Records that a request was answered whole. */
   recordWholeAnswer(key: RequestKey): void {
     const isSuspected = this.#crashes.some(({ suspects }) =>
-      suspects.some(
-        ({ request }) => RequestKey.getBrief(request) === key.brief,
-      ),
+      suspects.some(({ request }) => key.matches(request)),
     );
-    if (isSuspected) {
+    // One that breaks and is answered elsewhere at once is suspected only later.
+    if (isSuspected || key.isHashed) {
       this.#setLastSoundMs(key.full, this.#parts.readNowMs());
     }
   }
@@ -161,7 +160,7 @@
 
   /**
    * Records that this instance found an upstream down after its connections broke
-   * at `atMs`, and the request that had not begun there by then, if any.
+   * at `atMs`, and the request that was under way there, if any.
    */
   recordDown(
     upstreamId: string,
--- a/packages/gateway/src/crashes/crash_tracker_test.ts
+++ b/packages/gateway/src/crashes/crash_tracker_test.ts
@@ -9,6 +9,7 @@
   parts: ["a", "x"],
   customer: "c1",
   hasHead: true,
+  hasBegun: false,
 };
 
 const NO_NEWS = { crashes: [], soundAges: {}, blocks: [], inForce: [] };
@@ -231,11 +232,11 @@
   const suspect = { ...X, request: key.full, parts: [] };
   crash("u1", suspect);
   crash("u2", suspect);
-  expect(trackers[0]?.countCrashesUnder(key.full)).toBe(2);
+  expect(trackers[0]?.countCrashesUnder(key)).toBe(2);
   clock.nowMs += 10;
   trackers[1]?.recordWholeAnswer(createKey("prompt"));
   exchange();
-  expect(trackers[0]?.countCrashesUnder(key.full)).toBe(0);
+  expect(trackers[0]?.countCrashesUnder(key)).toBe(0);
   crash("u3", suspect);
   settle();
   expect(trackers.flatMap(({ blocks }) => blocks)).toEqual([]);
--- a/packages/gateway/src/crashes/request_key.ts
+++ b/packages/gateway/src/crashes/request_key.ts
@@ -39,6 +39,11 @@
     return this.#brief;
   }
 
+  /** Whether the whole key was needed, since the request was once suspected. */
+  get isHashed(): boolean {
+    return this.#full !== undefined;
+  }
+
   get full(): string {
     this.#full ??= this.brief + hashHex(this.#content.body, DIGEST_LENGTH);
     return this.#full;
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,6 +1,7 @@
 import {
   assertNever,
   CRASHES,
+  type CrashSuspect,
   type EventLog,
   type UpstreamEntry,
 } from "@gooseberryline/core";
@@ -68,7 +69,7 @@
   readonly #events: AttemptEvents;
   readonly #startedMs: number;
   readonly #exchange: UpstreamExchange;
-  readonly #pending: PendingAttempt;
+  #pending: PendingAttempt;
   #head: ExchangeHead | undefined;
   #hasBegun = false;
   #isEnded = false;
@@ -147,11 +148,21 @@
     const end = this.#isCutOff(exchangeEnd) ? CUT_OFF : exchangeEnd;
     this.#release();
     this.#recordEnd(end);
-    if (end.kind === "lost" && !end.isSilent && !this.#hasBegun) {
-      void this.#handleBreak(end);
+    if (end.kind !== "lost" || end.isSilent) {
+      this.#events.onEnd(end);
       return;
     }
-    this.#events.onEnd(end);
+    const canGoOn = this.#hasBegun && !this.#hasCrashed(1);
+    const examined = this.#examineBreak(end, canGoOn);
+    if (canGoOn) {
+      this.#events.onEnd(end);
+      return;
+    }
+    void examined.then((isSuspect) => {
+      if (!this.#isCancelled) {
+        this.#events.onEnd({ ...end, isSuspect });
+      }
+    });
   }
 
   /**
@@ -178,7 +189,11 @@
   #recordSoundStart(): void {
     const { crashes } = this.#parts.view;
     this.#hasBegun = true;
-    crashes.dropPending(this.#pending);
+    if (!this.#isEnded) {
+      crashes.dropPending(this.#pending);
+      this.#pending = { ...this.#pending, parts: [] };
+      crashes.addPending(this.#pending);
+    }
     crashes.recordSoundStart(this.#work.promptParts);
   }
 
@@ -223,46 +238,57 @@
   }
 
   /**
-   * Handles a connection that broke before the answer began: if the upstream is
-   * down, this request or one beside it may have crashed it.
+   * Finds out whether the upstream of a connection that broke is down, so that
+   * this request or one beside it may have crashed it. Returns whether this one is
+   * likely to have; `isGoingOn` says that nobody waits to know.
    */
-  async #handleBreak(end: ExchangeEnd & { kind: "lost" }): Promise<void> {
-    const { promptParts: parts, customer = "", key } = this.#work;
+  async #examineBreak(
+    { reason }: ExchangeEnd & { kind: "lost" },
+    isGoingOn: boolean,
+  ): Promise<boolean> {
+    const { promptParts, key } = this.#work;
     const { view, log } = this.#parts;
-    const hasHead = this.#head !== undefined;
     const brokeMs = view.readNowMs();
+    const suspect = this.#describeSuspect();
+    const { hasHead, hasBegun } = suspect;
     const port = await checkPort(this.upstream.address);
     log.info("upstream-broke-off", {
       requestId: this.#requestId,
       requestKey: key?.full,
       upstream: this.upstream.id,
-      promptParts: parts.join(" "),
+      promptParts: promptParts.join(" "),
       hasHead,
+      hasBegun,
       ranMs: Math.round(brokeMs - this.#startedMs),
       port,
-      reason: end.reason,
+      reason,
     });
-    const isDown = port === "refused";
-    const request = key?.full ?? "";
-    if (isDown) {
-      const suspect = { request, parts, customer, hasHead };
-      view.crashes.recordDown(this.upstream.id, brokeMs, [suspect]);
-    }
-    const isLikelyCause = hasHead || this.#hasCrashedBefore(request);
-    const isSuspect =
-      isDown && isLikelyCause && !(await this.#isReachedElsewhere());
-    if (!this.#isCancelled) {
-      this.#events.onEnd({ ...end, isSuspect });
+    if (port !== "refused") {
+      return false;
     }
+    view.crashes.recordDown(this.upstream.id, brokeMs, [suspect]);
+    const isLikelyCause =
+      hasHead || this.#hasCrashed(CRASHES.CRASHES_WITHOUT_RETRY);
+    return isLikelyCause && !isGoingOn && !(await this.#isReachedElsewhere());
   }
 
-  /** Returns whether this crash under the request is not its first one. */
-  #hasCrashedBefore(request: string): boolean {
+  #describeSuspect(): CrashSuspect {
+    const { promptParts, customer = "", key } = this.#work;
+    const hasBegun = this.#hasBegun;
+    return {
+      request: key?.full ?? "",
+      parts: hasBegun ? [] : promptParts,
+      customer,
+      hasHead: this.#head !== undefined && !hasBegun,
+      hasBegun,
+    };
+  }
+
+  /** Returns whether upstreams crashed under the request that often. */
+  #hasCrashed(times: number): boolean {
     const { crashes } = this.#parts.view;
-    return (
-      request !== "" &&
-      crashes.countCrashesUnder(request) >= CRASHES.CRASHES_WITHOUT_RETRY
-    );
+    const { key } = this.#work;
+    return key !== undefined && crashes.countCrashesUnder(key) >= times;
   }
 
   /** Returns whether only this instance's path to the upstream is cut. */
--- a/packages/gateway/src/requests/crashing_request_test.ts
+++ b/packages/gateway/src/requests/crashing_request_test.ts
@@ -1,5 +1,5 @@
 import { CRASHES, type PromptBlock } from "@gooseberryline/core";
-import { expect, test } from "vitest";
+import { expect, test, vi } from "vitest";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { createView } from "../testing/create_view.ts";
 import { runRequest } from "../testing/run_request.ts";
@@ -31,6 +31,16 @@
   return upstream;
 }
 
+/** Starts one that ends after an event of its answer. */
+async function startStopping() {
+  const upstream = await startUpstream((req, res) => {
+    const id = Number(req.headers["last-event"] ?? 0) + 1;
+    res.writeHead(200, STREAM).write(`id: ${id}\ndata: text\n\n`);
+    setTimeout(() => void upstream.close(), 10);
+  });
+  return upstream;
+}
+
 /** Starts one that ends its connections in order as it crashes. */
 async function startEnding(): Promise<RawUpstream> {
   const upstream = await startRawUpstream((socket) => {
@@ -133,6 +143,18 @@
   await sound.close();
 });
 
+test("a stream that crashes upstreams in mid-answer is resumed once only", async () => {
+  const upstreams = await Promise.all([0, 1, 2].map(startStopping));
+  const addresses = upstreams.map(({ address }) => address);
+  const run = runRequest({ addresses, route: { maxAttempts: 3 } });
+  expect(await run.ended).toBe("broken-off");
+  expect(upstreams.flatMap(({ seen }) => seen)).toHaveLength(2);
+  expect(run.answer.end).toBe("broken-off");
+  const [crash] = run.view.crashes.buildNews()?.crashes ?? [];
+  expect(crash?.suspects.map(({ hasBegun }) => hasBegun)).toEqual([true]);
+  await Promise.all(upstreams.map((upstream) => upstream.close()));
+});
+
 test("a sound request beside one that crashes upstreams is sent to another", async () => {
   const first = await startUpstream((_, res) => {
     res.writeHead(200, STREAM).write("id: 0\ndata: text\n\n");
@@ -143,7 +165,12 @@
   const run = runRequest({ addresses, promptParts: ["a", "y"] });
   expect(await run.ended).toBe("answered");
   expect(second.seen).toHaveLength(1);
-  expect(run.view.crashes.buildNews()).toBeUndefined();
+  await vi.waitFor(() => {
+    const { crashes = [], soundAges } = run.view.crashes.buildNews() ?? {};
+    const suspects = crashes.flatMap((crash) => crash.suspects);
+    expect(suspects.map(({ parts }) => parts)).toEqual([[]]);
+    expect(soundAges).toHaveProperty(suspects[0]?.request ?? "");
+  });
   await second.close();
 });
 
