Never block an item of a job, and suspect none of a crash

The users' word: items are never what crashes an upstream by itself; one under which upstreams crashed is still owed. Items with a blocked part waited and were given up after their job's retention; and at a crash an item stood beside the request that caused it, as a suspect.

The tests of blocked items asserted the opposite (wait, then fail); those that replace them ask for more: an item with a blocked part completes at once, also after its job's retention, and one under which three upstreams crashed completes and is named by no evidence.

--- a/packages/gateway/src/jobs/item_placer.ts
+++ b/packages/gateway/src/jobs/item_placer.ts
@@ -1,6 +1,5 @@
 import {
   type BatchJob,
-  type CrashBlock,
   chooseService,
   findRoute,
   placeItem,
@@ -10,14 +9,12 @@
 import { StartLimiter } from "./start_limiter.ts";
 import type { WaitingItem } from "./types.ts";
 
-type ItemJob = Pick<BatchJob, "host" | "customer">;
+type ItemJob = Pick<BatchJob, "host">;
 
 /** Outcome of placing an item. */
 export type ItemPlacement =
   | { readonly kind: "placed"; readonly upstream: UpstreamEntry }
   | { readonly kind: "wait" }
-  /** Parts of the item's prompt are blocked. */
-  | { readonly kind: "blocked"; readonly block: CrashBlock }
   /** No route matches the item, or its route has no service. */
   | { readonly kind: "no-route" };
 
@@ -32,20 +29,12 @@
   }
 
   place(waiting: WaitingItem, job: ItemJob): ItemPlacement {
-    const { item, tried, promptParts } = waiting;
-    const { host, customer } = job;
-    const { table, crashes } = this.#view;
+    const { item, tried } = waiting;
+    const { host } = job;
+    const { table } = this.#view;
     if (table === undefined) {
       return { kind: "wait" };
     }
-    const block = crashes.findBlock({
-      parts: promptParts,
-      customer,
-      hasKey: () => false,
-    });
-    if (block !== undefined) {
-      return { kind: "blocked", block };
-    }
     const route = findRoute(table, host, item.path);
     const service = route && chooseService(route, item.id);
     if (service === undefined) {
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -1,15 +1,12 @@
 import {
   assertNever,
-  type BatchJob,
   type BatchResult,
-  type CrashBlock,
   countItemsToYield,
   decideItemStep,
   ITEM_RESULTS,
   orderItems,
   updateMeanSlots,
 } from "@gooseberryline/core";
-import { describeBlock } from "../crashes/describe_block.ts";
 import type { AttemptParts } from "../requests/attempt.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
 import { ItemPlacer } from "./item_placer.ts";
@@ -138,9 +135,6 @@
     switch (placement.kind) {
       case "wait":
         return false;
-      case "blocked":
-        this.#abandonBlocked(waiting, loaded.job, placement.block);
-        return true;
       case "no-route":
         this.#dropWaiting(waiting);
         this.#reportErrored(
@@ -164,18 +158,6 @@
     }
   }
 
-  /** Gives a blocked item up once its job need not be kept any longer. */
-  #abandonBlocked(
-    waiting: WaitingItem,
-    { submittedAtMs, retentionMs }: BatchJob,
-    block: CrashBlock,
-  ): void {
-    if (Date.now() > submittedAtMs + retentionMs) {
-      this.#dropWaiting(waiting);
-      this.#reportErrored(waiting, describeBlock(block));
-    }
-  }
-
   #dropWaiting(waiting: WaitingItem): void {
     this.#waiting = this.#waiting.filter((other) => other !== waiting);
   }
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -94,7 +94,9 @@
       hasKey: (request) => work.key?.matches(request) === true,
       stop: (block) => this.#stop(describeBlock(block)),
     };
-    parts.view.crashes.addPending(this.#pending);
+    if (work.key !== undefined) {
+      parts.view.crashes.addPending(this.#pending);
+    }
     parts.view.recordSend(upstream, lane);
     const { load } = parts.view;
     const hasActivitySince = (sinceMs: number) =>
@@ -189,7 +191,7 @@
   #recordSoundStart(): void {
     const { crashes } = this.#parts.view;
     this.#hasBegun = true;
-    if (!this.#isEnded) {
+    if (!this.#isEnded && this.#work.key !== undefined) {
       crashes.dropPending(this.#pending);
       this.#pending = { ...this.#pending, parts: [] };
       crashes.addPending(this.#pending);
@@ -249,8 +251,11 @@
     const { promptParts, key } = this.#work;
     const { view, log } = this.#parts;
     const brokeMs = view.readNowMs();
-    const suspect = this.#describeSuspect();
-    const { hasHead, hasBegun } = suspect;
+    const hasBegun = this.#hasBegun;
+    const hasHead = this.#head !== undefined && !hasBegun;
+    // An item never crashes upstreams by itself.
+    const suspects =
+      key === undefined ? [] : [this.#describeSuspect(key, hasHead)];
     const port = await checkPort(this.upstream.address);
     log.info("upstream-broke-off", {
       requestId: this.#requestId,
@@ -266,22 +271,22 @@
     if (port !== "refused") {
       return false;
     }
-    view.crashes.recordDown(this.upstream.id, brokeMs, [suspect]);
+    view.crashes.recordDown(this.upstream.id, brokeMs, suspects);
     const isLikelyCause =
       hasHead || this.#hasCrashed(CRASHES.CRASHES_WITHOUT_RETRY);
-    return isLikelyCause && !isGoingOn && !(await this.#isReachedElsewhere());
+    return (
+      key !== undefined &&
+      isLikelyCause &&
+      !isGoingOn &&
+      !(await this.#isReachedElsewhere())
+    );
   }
 
-  #describeSuspect(): CrashSuspect {
-    const { promptParts, customer = "", key } = this.#work;
+  #describeSuspect(key: RequestKey, hasHead: boolean): CrashSuspect {
+    const { promptParts, customer = "" } = this.#work;
     const hasBegun = this.#hasBegun;
-    return {
-      request: key?.full ?? "",
-      parts: hasBegun ? [] : promptParts,
-      customer,
-      hasHead: this.#head !== undefined && !hasBegun,
-      hasBegun,
-    };
+    const parts = hasBegun ? [] : promptParts;
+    return { request: key.full, parts, customer, hasHead, hasBegun };
   }
 
   /** Returns whether upstreams crashed under the request that often. */
