Take a refusal for a doubtful end where an earlier one may have been written again

A report of other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers heard "not run" for what was running.

Cause: a refusal was believed without a sign whose it was. Now one on a kept connection that names no request, or the one that was refused there before, ends the attempt as lost: retried where that is allowed, told as "may have run", and the connection is closed.

--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -5,7 +5,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { ConnectionPool } from "@gooseberryline/daemon";
-import type { CallDialect } from "../dialect/types.ts";
+import type { CallDialect, ResponseHead } from "../dialect/types.ts";
 import { EXCHANGE } from "./constants.ts";
 import { StallTimer } from "./stall_timer.ts";
 import type {
@@ -15,6 +15,9 @@
   ExchangeOptions,
 } from "./types.ts";
 
+/** The request that was last refused on a connection, by the connection. */
+const lastRefused = new WeakMap<Socket, string>();
+
 type UpstreamExchangeParts = ExchangeEvents & {
   readonly pool: ConnectionPool;
   readonly dialect: CallDialect;
@@ -115,6 +118,11 @@
     }
     this.#parts.onAnswer?.(status, responseHead);
     if (responseHead.isUnexecuted) {
+      if (this.#mayBeEarlierRefusal(responseHead, response.socket)) {
+        this.#endLost("the refusal may be an earlier one");
+        this.#request.destroy();
+        return;
+      }
       response.resume();
       this.#end({ kind: "unexecuted", status });
       return;
@@ -128,6 +136,18 @@
     onHead(describeHead(response, status));
   }
 
+  /**
+   * Returns whether a refusal may have been written for an earlier request on the
+   * connection, so that this one may be running. Remembers what was refused.
+   */
+  #mayBeEarlierRefusal(head: ResponseHead, socket: Socket): boolean {
+    const { requestId } = this.#options;
+    const isSameAsBefore =
+      head.requestId === undefined || lastRefused.get(socket) === requestId;
+    lastRefused.set(socket, requestId ?? "");
+    return this.#request.reusedSocket && isSameAsBefore;
+  }
+
   #handleChunk(response: IncomingMessage, chunk: Buffer): void {
     if (this.#isEnded) {
       return;
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -28,6 +28,9 @@
   readonly idPrefix?: string;
   /** The request's body. */
   readonly body?: string;
+  readonly requestId?: string;
+  /** The connections to upstreams; by default they end with the request. */
+  readonly pool?: ConnectionPool;
   /** The view of the instance; a new one by default. */
   readonly view?: FleetView;
 };
@@ -68,6 +71,8 @@
   promptParts = [],
   idPrefix = "u",
   body = "prompt",
+  requestId = "r1",
+  pool: givenPool,
   view = createView(),
 }: RunParts): TestRun {
   addresses.forEach((address, index) => {
@@ -100,7 +105,7 @@
     key: new RequestKey(content),
     head: {
       ...plainDialect.parseCallHead({}),
-      requestId: "r1",
+      requestId,
       lastEventId,
       promptParts,
     },
@@ -110,7 +115,7 @@
     headers: {},
     receivedMs: view.readNowMs(),
   };
-  const pool = new ConnectionPool(1_000);
+  const pool = givenPool ?? new ConnectionPool(1_000);
   let onEnded: (outcome: string) => void = () => undefined;
   const ended = new Promise<string>((resolve) => {
     onEnded = resolve;
@@ -121,7 +126,9 @@
     dialect: plainDialect,
     log: SILENT_LOG,
     onDone: (outcome) => {
-      pool.stop();
+      if (givenPool === undefined) {
+        pool.stop();
+      }
       onEnded(outcome);
     },
   });
--- a/packages/gateway/src/testing/start_raw_upstream.ts
+++ b/packages/gateway/src/testing/start_raw_upstream.ts
@@ -10,18 +10,25 @@
   readonly close: () => Promise<void>;
 };
 
-/** Starts an upstream that answers each request head with `answer`. */
+const REQUEST_START = "POST ";
+
+/**
+ * Starts an upstream that answers each request head with `answer`, which gets the
+ * connection and the number of requests received so far.
+ */
 export async function startRawUpstream(
-  answer: (socket: Socket) => void,
+  answer: (socket: Socket, count: number) => void,
 ): Promise<RawUpstream> {
   const sockets = new Set<Socket>();
   let requests = 0;
   const server = createServer((socket) => {
     sockets.add(socket);
     socket.on("error", () => sockets.delete(socket));
-    socket.once("data", () => {
-      requests += 1;
-      answer(socket);
+    socket.on("data", (bytes) => {
+      if (bytes.toString("latin1").startsWith(REQUEST_START)) {
+        requests += 1;
+        answer(socket, requests);
+      }
     });
   });
   await new Promise<void>((resolve) => {
