Let only events that follow go on a stream that broke off

A report of other operators: a stream broke off, the next upstream answered with an error, and callers found the error's text in their stream, or an end in order.

Cause: the type of an answer alone made it a stream, and a missing id counted as in order. Now only a 200 of the stream's type is one; the first event of a resumed stream has to name its place; any other answer is a failed attempt, retried where that is allowed, else the stream is visibly cut.

--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -118,7 +118,7 @@
   }
 
   #handleChunk(chunk: Buffer): boolean {
-    if (this.#head?.status !== OK) {
+    if (this.#head?.status !== OK || !this.#head.isEventStream) {
       return true;
     }
     const { events, rest } = splitEvents(this.#held, chunk);
@@ -131,7 +131,10 @@
 
   #appendEvent({ id, data }: StreamEvent): boolean {
     const last = this.#lastEventId;
-    if (id !== undefined && last !== undefined && id !== last + 1) {
+    const isResuming =
+      this.#texts.length === this.waiting.text.texts.length &&
+      last !== undefined;
+    if (id === undefined ? isResuming : last !== undefined && id !== last + 1) {
       return false;
     }
     if (data !== undefined) {
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -21,6 +21,7 @@
   readonly onDone: (outcome: string, tookMs: number) => void;
 };
 
+const OK = 200;
 const SERVER_ERROR = 500;
 
 /** Runs a caller's request: chooses upstreams, relays the response, retries. */
@@ -174,7 +175,8 @@
   #isStream(): boolean {
     return (
       this.#call.route.shape === CALL_SHAPES.stream &&
-      this.#head?.isEventStream === true
+      this.#head?.isEventStream === true &&
+      this.#head.status === OK
     );
   }
 
@@ -210,8 +212,10 @@
       return;
     }
     const end = { kind: "lost", reason: `an answer of ${status}` } as const;
-    // A server error may be specific to this upstream, so try another one.
-    if (status >= SERVER_ERROR && this.#decide(end).kind === "retry") {
+    // Nothing but events can follow events. A server error may be specific to
+    // this upstream. Another one may do better in both cases.
+    const isRetryable = this.#hasStarted || status >= SERVER_ERROR;
+    if (isRetryable && this.#decide(end).kind === "retry") {
       this.#tracker.recordFailure();
       this.#handleFailure(end);
       return;
--- a/packages/gateway/src/requests/stream_relay.ts
+++ b/packages/gateway/src/requests/stream_relay.ts
@@ -21,6 +21,8 @@
   /** Whether the next event id has to be the successor of the last one. */
   #isStarted = false;
   #events = 0;
+  /** Whether what comes next has to show that it follows. */
+  #isResuming = false;
 
   constructor(
     reply: CallReply,
@@ -47,9 +49,13 @@
     return this.#held.length === 0;
   }
 
-  /** Discards the partial event of a previous upstream. */
+  /**
+   * Discards the partial event of a previous upstream. If events were relayed, the
+   * first of the next upstream has to name its place after them.
+   */
   restart(): void {
     this.#held = NO_BYTES;
+    this.#isResuming = this.#events > 0;
   }
 
   relayChunk(chunk: Buffer): RelayResult {
@@ -69,8 +75,9 @@
 
   #acceptEvent({ id }: StreamEvent): boolean {
     if (id === undefined) {
-      return true;
+      return !this.#isResuming;
     }
+    this.#isResuming = false;
     const last = this.#lastEventId;
     if (this.#isStarted && last !== undefined && id !== last + 1) {
       return false;
--- /dev/null
+++ b/packages/gateway/src/testing/create_item_pool.ts
@@ -0,0 +1,83 @@
+import type { BatchResult } from "@gooseberryline/core";
+import { ConnectionPool } from "@gooseberryline/daemon";
+import { expect, vi } from "vitest";
+import { buildJob } from "../jobs/build_job.ts";
+import { ItemPool } from "../jobs/item_pool.ts";
+import { createView } from "./create_view.ts";
+import { JOB_ROUTE } from "./job_route.ts";
+import { plainDialect } from "./plain_dialect.ts";
+import { SILENT_LOG } from "./silent_log.ts";
+import type { TestUpstream } from "./start_upstream.ts";
+
+const SERVICE = "s";
+const ROUTE = { ...JOB_ROUTE, targets: [{ service: SERVICE, weight: 1 }] };
+
+type ItemUpstream = Pick<TestUpstream, "address">;
+
+/** Creates a pool with a job of one item, submitted `ageMs` ago, and upstreams. */
+export function createItemPool(
+  ageMs: number,
+  upstreams: readonly ItemUpstream[],
+) {
+  const view = createView("run");
+  view.adoptConfig({
+    revision: 1,
+    routes: [ROUTE],
+    services: [],
+    customers: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  });
+  const addUpstream = ({ address }: ItemUpstream, id: string): void =>
+    view.directory.set({
+      id,
+      service: SERVICE,
+      address,
+      dataCentre: "a",
+      slots: 8,
+      isDraining: false,
+      coldUntilMs: 0,
+    });
+  upstreams.forEach((upstream, index) => {
+    addUpstream(upstream, `u${index}`);
+  });
+  const results: BatchResult[] = [];
+  const pool = new ItemPool({
+    view,
+    pool: new ConnectionPool(1_000),
+    dialect: plainDialect,
+    log: SILENT_LOG,
+    onResult: (_, __, result) => {
+      results.push(result);
+    },
+  });
+  const headers = { Parts: "a x" };
+  const items = [{ id: "i1", path: "/b/x", headers, body: "", tokens: 1 }];
+  const submittedAtMs = Date.now() - ageMs;
+  const accepted = { id: "j1", customer: "t1", route: ROUTE };
+  const built = { ...accepted, items, submittedAtMs };
+  const { job } = buildJob({ ...built, workers: [], writer: "w" });
+  const claim = { owner: "w", incarnation: "1", dueAtMs: 0 };
+  pool.addJob({
+    job,
+    items,
+    claim,
+    claimRevision: 1,
+    listed: [],
+    texts: new Map(),
+    progressRevision: 1,
+  });
+  const waitForResult = () =>
+    vi.waitFor(
+      () => {
+        pool.step();
+        expect(results).toHaveLength(1);
+      },
+      { timeout: 5_000, interval: 20 },
+    );
+  return { view, results, addUpstream, waitForResult };
+}
