--- a/packages/core/src/crashes/constants.ts
+++ b/packages/core/src/crashes/constants.ts
@@ -42,6 +42,12 @@
   MAX_EVIDENCE: 128,
   /** Suspects kept of one crash. */
   MAX_SUSPECTS: 32,
+  /**
+   * Time for which a block holds at first, in ms; longer than evidence lasts.
+   * Doubles each time that it is needed again.
+   */
+  BLOCK_MS: 900_000,
+  MAX_BLOCK_MS: 86_400_000,
   /** Blocks in force at the same time. */
   MAX_BLOCKS: 64,
   /** Parts whose last sound answer is remembered. */
--- a/packages/core/src/crashes/merge_crash_block.ts
+++ b/packages/core/src/crashes/merge_crash_block.ts
@@ -3,28 +3,35 @@
 
 /**
  * Adds a block to those in force. One of the same parts gains customers and
- * upstreams; one of more parts is replaced, as the new one is more exact. Returns
- * the same list if nothing changes.
+ * upstreams; one of more parts is replaced, as the new one is more exact; a later
+ * term replaces an earlier one. Returns the same list if nothing changes.
  */
 export function mergeCrashBlock(
   blocks: readonly CrashBlock[],
   added: CrashBlock,
 ): readonly CrashBlock[] {
   return added.kind === "request"
-    ? addRequestBlock(blocks, added)
+    ? mergeRequestBlock(blocks, added)
     : mergePromptBlock(blocks, added);
 }
 
-function addRequestBlock(
+function mergeRequestBlock(
   blocks: readonly CrashBlock[],
   added: RequestBlock,
 ): readonly CrashBlock[] {
-  const isKnown = blocks.some(
+  const known = blocks.find(
     (block) => block.kind === "request" && block.request === added.request,
   );
-  return isKnown || blocks.length >= CRASHES.MAX_BLOCKS
-    ? blocks
-    : [...blocks, added];
+  if (known === undefined) {
+    return blocks.length < CRASHES.MAX_BLOCKS ? [...blocks, added] : blocks;
+  }
+  return isLaterTerm(added, known)
+    ? blocks.map((block) => (block === known ? added : block))
+    : blocks;
+}
+
+function isLaterTerm(added: CrashBlock, known: CrashBlock): boolean {
+  return (added.term ?? 0) > (known.term ?? 0);
 }
 
 function mergePromptBlock(
@@ -40,12 +47,13 @@
     );
     return others.length < CRASHES.MAX_BLOCKS ? [...others, added] : blocks;
   }
-  const hasNews = !isSubset(added.customers, known.customers);
-  if (!hasNews) {
+  const isLater = isLaterTerm(added, known);
+  if (!isLater && isSubset(added.customers, known.customers)) {
     return blocks;
   }
   const merged: PromptBlock = {
     ...known,
+    ...(isLater ? { term: added.term, expiresAtMs: added.expiresAtMs } : {}),
     customers: [...new Set([...known.customers, ...added.customers])],
     upstreams: [...new Set([...known.upstreams, ...added.upstreams])],
   };
--- a/packages/core/src/crashes/types.ts
+++ b/packages/core/src/crashes/types.ts
@@ -42,8 +42,16 @@
   readonly ageMs: number;
 };
 
+/** How long a block holds; not set before it is in force. */
+type BlockTerm = {
+  /** Number of times that it was put in force, 1 or more. */
+  readonly term?: number | undefined;
+  /** Unix time of its end, in ms. */
+  readonly expiresAtMs?: number | undefined;
+};
+
 /** A request that is refused, with its repeats. */
-export type RequestBlock = {
+export type RequestBlock = BlockTerm & {
   readonly kind: "request";
   /** Its key. */
   readonly request: string;
@@ -55,7 +63,7 @@
  * Prompt parts that are refused where they occur together. More than one as long
  * as nothing tells which of them crashes upstreams.
  */
-export type PromptBlock = {
+export type PromptBlock = BlockTerm & {
   readonly kind: "prompt";
   readonly parts: readonly string[];
   /**
--- a/packages/gateway/src/crashes/block_keeper.ts
+++ b/packages/gateway/src/crashes/block_keeper.ts
@@ -22,8 +22,8 @@
 };
 
 /**
- * Keeps blocks in the store, for instances that start later. An
- * operator lifts a block by removing its record.
+ * Keeps blocks in the store, for instances that start later. An operator lifts a
+ * block by removing its record.
  */
 export class BlockKeeper {
   readonly #parts: BlockKeeperParts;
@@ -62,6 +62,9 @@
     }
     this.#stored.set(blockId, { revision, customers: listCustomers(block) });
     tracker.addBlock(block, "store");
+    if (!tracker.blocks.some((known) => buildBlockId(known) === blockId)) {
+      this.#writeLater(block);
+    }
   }
 
   stop(): void {
--- a/packages/gateway/src/crashes/crash_tracker.ts
+++ b/packages/gateway/src/crashes/crash_tracker.ts
@@ -8,13 +8,11 @@
   type CrashVerdict,
   decideCrashBlocks,
   decideCrashVerdict,
-  holdsBlock,
   mergeCrash,
-  mergeCrashBlock,
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import { addRecentEntry } from "../add_recent_entry.ts";
-import { buildBlockId } from "./build_block_id.ts";
+import { BlockList } from "./block_list.ts";
 import { CRASH_TIMES } from "./constants.ts";
 import type { RequestKey } from "./request_key.ts";
 
@@ -22,7 +20,7 @@
 export type BlockSource = "evidence" | "peer" | "store";
 
 /** Why a block no longer holds. */
-export type LiftReason = "record removed" | "upstreams reached";
+export type LiftReason = "record removed" | "upstreams reached" | "time over";
 
 /** An attempt in flight; told without parts once its answer has begun. */
 export type PendingAttempt = BlockSubject & {
@@ -38,6 +36,7 @@
 type CrashTrackerParts = {
   readonly instanceId: string;
   readonly readNowMs: () => number;
+  readonly readUnixMs: () => number;
   /** Returns whether an upstream has sent data to any instance since then. */
   readonly hasActivitySince: (upstreamId: string, sinceMs: number) => boolean;
   readonly findUpstream: (upstreamId: string) => UpstreamEntry | undefined;
@@ -51,7 +50,7 @@
 export class CrashTracker {
   readonly #parts: CrashTrackerParts;
   #crashes: readonly Crash[] = [];
-  #blocks: readonly CrashBlock[] = [];
+  readonly #list: BlockList;
   /** What this instance saw itself, to report to peers. */
   #ownCrashes: readonly Crash[] = [];
   /** The registrations of upstreams that may have crashed, by their ids. */
@@ -61,8 +60,6 @@
    * at a peer.
    */
   readonly #lastSoundMs = new Map<string, number>();
-  /** When an operator lifted a block, by its id. */
-  readonly #liftedMs = new Map<string, number>();
   readonly #pending = new Set<PendingAttempt>();
   /** The verdicts that were told, by upstream. */
   readonly #verdicts = new Map<string, CrashVerdict>();
@@ -80,14 +77,15 @@
 
   constructor(parts: CrashTrackerParts) {
     this.#parts = parts;
+    this.#list = new BlockList(parts);
   }
 
   get blocks(): readonly CrashBlock[] {
-    return this.#blocks;
+    return this.#list.blocks;
   }
 
   findBlock(subject: BlockSubject): CrashBlock | undefined {
-    return this.#blocks.find((block) => holdsBlock(block, subject));
+    return this.#list.find(subject);
   }
 
   /**
@@ -210,7 +208,8 @@
         ageMs: Math.round(nowMs - atMs),
       }));
     const soundAges = this.#listSoundAges(nowMs);
-    const inForce = this.#blocks;
+    this.#endBlocks(this.#list.removeLapsed(), "time over");
+    const inForce = this.blocks;
     const isEmpty =
       crashes.length === 0 &&
       inForce.length === 0 &&
@@ -249,7 +248,7 @@
       })),
     );
     inForce
-      .filter((block) => !this.#isLifted(block, nowMs))
+      .filter((block) => !this.#list.isLifted(block))
       .filter((block) => !this.#isUnfounded(block))
       .forEach((block) => {
         this.addBlock(block, "peer");
@@ -285,11 +284,8 @@
    */
   review(): void {
     this.#recordLifeSigns();
-    const unfounded = this.#blocks.filter((block) => this.#isUnfounded(block));
-    this.#blocks = this.#blocks.filter((block) => !unfounded.includes(block));
-    unfounded.forEach((block) => {
-      this.onLift(block, "upstreams reached");
-    });
+    const unfounded = this.#list.remove((block) => this.#isUnfounded(block));
+    this.#endBlocks(unfounded, "upstreams reached");
     const nowMs = this.#parts.readNowMs();
     const crashed = this.#crashes.filter(
       (crash) => decideCrashVerdict(crash, nowMs) === "crashed",
@@ -299,6 +295,9 @@
         this.addBlock(block, "evidence");
       },
     );
+    this.#list.renewLapsed(crashed).forEach((block) => {
+      this.addBlock(block, "evidence");
+    });
     this.#tellVerdicts();
   }
 
@@ -351,9 +350,7 @@
 
   /** Puts a block in force and stops the attempts that it holds for. */
   addBlock(block: CrashBlock, source: BlockSource): void {
-    const before = this.#blocks;
-    this.#blocks = mergeCrashBlock(before, block);
-    if (this.#blocks === before) {
+    if (!this.#list.add(block)) {
       return;
     }
     this.onBlock(block, source);
@@ -371,22 +368,18 @@
    * peers that have yet to hear of it do not bring it back.
    */
   dropBlock(blockId: string): void {
-    const nowMs = this.#parts.readNowMs();
-    this.#liftedMs.set(blockId, nowMs);
-    const lifted = this.#blocks.filter(
-      (block) => buildBlockId(block) === blockId,
-    );
-    this.#blocks = this.#blocks.filter((block) => !lifted.includes(block));
+    const lifted = this.#list.lift(blockId);
     lifted.forEach((block) => {
       const keys = block.kind === "request" ? [block.request] : block.parts;
       this.recordSoundStart(keys);
-      this.onLift(block, "record removed");
     });
+    this.#endBlocks(lifted, "record removed");
   }
 
-  #isLifted(block: CrashBlock, nowMs: number): boolean {
-    const atMs = this.#liftedMs.get(buildBlockId(block));
-    return atMs !== undefined && nowMs - atMs < CRASHES.EVIDENCE_MS;
+  #endBlocks(ended: readonly CrashBlock[], reason: LiftReason): void {
+    ended.forEach((block) => {
+      this.onLift(block, reason);
+    });
   }
 
   #setLastSoundMs(key: string, atMs: number): void {
--- a/packages/gateway/src/crashes/crash_tracker_test.ts
+++ b/packages/gateway/src/crashes/crash_tracker_test.ts
@@ -241,3 +241,46 @@
   settle();
   expect(trackers.flatMap(({ blocks }) => blocks)).toEqual([]);
 });
+
+test("a block lapses everywhere and returns by one crash, for twice the time", () => {
+  const { clock, trackers, exchange, crash, settle } = createCrashTrackers(3);
+  const suspect = { ...X, request: createKey("prompt").full, parts: [] };
+  ["u1", "u2", "u3"].forEach((upstreamId) => {
+    crash(upstreamId, suspect);
+  });
+  settle();
+  exchange();
+  const countBlocks = () => trackers.map(({ blocks }) => blocks.length);
+  expect(countBlocks()).toEqual([1, 1, 1]);
+  clock.nowMs += CRASHES.BLOCK_MS;
+  exchange();
+  expect(countBlocks()).toEqual([0, 0, 0]);
+  crash("u4", suspect);
+  settle();
+  expect(countBlocks()).toEqual([1, 1, 1]);
+  clock.nowMs += CRASHES.BLOCK_MS + 1_000;
+  exchange();
+  expect(countBlocks()).toEqual([1, 1, 1]);
+  clock.nowMs += CRASHES.BLOCK_MS;
+  exchange();
+  expect(countBlocks()).toEqual([0, 0, 0]);
+});
+
+test("a request that goes on to crash upstreams does so ever more rarely", () => {
+  const { clock, trackers, exchange, crash, settle } = createCrashTrackers(2);
+  const key = createKey("prompt");
+  const suspect = { ...X, request: key.full, parts: [] };
+  const subject = { ...createSubject(), hasKey: (k: string) => key.matches(k) };
+  let crashes = 0;
+  const DAY_MS = 86_400_000;
+  while (clock.nowMs < DAY_MS) {
+    clock.nowMs += 60_000;
+    exchange();
+    if (trackers[0]?.findBlock(subject) === undefined) {
+      crashes += 1;
+      crash(`u${crashes}`, suspect);
+      settle();
+    }
+  }
+  expect(crashes).toBeLessThanOrEqual(3 + Math.log2(DAY_MS / CRASHES.BLOCK_MS));
+});
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -87,6 +87,7 @@
     this.crashes = new CrashTracker({
       instanceId,
       readNowMs,
+      readUnixMs: () => Date.now(),
       hasActivitySince: (id, sinceMs) => load.hasActivitySince(id, sinceMs),
       findUpstream: (id) => this.directory.find(id),
     });
--- a/packages/gateway/src/testing/create_crash_trackers.ts
+++ b/packages/gateway/src/testing/create_crash_trackers.ts
@@ -45,6 +45,7 @@
       new CrashTracker({
         instanceId: `i${index}`,
         readNowMs: () => clock.nowMs,
+        readUnixMs: () => clock.nowMs,
         hasActivitySince: (id, sinceMs) => (activityMs.get(id) ?? 0) > sinceMs,
         findUpstream: (id) => listEntry(id),
       }),
