Split the crash tracker: evidence, blocks, sound answers and waits apart

No change of behaviour but one: an attempt that goes on elsewhere at once may still wait for the verdict behind the caller's back.

--- a/packages/core/src/crashes/constants.ts
+++ b/packages/core/src/crashes/constants.ts
@@ -50,6 +50,6 @@
   MAX_BLOCK_MS: 86_400_000,
   /** Blocks in force at the same time. */
   MAX_BLOCKS: 64,
-  /** Parts whose last sound answer is remembered. */
-  MAX_SOUND_PARTS: 8_192,
+  /** Parts and requests whose last sound answer is remembered. */
+  MAX_SOUND_KEYS: 8_192,
 } as const;
--- a/packages/core/src/crashes/decide_crash_blocks.ts
+++ b/packages/core/src/crashes/decide_crash_blocks.ts
@@ -14,12 +14,12 @@
 ): readonly CrashBlock[] {
   const requestBlocks = decideRequestBlocks(crashes, getLastSoundMs);
   const blocked = new Set(requestBlocks.map(({ request }) => request));
-  const explained = crashes.map((crash) => acquitOthers(crash, blocked));
+  const explained = crashes.map((crash) => dropOtherSuspects(crash, blocked));
   return [...requestBlocks, ...decidePromptBlocks(explained, getLastSoundMs)];
 }
 
 /** Leaves only the blocked requests as suspects of a crash that has some. */
-function acquitOthers(crash: Crash, blocked: ReadonlySet<string>): Crash {
+function dropOtherSuspects(crash: Crash, blocked: ReadonlySet<string>): Crash {
   const suspects = crash.suspects.filter(({ request }) => blocked.has(request));
   return suspects.length > 0 ? { ...crash, suspects } : crash;
 }
--- a/packages/core/src/crashes/merge_crash.ts
+++ b/packages/core/src/crashes/merge_crash.ts
@@ -1,4 +1,5 @@
 import { CRASHES } from "./constants.ts";
+import { isSameCrash } from "./is_same_crash.ts";
 import type { Crash, CrashSuspect } from "./types.ts";
 
 /**
@@ -10,11 +11,7 @@
   crashes: readonly Crash[],
   crash: Crash,
 ): readonly Crash[] {
-  const known = crashes.find(
-    (other) =>
-      other.upstreamId === crash.upstreamId &&
-      Math.abs(other.atMs - crash.atMs) < CRASHES.SAME_CRASH_MS,
-  );
+  const known = crashes.find((other) => isSameCrash(other, crash));
   const merged = known === undefined ? crash : mergeReports(known, crash);
   if (known !== undefined && hasSameContent(known, merged)) {
     return crashes;
--- a/packages/core/src/crashes/renew_block.ts
+++ b/packages/core/src/crashes/start_block_term.ts
@@ -2,7 +2,7 @@
 import type { CrashBlock } from "./types.ts";
 
 /** Puts a block in force for its next term, each twice as long as the last. */
-export function renewBlock(block: CrashBlock, unixMs: number): CrashBlock {
+export function startBlockTerm(block: CrashBlock, unixMs: number): CrashBlock {
   const term = (block.term ?? 0) + 1;
   const lastsMs = Math.min(
     CRASHES.MAX_BLOCK_MS,
--- a/packages/gateway/src/crashes/block_keeper.ts
+++ b/packages/gateway/src/crashes/block_keeper.ts
@@ -6,7 +6,7 @@
 } from "@gooseberryline/core";
 import { blockRecord } from "./block_record.ts";
 import { buildBlockId } from "./build_block_id.ts";
-import { BLOCK_RECORDS } from "./constants.ts";
+import { CRASH_TIMES } from "./constants.ts";
 import type { CrashTracker } from "./crash_tracker.ts";
 import { listBlockFields } from "./list_block_fields.ts";
 
@@ -83,7 +83,7 @@
     if (this.#isStopped || this.#timers.has(blockId)) {
       return;
     }
-    const delayMs = Math.random() * BLOCK_RECORDS.MAX_WRITE_DELAY_MS;
+    const delayMs = Math.random() * CRASH_TIMES.MAX_WRITE_DELAY_MS;
     const timer = setTimeout(() => {
       this.#timers.delete(blockId);
       void this.#write(block);
--- a/packages/gateway/src/crashes/block_list.ts
+++ b/packages/gateway/src/crashes/block_list.ts
@@ -6,7 +6,7 @@
   holdsBlock,
   listLikelySuspects,
   mergeCrashBlock,
-  renewBlock,
+  startBlockTerm,
 } from "@gooseberryline/core";
 import { buildBlockId } from "./build_block_id.ts";
 
@@ -47,7 +47,8 @@
   /** Adds a block, for its first term if it has none; returns whether it is news. */
   add(block: CrashBlock): boolean {
     const unixMs = this.#clocks.readUnixMs();
-    const added = block.term === undefined ? renewBlock(block, unixMs) : block;
+    const added =
+      block.term === undefined ? startBlockTerm(block, unixMs) : block;
     const before = this.#blocks;
     if (!this.#isOver(added)) {
       this.#blocks = mergeCrashBlock(before, added);
@@ -76,15 +77,17 @@
   /** Removes lapsed blocks that a crash speaks for again; returns them renewed. */
   renewLapsed(crashes: readonly Crash[]): readonly CrashBlock[] {
     const renewed = this.#lapsed.filter(({ block, lapsedMs }) =>
-      crashes.some((crash) => crash.atMs > lapsedMs && speaksFor(crash, block)),
+      crashes.some(
+        (crash) => crash.atMs > lapsedMs && isEvidenceFor(crash, block),
+      ),
     );
     this.#lapsed = this.#lapsed.filter((lapsed) => !renewed.includes(lapsed));
     const unixMs = this.#clocks.readUnixMs();
     return renewed.map(({ block, lapsedMs }) => {
       const upstreams = crashes
-        .filter((crash) => crash.atMs > lapsedMs && speaksFor(crash, block))
+        .filter((crash) => crash.atMs > lapsedMs && isEvidenceFor(crash, block))
         .map(({ upstreamId }) => upstreamId);
-      return renewBlock({ ...block, upstreams }, unixMs);
+      return startBlockTerm({ ...block, upstreams }, unixMs);
     });
   }
 
@@ -113,7 +116,7 @@
   }
 }
 
-function speaksFor(crash: Crash, block: CrashBlock): boolean {
+function isEvidenceFor(crash: Crash, block: CrashBlock): boolean {
   const suspects =
     block.kind === "request" ? crash.suspects : listLikelySuspects(crash);
   return suspects.some(({ parts, customer, request }) =>
--- /dev/null
+++ b/packages/gateway/src/crashes/crash_evidence.ts
@@ -0,0 +1,135 @@
+import {
+  CRASHES,
+  type Crash,
+  type CrashReport,
+  type CrashVerdict,
+  decideCrashVerdict,
+  isSameCrash,
+  isSuccessor,
+  mergeCrash,
+  type UpstreamEntry,
+} from "@gooseberryline/core";
+import { addRecentEntry } from "../add_recent_entry.ts";
+
+/** What the evidence is judged by. */
+export type CrashEvidenceParts = {
+  readonly instanceId: string;
+  /** Returns the monotonic time, in ms. */
+  readonly readNowMs: () => number;
+  /** Returns whether an upstream has sent data to any instance since then. */
+  readonly hasActivitySince: (upstreamId: string, sinceMs: number) => boolean;
+  readonly findUpstream: (upstreamId: string) => UpstreamEntry | undefined;
+};
+
+/** Possible crashes of upstreams, as seen here and told by peers. */
+export class CrashEvidence {
+  readonly #parts: CrashEvidenceParts;
+  #crashes: readonly Crash[] = [];
+  /** What this instance saw itself, to report to peers. */
+  #own: readonly Crash[] = [];
+  /** The registrations of upstreams that may have crashed, by their ids. */
+  readonly #entries = new Map<string, UpstreamEntry>();
+
+  constructor(parts: CrashEvidenceParts) {
+    this.#parts = parts;
+  }
+
+  get crashes(): readonly Crash[] {
+    return this.#crashes;
+  }
+
+  /** Lists the crashes that are confirmed. */
+  listCrashed(): readonly Crash[] {
+    const nowMs = this.#parts.readNowMs();
+    return this.#crashes.filter(
+      (crash) => decideCrashVerdict(crash, nowMs) === "crashed",
+    );
+  }
+
+  /** Returns what the latest possible crash of an upstream was. */
+  findVerdict(upstreamId: string): CrashVerdict {
+    const crash = this.#crashes.findLast(
+      (known) => known.upstreamId === upstreamId,
+    );
+    return crash === undefined
+      ? "unknown"
+      : decideCrashVerdict(crash, this.#parts.readNowMs());
+  }
+
+  /** Adds reports; returns the changed crashes, and those that are new here. */
+  add(crashes: readonly Crash[]): {
+    readonly isChanged: boolean;
+    readonly added: readonly Crash[];
+  } {
+    const before = this.#crashes;
+    this.#crashes = crashes.reduce(mergeCrash, before);
+    const added = this.#crashes.filter(
+      (crash) => !before.some((known) => isSameCrash(known, crash)),
+    );
+    added.forEach(({ upstreamId }) => {
+      this.#keepEntry(upstreamId);
+    });
+    return { isChanged: this.#crashes !== before, added };
+  }
+
+  /** Adds what this instance saw itself to what peers are told. */
+  addOwn(crash: Crash): void {
+    this.#own = mergeCrash(this.#own, crash);
+  }
+
+  #keepEntry(upstreamId: string): void {
+    const entry = this.#parts.findUpstream(upstreamId);
+    if (entry !== undefined) {
+      const maxEntries = CRASHES.MAX_EVIDENCE;
+      addRecentEntry(this.#entries, upstreamId, entry, maxEntries);
+    }
+  }
+
+  /** Lists the crashes whose upstream is replaced by a process that is listed. */
+  listReplacedBy(entry: UpstreamEntry): readonly Crash[] {
+    const nowMs = this.#parts.readNowMs();
+    return this.#crashes
+      .filter(({ isReplaced }) => !isReplaced)
+      .filter(({ atMs }) => nowMs - atMs < CRASHES.SUCCESSOR_MS)
+      .filter(({ upstreamId }) => {
+        const earlier = this.#entries.get(upstreamId);
+        return earlier !== undefined && isSuccessor(entry, earlier);
+      })
+      .map((crash) => ({ ...crash, isReplaced: true }));
+  }
+
+  /** Adds that data arrived from upstreams after they seemed to crash. */
+  addLifeSigns(): void {
+    const { readNowMs, hasActivitySince, instanceId } = this.#parts;
+    const nowMs = readNowMs();
+    const alive = this.#crashes
+      .filter(({ atMs }) => nowMs - atMs < CRASHES.LIFE_SIGN_MS)
+      .filter(({ reachedAt }) => !reachedAt.includes(instanceId))
+      .filter(({ upstreamId, atMs }) =>
+        hasActivitySince(upstreamId, atMs + CRASHES.ARRIVAL_MARGIN_MS),
+      )
+      .map((crash) => ({ ...crash, suspects: [], reachedAt: [instanceId] }));
+    this.#crashes = alive.reduce(mergeCrash, this.#crashes);
+    this.#own = alive.reduce(mergeCrash, this.#own);
+  }
+
+  /** Lists what this instance saw lately, for peers. */
+  listReports(): readonly CrashReport[] {
+    const nowMs = this.#parts.readNowMs();
+    return this.#own
+      .filter(({ atMs }) => nowMs - atMs < CRASHES.REPORT_MS)
+      .map(({ atMs, isReplaced, ...crash }) => ({
+        ...crash,
+        ageMs: Math.round(nowMs - atMs),
+      }));
+  }
+
+  /** Lists the requests and parts that recent crashes speak against. */
+  listSuspectedKeys(): readonly string[] {
+    const nowMs = this.#parts.readNowMs();
+    return this.#crashes
+      .filter(({ atMs }) => nowMs - atMs < CRASHES.SUSPICION_MS)
+      .flatMap(({ suspects }) => suspects)
+      .flatMap(({ request, parts }) => [request, ...parts]);
+  }
+}
--- a/packages/gateway/src/crashes/crash_tracker.ts
+++ b/packages/gateway/src/crashes/crash_tracker.ts
@@ -7,14 +7,14 @@
   type CrashSuspect,
   type CrashVerdict,
   decideCrashBlocks,
-  decideCrashVerdict,
-  mergeCrash,
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import { addRecentEntry } from "../add_recent_entry.ts";
 import { BlockList } from "./block_list.ts";
-import { CRASH_TIMES } from "./constants.ts";
+import { CrashEvidence, type CrashEvidenceParts } from "./crash_evidence.ts";
 import type { RequestKey } from "./request_key.ts";
+import { SoundAnswers } from "./sound_answers.ts";
+import { VerdictWaits } from "./verdict_waits.ts";
 
 /** How a block became known. */
 export type BlockSource = "evidence" | "peer" | "store";
@@ -28,42 +28,24 @@
   readonly stop: (block: CrashBlock) => void;
 };
 
-type VerdictWait = {
-  readonly upstreamId: string;
-  readonly settle: (verdict: CrashVerdict) => void;
-};
-
-type CrashTrackerParts = {
-  readonly instanceId: string;
-  readonly readNowMs: () => number;
+type CrashTrackerParts = CrashEvidenceParts & {
   readonly readUnixMs: () => number;
-  /** Returns whether an upstream has sent data to any instance since then. */
-  readonly hasActivitySince: (upstreamId: string, sinceMs: number) => boolean;
-  readonly findUpstream: (upstreamId: string) => UpstreamEntry | undefined;
 };
 
 /**
  * Tracks which requests and prompt parts were being answered when upstreams
- * crashed, and which are blocked for it. Evidence and blocks are those of the whole fleet, as
- * far as peers have told.
+ * crashed, and which are blocked for it. Evidence and blocks are those of the
+ * whole fleet, as far as peers have told.
  */
 export class CrashTracker {
   readonly #parts: CrashTrackerParts;
-  #crashes: readonly Crash[] = [];
+  readonly #evidence: CrashEvidence;
   readonly #list: BlockList;
-  /** What this instance saw itself, to report to peers. */
-  #ownCrashes: readonly Crash[] = [];
-  /** The registrations of upstreams that may have crashed, by their ids. */
-  readonly #entries = new Map<string, UpstreamEntry>();
-  /**
-   * When an answer last began on a part, or a request was answered whole, here or
-   * at a peer.
-   */
-  readonly #lastSoundMs = new Map<string, number>();
+  readonly #sound = new SoundAnswers();
+  readonly #waits = new VerdictWaits((id) => this.findVerdict(id));
   readonly #pending = new Set<PendingAttempt>();
   /** The verdicts that were told, by upstream. */
   readonly #verdicts = new Map<string, CrashVerdict>();
-  readonly #waiting = new Set<VerdictWait>();
   /** Called for what peers have to learn before the next interval. */
   onUrgentNews: () => void = () => undefined;
   /** Called for each possible crash that this instance had not heard of. */
@@ -77,6 +59,7 @@
 
   constructor(parts: CrashTrackerParts) {
     this.#parts = parts;
+    this.#evidence = new CrashEvidence(parts);
     this.#list = new BlockList(parts);
   }
 
@@ -93,39 +76,22 @@
    * whole, without those that were only cut paths.
    */
   countCrashesUnder(key: RequestKey): number {
-    return this.#crashes.filter(
+    return this.#evidence.crashes.filter(
       ({ reachedAt, suspects, atMs }) =>
         reachedAt.length === 0 &&
         suspects.some(({ request }) => key.matches(request)) &&
-        this.#getLastSoundMs(key.full) < atMs,
+        this.#sound.getLastMs(key.full) < atMs,
     ).length;
   }
 
   /** Returns what the latest possible crash of an upstream was. */
   findVerdict(upstreamId: string): CrashVerdict {
-    const crash = this.#crashes.findLast(
-      (known) => known.upstreamId === upstreamId,
-    );
-    return crash === undefined
-      ? "unknown"
-      : decideCrashVerdict(crash, this.#parts.readNowMs());
+    return this.#evidence.findVerdict(upstreamId);
   }
 
   /** Waits until it is known what a crash was; `unknown` after some time. */
   awaitVerdict(upstreamId: string): Promise<CrashVerdict> {
-    return new Promise((resolve) => {
-      const settle = (verdict: CrashVerdict): void => {
-        clearTimeout(timer);
-        this.#waiting.delete(wait);
-        resolve(verdict);
-      };
-      const wait = { upstreamId, settle };
-      const timer = setTimeout(() => {
-        settle(this.findVerdict(upstreamId));
-      }, CRASH_TIMES.MAX_VERDICT_WAIT_MS);
-      this.#waiting.add(wait);
-      this.#tellVerdicts();
-    });
+    return this.#waits.wait(upstreamId);
   }
 
   /** Follows an attempt until it ends. */
@@ -139,12 +105,12 @@
 
   /** Records that a request was answered whole. */
   recordWholeAnswer(key: RequestKey): void {
-    const isSuspected = this.#crashes.some(({ suspects }) =>
+    const isSuspected = this.#evidence.crashes.some(({ suspects }) =>
       suspects.some(({ request }) => key.matches(request)),
     );
     // One that breaks and is answered elsewhere at once is suspected only later.
     if (isSuspected || key.isHashed) {
-      this.#setLastSoundMs(key.full, this.#parts.readNowMs());
+      this.#sound.record(key.full, this.#parts.readNowMs());
     }
   }
 
@@ -152,7 +118,7 @@
   recordSoundStart(parts: readonly string[]): void {
     const nowMs = this.#parts.readNowMs();
     parts.forEach((part) => {
-      this.#setLastSoundMs(part, nowMs);
+      this.#sound.record(part, nowMs);
     });
   }
 
@@ -177,38 +143,22 @@
 
   #recordOwn(seen: Omit<Crash, "isReplaced">): void {
     const crash = { ...seen, isReplaced: false };
-    this.#ownCrashes = mergeCrash(this.#ownCrashes, crash);
+    this.#evidence.addOwn(crash);
     this.#addCrashes([crash]);
     this.onUrgentNews();
   }
 
   /** Records that the platform lists this process, maybe in another's place. */
   recordListed(entry: UpstreamEntry): void {
-    const nowMs = this.#parts.readNowMs();
-    const replaced = this.#crashes.filter(
-      ({ upstreamId, atMs, isReplaced }) =>
-        !isReplaced &&
-        nowMs - atMs < CRASHES.SUCCESSOR_MS &&
-        isSuccessor(entry, this.#entries.get(upstreamId)),
-    );
-    if (replaced.length > 0) {
-      this.#addCrashes(
-        replaced.map((crash) => ({ ...crash, isReplaced: true })),
-      );
-    }
+    this.#addCrashes(this.#evidence.listReplacedBy(entry));
   }
 
   /** Returns what to tell peers; undefined if there is nothing. */
   buildNews(): CrashNews | undefined {
-    const nowMs = this.#parts.readNowMs();
-    const crashes = this.#ownCrashes
-      .filter(({ atMs }) => nowMs - atMs < CRASHES.REPORT_MS)
-      .map(({ atMs, isReplaced, ...crash }) => ({
-        ...crash,
-        ageMs: Math.round(nowMs - atMs),
-      }));
-    const soundAges = this.#listSoundAges(nowMs);
     this.#endBlocks(this.#list.removeLapsed(), "time over");
+    const crashes = this.#evidence.listReports();
+    const suspected = this.#evidence.listSuspectedKeys();
+    const soundAges = this.#sound.listAges(suspected, this.#parts.readNowMs());
     const inForce = this.blocks;
     const isEmpty =
       crashes.length === 0 &&
@@ -217,28 +167,10 @@
     return isEmpty ? undefined : { crashes, soundAges, blocks: [], inForce };
   }
 
-  /** Lists the ages of sound answers that speak against recent suspicions. */
-  #listSoundAges(nowMs: number): Readonly<Record<string, number>> {
-    const suspected = this.#crashes
-      .filter(({ atMs }) => nowMs - atMs < CRASHES.SUSPICION_MS)
-      .flatMap(({ suspects }) => suspects)
-      .flatMap(({ request, parts }) => [request, ...parts]);
-    const ages = [...new Set(suspected)].flatMap((part) => {
-      const atMs = this.#lastSoundMs.get(part);
-      return atMs === undefined || nowMs - atMs > CRASHES.REPORT_MS
-        ? []
-        : [[part, Math.round(nowMs - atMs)] as const];
-    });
-    return Object.fromEntries(ages);
-  }
-
   recordPeerNews({ crashes, soundAges, inForce }: CrashNews): void {
     const nowMs = this.#parts.readNowMs();
-    Object.entries(soundAges).forEach(([part, ageMs]) => {
-      const atMs = nowMs - ageMs;
-      if (atMs > this.#getLastSoundMs(part)) {
-        this.#setLastSoundMs(part, atMs);
-      }
+    Object.entries(soundAges).forEach(([key, ageMs]) => {
+      this.#sound.record(key, nowMs - ageMs);
     });
     this.#addCrashes(
       crashes.map(({ ageMs, ...crash }) => ({
@@ -256,25 +188,12 @@
   }
 
   #addCrashes(crashes: readonly Crash[]): void {
-    const before = this.#crashes;
-    this.#crashes = crashes.reduce(mergeCrash, before);
-    if (this.#crashes === before) {
-      return;
-    }
-    this.#crashes
-      .filter((crash) => !before.some((known) => isSameCrash(known, crash)))
-      .forEach((crash) => {
-        this.#keepEntry(crash.upstreamId);
-        this.onNewCrash(crash);
-      });
-    this.review();
-  }
-
-  #keepEntry(upstreamId: string): void {
-    const entry = this.#parts.findUpstream(upstreamId);
-    if (entry !== undefined) {
-      const maxEntries = CRASHES.MAX_EVIDENCE;
-      addRecentEntry(this.#entries, upstreamId, entry, maxEntries);
+    const { isChanged, added } = this.#evidence.add(crashes);
+    added.forEach((crash) => {
+      this.onNewCrash(crash);
+    });
+    if (isChanged) {
+      this.review();
     }
   }
 
@@ -283,58 +202,31 @@
    * passed. Lifts blocks by crashes that were none.
    */
   review(): void {
-    this.#recordLifeSigns();
+    this.#evidence.addLifeSigns();
     const unfounded = this.#list.remove((block) => this.#isUnfounded(block));
     this.#endBlocks(unfounded, "upstreams reached");
-    const nowMs = this.#parts.readNowMs();
-    const crashed = this.#crashes.filter(
-      (crash) => decideCrashVerdict(crash, nowMs) === "crashed",
-    );
-    decideCrashBlocks(crashed, (key) => this.#getLastSoundMs(key)).forEach(
-      (block) => {
-        this.addBlock(block, "evidence");
-      },
+    const crashed = this.#evidence.listCrashed();
+    const decided = decideCrashBlocks(crashed, (key) =>
+      this.#sound.getLastMs(key),
     );
-    this.#list.renewLapsed(crashed).forEach((block) => {
+    [...decided, ...this.#list.renewLapsed(crashed)].forEach((block) => {
       this.addBlock(block, "evidence");
     });
-    this.#tellVerdicts();
-  }
-
-  #tellVerdicts(): void {
-    [...this.#waiting].forEach(({ upstreamId, settle }) => {
-      const verdict = this.findVerdict(upstreamId);
-      if (verdict !== "unknown") {
-        settle(verdict);
-      }
-    });
-    const nowMs = this.#parts.readNowMs();
-    this.#crashes.forEach((crash) => {
-      const { upstreamId } = crash;
-      const verdict = decideCrashVerdict(crash, nowMs);
-      const isKnown =
-        verdict === "unknown" || this.#verdicts.get(upstreamId) === verdict;
-      if (!isKnown) {
-        const maxEntries = CRASHES.MAX_EVIDENCE;
-        addRecentEntry(this.#verdicts, upstreamId, verdict, maxEntries);
-        this.onVerdict(crash, verdict);
-      }
+    this.#waits.settleKnown();
+    this.#evidence.crashes.forEach((crash) => {
+      this.#tellVerdict(crash);
     });
   }
 
-  /** Records of which upstreams data arrived after they seemed to crash. */
-  #recordLifeSigns(): void {
-    const { readNowMs, hasActivitySince, instanceId } = this.#parts;
-    const nowMs = readNowMs();
-    const alive = this.#crashes
-      .filter(({ atMs }) => nowMs - atMs < CRASHES.LIFE_SIGN_MS)
-      .filter(({ reachedAt }) => !reachedAt.includes(instanceId))
-      .filter(({ upstreamId, atMs }) =>
-        hasActivitySince(upstreamId, atMs + CRASHES.ARRIVAL_MARGIN_MS),
-      )
-      .map((crash) => ({ ...crash, suspects: [], reachedAt: [instanceId] }));
-    this.#crashes = alive.reduce(mergeCrash, this.#crashes);
-    this.#ownCrashes = alive.reduce(mergeCrash, this.#ownCrashes);
+  #tellVerdict(crash: Crash): void {
+    const { upstreamId } = crash;
+    const verdict = this.findVerdict(upstreamId);
+    const isTold = this.#verdicts.get(upstreamId) === verdict;
+    if (verdict !== "unknown" && !isTold) {
+      const maxEntries = CRASHES.MAX_EVIDENCE;
+      addRecentEntry(this.#verdicts, upstreamId, verdict, maxEntries);
+      this.onVerdict(crash, verdict);
+    }
   }
 
   /** Returns whether too few of the crashes that led to a block were crashes. */
@@ -381,32 +273,4 @@
       this.onLift(block, reason);
     });
   }
-
-  #setLastSoundMs(key: string, atMs: number): void {
-    addRecentEntry(this.#lastSoundMs, key, atMs, CRASHES.MAX_SOUND_PARTS);
-  }
-
-  #getLastSoundMs(key: string): number {
-    return this.#lastSoundMs.get(key) ?? Number.NEGATIVE_INFINITY;
-  }
-}
-
-function isSameCrash(a: Crash, b: Crash): boolean {
-  return (
-    a.upstreamId === b.upstreamId &&
-    Math.abs(a.atMs - b.atMs) < CRASHES.SAME_CRASH_MS
-  );
-}
-
-/** Returns whether a listed process has taken the place of an earlier one. */
-function isSuccessor(
-  entry: UpstreamEntry,
-  earlier: UpstreamEntry | undefined,
-): boolean {
-  if (earlier === undefined) {
-    return false;
-  }
-  return entry.id === earlier.id
-    ? entry.bornMs !== earlier.bornMs
-    : entry.address === earlier.address;
 }
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -1,7 +1,5 @@
 import {
   assertNever,
-  CRASHES,
-  type CrashSuspect,
   type EventLog,
   type UpstreamEntry,
 } from "@gooseberryline/core";
@@ -10,7 +8,6 @@
 import { describeBlock } from "../crashes/describe_block.ts";
 import type { RequestKey } from "../crashes/request_key.ts";
 import type { CallDialect, ResponseHead } from "../dialect/types.ts";
-import { checkPort } from "../exchange/check_port.ts";
 import type {
   ExchangeEnd,
   ExchangeEvents,
@@ -20,6 +17,7 @@
 import { UpstreamExchange } from "../exchange/upstream_exchange.ts";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import type { Lane } from "../fleet/load_tracker.ts";
+import { checkBrokenAttempt } from "./check_broken_attempt.ts";
 
 /** Status of an upstream that is not the one that was meant. */
 const MISDIRECTED = 421;
@@ -154,19 +152,40 @@
       this.#events.onEnd(end);
       return;
     }
-    const canGoOn = this.#hasBegun && !this.#hasCrashed(1);
-    const examined = this.#examineBreak(end, canGoOn);
-    if (canGoOn) {
+    const checked = this.#checkBreak(end.reason);
+    if (this.#hasBegun && !this.#hasCrashedBefore()) {
       this.#events.onEnd(end);
       return;
     }
-    void examined.then((isSuspect) => {
+    void checked.then((isSuspect) => {
       if (!this.#isCancelled) {
         this.#events.onEnd({ ...end, isSuspect });
       }
     });
   }
 
+  #checkBreak(reason: string): Promise<boolean> {
+    const hasBegun = this.#hasBegun;
+    return checkBrokenAttempt(
+      {
+        ...this.#work,
+        requestId: this.#requestId,
+        hasHead: this.#head !== undefined && !hasBegun,
+        hasBegun,
+        ranMs: this.#parts.view.readNowMs() - this.#startedMs,
+        reason,
+      },
+      this.#parts,
+    );
+  }
+
+  /** Returns whether an upstream crashed under the request before. */
+  #hasCrashedBefore(): boolean {
+    const { crashes } = this.#parts.view;
+    const { key } = this.#work;
+    return key !== undefined && crashes.countCrashesUnder(key) > 0;
+  }
+
   /**
    * Returns whether a stream ended with its connection before its first event:
    * the same bytes come from an upstream that ended by itself.
@@ -238,67 +257,4 @@
         assertNever(end);
     }
   }
-
-  /**
-   * Finds out whether the upstream of a connection that broke is down, so that
-   * this request or one beside it may have crashed it. Returns whether this one is
-   * likely to have; `isGoingOn` says that nobody waits to know.
-   */
-  async #examineBreak(
-    { reason }: ExchangeEnd & { kind: "lost" },
-    isGoingOn: boolean,
-  ): Promise<boolean> {
-    const { promptParts, key } = this.#work;
-    const { view, log } = this.#parts;
-    const brokeMs = view.readNowMs();
-    const hasBegun = this.#hasBegun;
-    const hasHead = this.#head !== undefined && !hasBegun;
-    // An item never crashes upstreams by itself.
-    const suspects =
-      key === undefined ? [] : [this.#describeSuspect(key, hasHead)];
-    const port = await checkPort(this.upstream.address);
-    log.info("upstream-broke-off", {
-      requestId: this.#requestId,
-      requestKey: key?.full,
-      upstream: this.upstream.id,
-      promptParts: promptParts.join(" "),
-      hasHead,
-      hasBegun,
-      ranMs: Math.round(brokeMs - this.#startedMs),
-      port,
-      reason,
-    });
-    if (port !== "refused") {
-      return false;
-    }
-    view.crashes.recordDown(this.upstream.id, brokeMs, suspects);
-    const isLikelyCause =
-      hasHead || this.#hasCrashed(CRASHES.CRASHES_WITHOUT_RETRY);
-    return (
-      key !== undefined &&
-      isLikelyCause &&
-      !isGoingOn &&
-      !(await this.#isReachedElsewhere())
-    );
-  }
-
-  #describeSuspect(key: RequestKey, hasHead: boolean): CrashSuspect {
-    const { promptParts, customer = "" } = this.#work;
-    const hasBegun = this.#hasBegun;
-    const parts = hasBegun ? [] : promptParts;
-    return { request: key.full, parts, customer, hasHead, hasBegun };
-  }
-
-  /** Returns whether upstreams crashed under the request that often. */
-  #hasCrashed(times: number): boolean {
-    const { crashes } = this.#parts.view;
-    const { key } = this.#work;
-    return key !== undefined && crashes.countCrashesUnder(key) >= times;
-  }
-
-  /** Returns whether only this instance's path to the upstream is cut. */
-  async #isReachedElsewhere(): Promise<boolean> {
-    const { crashes } = this.#parts.view;
-    return (await crashes.awaitVerdict(this.upstream.id)) === "reached";
-  }
 }
--- a/packages/gateway/src/requests/broken_stream_test.ts
+++ b/packages/gateway/src/requests/broken_stream_test.ts
@@ -21,7 +21,7 @@
 }
 
 /** Writes a head and two events, then resets the connection. */
-function breakOff(socket: Socket): void {
+function writeAndReset(socket: Socket): void {
   const events = buildChunk(buildEvent(1) + buildEvent(2));
   socket.write(`HTTP/1.1 200 OK\r\n${STREAM}${CHUNKED}${events}`);
   setTimeout(() => socket.resetAndDestroy(), PIECE_DELAY_MS);
@@ -46,7 +46,7 @@
 /** Runs a stream that breaks off after two events and goes on with `second`. */
 async function runBroken(second: string, write: Write) {
   const upstreams = await Promise.all([
-    startRawUpstream(breakOff),
+    startRawUpstream(writeAndReset),
     startRawUpstream((socket) => write(socket, second)),
   ]);
   const addresses = upstreams.map(({ address }) => address);
--- a/packages/gateway/src/requests/repeated_refusal_test.ts
+++ b/packages/gateway/src/requests/repeated_refusal_test.ts
@@ -125,7 +125,7 @@
 });
 
 /** Sends one request on the pool's connection; returns how it ended. */
-function exchange(address: string, pool: ConnectionPool): Promise<ExchangeEnd> {
+function sendOnce(address: string, pool: ConnectionPool): Promise<ExchangeEnd> {
   return new Promise((resolve) => {
     const options = {
       address,
@@ -153,11 +153,11 @@
     socket.write(buildRefusal("r1"));
   });
   const pool = new ConnectionPool(1_000);
-  expect(await exchange(upstream.address, pool)).toMatchObject({
+  expect(await sendOnce(upstream.address, pool)).toMatchObject({
     kind: "unexecuted",
   });
   await waitMs(20);
-  expect(await exchange(upstream.address, pool)).toMatchObject({
+  expect(await sendOnce(upstream.address, pool)).toMatchObject({
     kind: "lost",
   });
   pool.stop();
