Do not take an answer that ends with its connection for proof that a request is sound

Such an answer looks whole where its upstream crashed in the middle of it. The test at sockets failed before: the crash under the request was forgotten.

--- a/packages/gateway/src/crashes/block_list.ts
+++ b/packages/gateway/src/crashes/block_list.ts
@@ -100,6 +100,9 @@
   }
 
   isLifted(block: CrashBlock): boolean {
+    if (this.#lifted.size === 0) {
+      return false;
+    }
     const lifted = this.#lifted.get(buildBlockId(block));
     const nowMs = this.#clocks.readNowMs();
     return (
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -218,9 +218,10 @@
     crashes.recordSoundStart(this.#work.promptParts);
   }
 
+  /** One that ends with its connection may have been cut off by a crash. */
   #recordWholeAnswer(): void {
     const { key } = this.#work;
-    if (key !== undefined) {
+    if (key !== undefined && this.#head?.isCloseDelimited === false) {
       this.#parts.view.crashes.recordWholeAnswer(key);
     }
   }
--- a/packages/gateway/src/requests/crashing_request_test.ts
+++ b/packages/gateway/src/requests/crashing_request_test.ts
@@ -1,5 +1,6 @@
 import { CRASHES, type PromptBlock } from "@gooseberryline/core";
 import { expect, test, vi } from "vitest";
+import { RequestKey } from "../crashes/request_key.ts";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { createView } from "../testing/create_view.ts";
 import { runRequest } from "../testing/run_request.ts";
@@ -214,3 +215,27 @@
   expect(run.view.crashes.buildNews()?.crashes).toHaveLength(1);
   await second.close();
 });
+
+test("an answer that ends with its connection does not clear a request", async () => {
+  const type = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+  const key = new RequestKey({
+    method: "POST",
+    path: "/x",
+    customer: "",
+    body: Buffer.from("prompt"),
+  });
+  const progress = { hasHead: false, hasBegun: true };
+  const suspect = { request: key.full, parts: [], customer: "", ...progress };
+  const countAfter = async (answer: string): Promise<number> => {
+    const upstream = await startRawUpstream((socket) => socket.end(answer));
+    const view = createView();
+    view.crashes.recordDown("u9", performance.now(), [suspect]);
+    const run = runRequest({ addresses: [upstream.address], view });
+    expect(await run.ended).toBe("answered");
+    await upstream.close();
+    return view.crashes.countCrashesUnder(key);
+  };
+  const length = `Content-Length: ${EVENT.length}\r\n`;
+  expect(await countAfter(`${type}\r\n${EVENT}`)).toBe(1);
+  expect(await countAfter(`${type}${length}\r\n${EVENT}`)).toBe(0);
+});
