Give an upstream no new work once it says in an answer that it is leaving

Nothing read the header by which an upstream that is about to end says so in its answers, so with the store away or slow it went on to get requests.

--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -28,6 +28,13 @@
   readonly tokens: number;
 };
 
+/** A process of an upstream that said in an answer that it is about to end. */
+export type LeavingUpstream = {
+  readonly id: string;
+  /** As in its registration; undefined if not told. */
+  readonly bornMs?: number | undefined;
+};
+
 /** Sent to all peers several times per second; may be lost in transit. */
 export type LoadMessage = {
   readonly from: string;
@@ -59,6 +66,8 @@
   readonly listed: Readonly<Record<string, number>>;
   /** By upstream that names a limit; left out as `crashes` is. */
   readonly limits?: Readonly<Record<string, LimitNews>> | undefined;
+  /** Left out if there are none, and by earlier builds. */
+  readonly leaving?: readonly LeavingUpstream[] | undefined;
   /** Left out if there is none, and by earlier builds. */
   readonly crashes?: CrashNews | undefined;
   /** Set in the one message that an instance sends on shutdown. */
--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -45,6 +45,10 @@
     ],
     text: "A connection broke during a request; port says if the upstream is down",
   },
+  "upstream-leaving": {
+    fields: ["upstream"],
+    text: "This upstream said in an answer, here or to a peer, that it is about to end; it gets no new work",
+  },
   "upstream-looked-at": {
     fields: ["upstream", "port"],
     text: "A peer lost a connection to this upstream and found it down; port says what this instance found",
--- a/packages/gateway/src/dialect/types.ts
+++ b/packages/gateway/src/dialect/types.ts
@@ -42,6 +42,8 @@
   readonly isUnexecuted: boolean;
   /** Requests per second that it takes from all; undefined: it names none. */
   readonly limitPerSecond: number | undefined;
+  /** Whether it takes no more requests, as it is about to end. */
+  readonly isLeaving: boolean;
 };
 
 /** A call of the job API, parsed from its method and path. */
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -181,6 +181,7 @@
     } else {
       this.quotas.recordPeerUsage(message, message.use, nowMs);
       this.limits.recordPeerNews(message, message.limits ?? {});
+      this.directory.markLeaving(message.leaving ?? []);
       this.onPeerWatchRevisions(message.seen);
       this.onPeerResultCounts(message.listed);
       if (message.crashes !== undefined) {
@@ -251,6 +252,7 @@
       unheard: unreached,
       seen: this.readWatchRevisions(),
       listed: this.readResultCounts(),
+      leaving: this.directory.listLeaving(),
       crashes: this.crashes.buildNews(),
       isLeaving,
     };
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -12,6 +12,11 @@
   tokens: z.number(),
 });
 
+const LEAVING = z.object({
+  id: z.string(),
+  bornMs: z.number().optional(),
+});
+
 const SCHEMA = z.object({
   from: z.string(),
   address: z.string().optional(),
@@ -30,6 +35,7 @@
   seen: z.record(z.string(), z.number()),
   listed: z.record(z.string(), z.number()),
   limits: z.record(z.string(), LIMIT).optional(),
+  leaving: z.array(LEAVING).optional(),
   crashes: CRASH_NEWS_SCHEMA.optional(),
   isLeaving: z.boolean(),
 });
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -20,6 +20,10 @@
     view.onUpstreamOverloaded = () => this.#sendSoon();
     view.crashes.onUrgentNews = () => this.#sendSoon();
     view.limits.onUrgentNews = () => this.#sendSoon();
+    view.directory.onLeaving = (upstream) => {
+      log.info("upstream-leaving", { upstream });
+      this.#sendSoon();
+    };
     this.#socket = createSocket("udp4");
     this.#socket.on("message", (bytes, { address }) =>
       this.#handleDatagram(bytes, address),
--- a/packages/gateway/src/fleet/upstream_directory.ts
+++ b/packages/gateway/src/fleet/upstream_directory.ts
@@ -1,9 +1,11 @@
-import type { UpstreamEntry } from "@gooseberryline/core";
+import type { LeavingUpstream, UpstreamEntry } from "@gooseberryline/core";
 import { FLEET } from "./constants.ts";
 
 type DirectoryEntry = {
   readonly entry: UpstreamEntry;
   readonly expiresAtMs?: number;
+  /** Whether the process said in an answer that it is about to end. */
+  readonly isLeaving?: boolean;
 };
 
 /**
@@ -17,9 +19,38 @@
   readonly #evacuated = new Set<string>();
   #failingSinceMs: number | undefined;
   #storeRecoveredMs = Number.NEGATIVE_INFINITY;
+  /** Called when it is news that an upstream is leaving by its own word. */
+  onLeaving: (upstreamId: string) => void = () => undefined;
 
+  /** Sets a registration; a process that is leaving stays so. */
   set(entry: UpstreamEntry): void {
-    this.#held.set(entry.id, { entry });
+    const known = this.#held.get(entry.id);
+    const isLeaving =
+      known?.isLeaving === true && known.entry.bornMs === entry.bornMs;
+    this.#held.set(entry.id, { entry, isLeaving });
+  }
+
+  /** Marks processes as leaving by their own word: they get no new work. */
+  markLeaving(upstreams: readonly LeavingUpstream[]): void {
+    upstreams.forEach(({ id, bornMs }) => {
+      const known = this.#held.get(id);
+      const isNews =
+        known !== undefined &&
+        known.isLeaving !== true &&
+        known.entry.bornMs === bornMs;
+      if (isNews) {
+        this.#held.set(id, { ...known, isLeaving: true });
+        this.onLeaving(id);
+      }
+    });
+  }
+
+  /** Lists the processes that are leaving by their own word; undefined if none. */
+  listLeaving(): readonly LeavingUpstream[] | undefined {
+    const leaving = [...this.#held.values()]
+      .filter(({ isLeaving }) => isLeaving === true)
+      .map(({ entry: { id, bornMs } }) => ({ id, bornMs }));
+    return leaving.length === 0 ? undefined : leaving;
   }
 
   find(id: string): UpstreamEntry | undefined {
@@ -63,8 +94,8 @@
   #retainLapsed(expiresAtMs: number): void {
     [...this.#held.values()]
       .filter((known) => known.expiresAtMs !== undefined)
-      .forEach(({ entry }) => {
-        this.#held.set(entry.id, { entry, expiresAtMs });
+      .forEach((known) => {
+        this.#held.set(known.entry.id, { ...known, expiresAtMs });
       });
   }
 
@@ -77,12 +108,13 @@
   }
 
   /**
-   * Lists the upstreams of a service that are neither draining nor in an
+   * Lists the upstreams of a service that are neither draining, leaving nor in an
    * evacuated data centre.
    */
   list(service: string, nowMs: number): readonly UpstreamEntry[] {
     this.#dropExpired(nowMs);
     return [...this.#held.values()]
+      .filter(({ isLeaving }) => isLeaving !== true)
       .map(({ entry }) => entry)
       .filter((entry) => entry.service === service)
       .filter(({ isDraining }) => !isDraining)
--- a/packages/gateway/src/fleet/upstream_directory_test.ts
+++ b/packages/gateway/src/fleet/upstream_directory_test.ts
@@ -73,3 +73,34 @@
   directory.set({ ...entry, isDraining: true });
   expect(directory.list("s", 1)).toHaveLength(0);
 });
+
+test("an upstream that says it is leaving gets no new work, its successor does", () => {
+  const directory = createDirectory();
+  const told: string[] = [];
+  directory.onLeaving = (id) => told.push(id);
+  directory.markLeaving([{ id: "u1" }]);
+  directory.markLeaving([{ id: "u1" }]);
+  expect(told).toEqual(["u1"]);
+  expect(directory.list("s", 0)).toEqual([]);
+  expect(directory.listLeaving()).toEqual([{ id: "u1", bornMs: undefined }]);
+  directory.set(entry);
+  expect(directory.list("s", 0)).toEqual([]);
+  directory.set({ ...entry, bornMs: 7 });
+  expect(directory.list("s", 0)).toHaveLength(1);
+});
+
+test("a late word that an earlier process is leaving does not concern the next one", () => {
+  const directory = new UpstreamDirectory();
+  directory.set({ ...entry, bornMs: 7 });
+  directory.markLeaving([{ id: "u1", bornMs: 6 }]);
+  expect(directory.list("s", 0)).toHaveLength(1);
+});
+
+test("an upstream that is leaving stays so while the store is away", () => {
+  const directory = createDirectory();
+  failStore(directory);
+  directory.markLeaving([{ id: "u1" }]);
+  directory.remove("u1", 4_000);
+  directory.recordStoreContact(true, 5_000);
+  expect(directory.list("s", 5_000)).toEqual([]);
+});
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -106,7 +106,7 @@
       {
         pool: parts.pool,
         dialect: parts.dialect,
-        onAnswer: (status, head) => this.#recordLimit(status, head),
+        onAnswer: (status, head) => this.#recordAnswer(status, head),
         onHead: (head) => {
           this.#head = head;
           recordActivity();
@@ -198,11 +198,16 @@
     );
   }
 
-  /** Records the limit of an answer, unless it is another upstream's. */
-  #recordLimit(status: number, { limitPerSecond }: ResponseHead): void {
-    if (status !== MISDIRECTED) {
-      const { limits } = this.#parts.view;
-      limits.recordAnswer(this.upstream.id, limitPerSecond, this.#startedMs);
+  /** Records what an upstream says of itself, unless it is another one. */
+  #recordAnswer(status: number, head: ResponseHead): void {
+    if (status === MISDIRECTED) {
+      return;
+    }
+    const { view } = this.#parts;
+    const { id } = this.upstream;
+    view.limits.recordAnswer(id, head.limitPerSecond, this.#startedMs);
+    if (head.isLeaving) {
+      view.directory.markLeaving([this.upstream]);
     }
   }
 
--- a/packages/gateway/src/testing/plain_dialect.ts
+++ b/packages/gateway/src/testing/plain_dialect.ts
@@ -21,6 +21,7 @@
     isUnexecuted: headers["not-run"] !== undefined,
     limitPerSecond:
       headers.limit === undefined ? undefined : Number(headers.limit),
+    isLeaving: headers.leaving !== undefined,
   }),
   parseJobCall: () => undefined,
   parseJob: () => ({ kind: "unreadable", reason: "not in this test" }),
