Tell a crash from a cut path to the same upstream shortly before

Cause: reports of an upstream within a second were of one crash; one that somebody had reached stayed "reached", also when the process crashed 0.2 s later.

Fix: reports carry when the process was last reached; what breaks later is another crash, with a verdict of its own. A block falls only if none of an upstream's crashes is confirmed.

--- a/packages/core/src/crashes/merge_crash.ts
+++ b/packages/core/src/crashes/merge_crash.ts
@@ -28,10 +28,18 @@
     suspects: mergeSuspects(known.suspects, added.suspects),
     downAt: [...new Set([...known.downAt, ...added.downAt])],
     reachedAt: [...new Set([...known.reachedAt, ...added.reachedAt])],
+    reachedMs: findLatest([known.reachedMs, added.reachedMs]),
     isReplaced: known.isReplaced || added.isReplaced,
   };
 }
 
+function findLatest(
+  times: readonly (number | undefined)[],
+): number | undefined {
+  const known = times.filter((time) => time !== undefined);
+  return known.length === 0 ? undefined : Math.max(...known);
+}
+
 function hasSameContent(known: Crash, merged: Crash): boolean {
   return (
     merged.suspects.length === known.suspects.length &&
--- a/packages/core/src/crashes/types.ts
+++ b/packages/core/src/crashes/types.ts
@@ -30,6 +30,11 @@
   readonly downAt: readonly string[];
   /** Instances that reached the process later, so that only paths were cut. */
   readonly reachedAt: readonly string[];
+  /**
+   * When one last did, by the observer's clock, in ms: what breaks later is another
+   * crash.
+   */
+  readonly reachedMs?: number | undefined;
   /** Whether the platform lists another process in its place. */
   readonly isReplaced: boolean;
 };
@@ -38,8 +43,10 @@
 export type CrashVerdict = "unknown" | "crashed" | "reached";
 
 /** A crash as told to a peer, whose clock differs. */
-export type CrashReport = Omit<Crash, "atMs" | "isReplaced"> & {
+export type CrashReport = Omit<Crash, "atMs" | "reachedMs" | "isReplaced"> & {
   readonly ageMs: number;
+  /** Time since the process was reached, in ms. */
+  readonly reachedAgeMs?: number | undefined;
 };
 
 /** How long a block holds; not set before it is in force. */
--- a/packages/gateway/src/crashes/crash_evidence.ts
+++ b/packages/gateway/src/crashes/crash_evidence.ts
@@ -48,12 +48,25 @@
 
   /** Returns what the latest possible crash of an upstream was. */
   findVerdict(upstreamId: string): CrashVerdict {
-    const crash = this.#crashes.findLast(
-      (known) => known.upstreamId === upstreamId,
+    const [latest] = this.#listCrashesOf(upstreamId).sort(
+      (a, b) => b.atMs - a.atMs,
     );
-    return crash === undefined
+    return latest === undefined
       ? "unknown"
-      : decideCrashVerdict(crash, this.#parts.readNowMs());
+      : decideCrashVerdict(latest, this.#parts.readNowMs());
+  }
+
+  /** Returns whether an upstream seemed to crash, and only paths were cut. */
+  isDisproved(upstreamId: string): boolean {
+    const nowMs = this.#parts.readNowMs();
+    const verdicts = this.#listCrashesOf(upstreamId).map((crash) =>
+      decideCrashVerdict(crash, nowMs),
+    );
+    return verdicts.includes("reached") && !verdicts.includes("crashed");
+  }
+
+  #listCrashesOf(upstreamId: string): Crash[] {
+    return this.#crashes.filter((crash) => crash.upstreamId === upstreamId);
   }
 
   /** Adds reports; returns the changed crashes, and those that are new here. */
@@ -108,7 +121,12 @@
       .filter(({ upstreamId, atMs }) =>
         hasActivitySince(upstreamId, atMs + CRASHES.ARRIVAL_MARGIN_MS),
       )
-      .map((crash) => ({ ...crash, suspects: [], reachedAt: [instanceId] }));
+      .map((crash) => ({
+        ...crash,
+        suspects: [],
+        reachedAt: [instanceId],
+        reachedMs: crash.atMs + CRASHES.ARRIVAL_MARGIN_MS,
+      }));
     this.#crashes = alive.reduce(mergeCrash, this.#crashes);
     this.#own = alive.reduce(mergeCrash, this.#own);
   }
@@ -118,9 +136,11 @@
     const nowMs = this.#parts.readNowMs();
     return this.#own
       .filter(({ atMs }) => nowMs - atMs < CRASHES.REPORT_MS)
-      .map(({ atMs, isReplaced, ...crash }) => ({
+      .map(({ atMs, reachedMs, isReplaced, ...crash }) => ({
         ...crash,
         ageMs: Math.round(nowMs - atMs),
+        reachedAgeMs:
+          reachedMs === undefined ? undefined : Math.round(nowMs - reachedMs),
       }));
   }
 
--- a/packages/gateway/src/crashes/crash_news_schema.ts
+++ b/packages/gateway/src/crashes/crash_news_schema.ts
@@ -16,6 +16,7 @@
   // Earlier builds leave these out: what they saw has no witness.
   downAt: z.array(z.string()).default([]),
   reachedAt: z.array(z.string()).default([]),
+  reachedAgeMs: z.number().optional(),
 });
 
 /** What a peer tells about crashes with its load. */
--- a/packages/gateway/src/crashes/crash_tracker.ts
+++ b/packages/gateway/src/crashes/crash_tracker.ts
@@ -138,7 +138,9 @@
   /** Records that this instance reached a process that others found down. */
   recordReached({ upstreamId, atMs }: Crash): void {
     const reachedAt = [this.#parts.instanceId];
-    this.#recordOwn({ upstreamId, atMs, suspects: [], downAt: [], reachedAt });
+    const reachedMs = this.#parts.readNowMs();
+    const seen = { upstreamId, atMs, suspects: [], downAt: [] };
+    this.#recordOwn({ ...seen, reachedAt, reachedMs });
   }
 
   #recordOwn(seen: Omit<Crash, "isReplaced">): void {
@@ -173,9 +175,11 @@
       this.#sound.record(key, nowMs - ageMs);
     });
     this.#addCrashes(
-      crashes.map(({ ageMs, ...crash }) => ({
+      crashes.map(({ ageMs, reachedAgeMs, ...crash }) => ({
         ...crash,
         atMs: nowMs - ageMs,
+        reachedMs:
+          reachedAgeMs === undefined ? undefined : nowMs - reachedAgeMs,
         isReplaced: false,
       })),
     );
@@ -232,7 +236,7 @@
   /** Returns whether too few of the crashes that led to a block were crashes. */
   #isUnfounded({ upstreams }: CrashBlock): boolean {
     const crashed = upstreams.filter(
-      (upstreamId) => this.findVerdict(upstreamId) !== "reached",
+      (upstreamId) => !this.#evidence.isDisproved(upstreamId),
     );
     return (
       crashed.length < upstreams.length &&
