--- a/packages/gateway/src/crashes/cut_paths_test.ts
+++ b/packages/gateway/src/crashes/cut_paths_test.ts
@@ -148,6 +148,10 @@
     crash(upstreamId, suspect);
   });
   settle();
+  const lifted: string[] = [];
+  trackers.forEach((tracker) => {
+    tracker.onLift = (_, reason) => lifted.push(reason);
+  });
   clock.nowMs += 8_000;
   first?.recordDown("u1", clock.nowMs, []);
   exchange();
@@ -162,5 +166,6 @@
   });
   exchange();
   settle();
+  expect(lifted).toEqual([]);
   expect(trackers.map(({ blocks }) => blocks.length)).toEqual([1, 1, 1]);
 });
