--- a/packages/core/src/attempts/types.ts
+++ b/packages/core/src/attempts/types.ts
@@ -12,8 +12,8 @@
       readonly kind: "lost";
       readonly reason: string;
       /**
-       * Whether the upstream crashed as it began to answer, so that the request
-       * may have crashed it.
+       * Whether the upstream crashed and the request is likely to have crashed it,
+       * or was stopped for that.
        */
       readonly isSuspect?: boolean;
     };
--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -67,7 +67,7 @@
   },
   "prompt-block-lifted": {
     fields: ["blockId", "reason"],
-    text: "A block ended: an operator removed its record, or its upstreams were reached after all",
+    text: "A block ended: an operator removed its record, its upstreams were reached after all, or its time was over",
   },
   "prompt-block-unreadable": {
     fields: ["blockId"],
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -42,6 +42,7 @@
 export { mergeCrashBlock } from "./crashes/merge_crash_block.ts";
 export { startBlockTerm } from "./crashes/start_block_term.ts";
 export type * from "./crashes/types.ts";
+export { isNextEvent } from "./events/is_next_event.ts";
 export { splitEvents } from "./events/split_events.ts";
 export type * from "./events/types.ts";
 export { listMessageTargets } from "./fleet/list_message_targets.ts";
--- a/packages/core/src/placing/place_request.ts
+++ b/packages/core/src/placing/place_request.ts
@@ -15,9 +15,10 @@
  * `AFFINITY_SLACK` of the least load, the own data centre comes first, then
  * rendezvous hashing by the prompt's shared prefix, so that prompts with the
  * same prefix go to the same upstream. Upstreams that limit their requests come
- * after the others, so that what they take is left for a rise of traffic. Under overload a queue is accepted while
- * its wait meets the objective, then up to the caller's longest wait; beyond
- * that the result says when an upstream is expected to have room.
+ * after the others, so that what they take is left for a rise of traffic. Under
+ * overload a queue is accepted while its wait meets the objective, then up to the
+ * caller's longest wait; beyond that the result says when an upstream is expected
+ * to have room.
  */
 export function placeRequest(request: PlaceRequest): Placement {
   const usable = request.candidates
--- a/packages/gateway/src/crashes/block_keeper_test.ts
+++ b/packages/gateway/src/crashes/block_keeper_test.ts
@@ -96,14 +96,7 @@
     async () => expect(await readBlock(metadata)).toBeDefined(),
     { timeout: 10_000 },
   );
-  tracker.recordReached({
-    upstreamId: "u1",
-    atMs: performance.now(),
-    suspects: [],
-    downAt: [],
-    reachedAt: [],
-    isReplaced: false,
-  });
+  tracker.recordReached("u1", performance.now());
   expect(tracker.blocks).toEqual([]);
   await vi.waitFor(
     async () => expect(await readBlock(metadata)).toBeUndefined(),
--- a/packages/gateway/src/crashes/block_list.ts
+++ b/packages/gateway/src/crashes/block_list.ts
@@ -76,19 +76,15 @@
 
   /** Removes lapsed blocks that a crash speaks for again; returns them renewed. */
   renewLapsed(crashes: readonly Crash[]): readonly CrashBlock[] {
-    const renewed = this.#lapsed.filter(({ block, lapsedMs }) =>
-      crashes.some(
-        (crash) => crash.atMs > lapsedMs && isEvidenceFor(crash, block),
-      ),
-    );
-    this.#lapsed = this.#lapsed.filter((lapsed) => !renewed.includes(lapsed));
+    const renewed = this.#lapsed
+      .map((lapsed) => ({ lapsed, upstreams: listUpstreams(crashes, lapsed) }))
+      .filter(({ upstreams }) => upstreams.length > 0);
+    const ended = renewed.map(({ lapsed }) => lapsed);
+    this.#lapsed = this.#lapsed.filter((lapsed) => !ended.includes(lapsed));
     const unixMs = this.#clocks.readUnixMs();
-    return renewed.map(({ block, lapsedMs }) => {
-      const upstreams = crashes
-        .filter((crash) => crash.atMs > lapsedMs && isEvidenceFor(crash, block))
-        .map(({ upstreamId }) => upstreamId);
-      return startBlockTerm({ ...block, upstreams }, unixMs);
-    });
+    return renewed.map(({ lapsed, upstreams }) =>
+      startBlockTerm({ ...lapsed.block, upstreams }, unixMs),
+    );
   }
 
   /** Removes a block that an operator lifted, and keeps peers from restoring it. */
@@ -119,6 +115,16 @@
   }
 }
 
+/** Lists the upstreams that crashed under a block since it lapsed. */
+function listUpstreams(
+  crashes: readonly Crash[],
+  { block, lapsedMs }: LapsedBlock,
+): readonly string[] {
+  return crashes
+    .filter((crash) => crash.atMs > lapsedMs && isEvidenceFor(crash, block))
+    .map(({ upstreamId }) => upstreamId);
+}
+
 function isEvidenceFor(crash: Crash, block: CrashBlock): boolean {
   const suspects =
     block.kind === "request" ? crash.suspects : listLikelySuspects(crash);
--- a/packages/gateway/src/crashes/block_record.ts
+++ b/packages/gateway/src/crashes/block_record.ts
@@ -7,7 +7,7 @@
 /** Within the prefix of the instances, so that one watch follows both. */
 const PREFIX = `${memberRecord.prefix}blocked/`;
 
-/** Keys and encoding of the store records of blocked prompt parts. */
+/** Keys and encoding of the store records of blocks. */
 export const blockRecord = {
   prefix: PREFIX,
   buildKey: (block: CrashBlock): string => `${PREFIX}${buildBlockId(block)}`,
--- a/packages/gateway/src/crashes/crash_evidence.ts
+++ b/packages/gateway/src/crashes/crash_evidence.ts
@@ -69,7 +69,7 @@
     return this.#crashes.filter((crash) => crash.upstreamId === upstreamId);
   }
 
-  /** Adds reports; returns the changed crashes, and those that are new here. */
+  /** Adds reports; returns whether they are news, and the crashes new here. */
   add(crashes: readonly Crash[]): {
     readonly isChanged: boolean;
     readonly added: readonly Crash[];
--- a/packages/gateway/src/crashes/crash_play_test.ts
+++ b/packages/gateway/src/crashes/crash_play_test.ts
@@ -31,7 +31,7 @@
       if (chooseCrashWitnesses(crash, CANDIDATES).includes(`i${index}`)) {
         const look = (): void =>
           canReach(index, crash.upstreamId)
-            ? tracker.recordReached(crash)
+            ? tracker.recordReached(crash.upstreamId, crash.atMs)
             : tracker.recordDown(crash.upstreamId, crash.atMs, []);
         looks.push({ atStep: step + TELL_STEPS, look });
       }
--- a/packages/gateway/src/crashes/crash_tracker.ts
+++ b/packages/gateway/src/crashes/crash_tracker.ts
@@ -135,8 +135,8 @@
     this.#recordOwn({ upstreamId, atMs, suspects, downAt, reachedAt: [] });
   }
 
-  /** Records that this instance reached a process that others found down. */
-  recordReached({ upstreamId, atMs }: Crash): void {
+  /** Records that this instance reached a process that others found down then. */
+  recordReached(upstreamId: string, atMs: number): void {
     const reachedAt = [this.#parts.instanceId];
     const reachedMs = this.#parts.readNowMs();
     const seen = { upstreamId, atMs, suspects: [], downAt: [] };
--- a/packages/gateway/src/crashes/crash_watch.ts
+++ b/packages/gateway/src/crashes/crash_watch.ts
@@ -61,7 +61,7 @@
     if (port === "refused") {
       view.crashes.recordDown(upstreamId, atMs, []);
     } else if (port === "open") {
-      view.crashes.recordReached(crash);
+      view.crashes.recordReached(upstreamId, atMs);
     }
   }
 
--- a/packages/gateway/src/crashes/cut_paths_test.ts
+++ b/packages/gateway/src/crashes/cut_paths_test.ts
@@ -12,14 +12,7 @@
     const upstreamId = `u${round}`;
     cutOff?.recordDown(upstreamId, clock.nowMs, [X]);
     exchange();
-    const seen = { upstreamId, atMs: clock.nowMs };
-    other?.recordReached({
-      ...seen,
-      suspects: [],
-      downAt: [],
-      reachedAt: [],
-      isReplaced: false,
-    });
+    other?.recordReached(upstreamId, clock.nowMs);
     exchange();
   });
   settle();
@@ -100,14 +93,7 @@
   first?.recordDown("u1", clock.nowMs, [X]);
   const verdict = first?.awaitVerdict("u1");
   exchange();
-  second?.recordReached({
-    upstreamId: "u1",
-    atMs: clock.nowMs,
-    suspects: [],
-    downAt: [],
-    reachedAt: [],
-    isReplaced: false,
-  });
+  second?.recordReached("u1", clock.nowMs);
   exchange();
   expect(await verdict).toBe("reached");
 });
@@ -121,14 +107,7 @@
     cutOff?.recordDown(upstreamId, clock.nowMs, [X]);
     exchange();
     clock.nowMs += 20;
-    other?.recordReached({
-      upstreamId,
-      atMs: clock.nowMs - 20,
-      suspects: [],
-      downAt: [],
-      reachedAt: [],
-      isReplaced: false,
-    });
+    other?.recordReached(upstreamId, clock.nowMs - 20);
     exchange();
     crash(upstreamId, suspect, 1);
   });
@@ -156,14 +135,7 @@
   first?.recordDown("u1", clock.nowMs, []);
   exchange();
   clock.nowMs += 10;
-  other?.recordReached({
-    upstreamId: "u1",
-    atMs: clock.nowMs - 10,
-    suspects: [],
-    downAt: [],
-    reachedAt: [],
-    isReplaced: false,
-  });
+  other?.recordReached("u1", clock.nowMs - 10);
   exchange();
   settle();
   expect(lifted).toEqual([]);
--- a/packages/gateway/src/crashes/request_key.ts
+++ b/packages/gateway/src/crashes/request_key.ts
@@ -28,30 +28,26 @@
     this.#content = content;
   }
 
-  /** Returns the part of a key that tells nothing of the body's bytes. */
-  static getBrief(key: string): string {
-    return key.slice(0, BRIEF_LENGTH);
-  }
-
-  /** The hash of all but the bytes of the body; the key begins with it. */
-  get brief(): string {
-    this.#brief ??= this.#hashBrief();
-    return this.#brief;
-  }
-
   /** Whether the whole key was needed, since the request was once suspected. */
   get isHashed(): boolean {
     return this.#full !== undefined;
   }
 
   get full(): string {
-    this.#full ??= this.brief + hashHex(this.#content.body, DIGEST_LENGTH);
+    this.#full ??=
+      this.#getBrief() + hashHex(this.#content.body, DIGEST_LENGTH);
     return this.#full;
   }
 
   /** Returns whether a key is this one; reads the body only if it may be. */
   matches(key: string): boolean {
-    return RequestKey.getBrief(key) === this.brief && key === this.full;
+    return key.startsWith(this.#getBrief()) && key === this.full;
+  }
+
+  /** The hash of all but the bytes of the body; the key begins with it. */
+  #getBrief(): string {
+    this.#brief ??= this.#hashBrief();
+    return this.#brief;
   }
 
   #hashBrief(): string {
--- a/packages/gateway/src/fleet/upstream_directory_test.ts
+++ b/packages/gateway/src/fleet/upstream_directory_test.ts
@@ -1,16 +1,9 @@
 import { expect, test } from "vitest";
+import { createEntry } from "../testing/create_entry.ts";
 import { FLEET } from "./constants.ts";
 import { UpstreamDirectory } from "./upstream_directory.ts";
 
-const entry = {
-  id: "u1",
-  service: "s",
-  address: "127.0.0.1:1",
-  dataCentre: "a",
-  slots: 8,
-  isDraining: false,
-  coldUntilMs: 0,
-};
+const entry = createEntry();
 
 function createDirectory(): UpstreamDirectory {
   const directory = new UpstreamDirectory();
--- a/packages/gateway/src/fleet/upstream_limit_tracker_test.ts
+++ b/packages/gateway/src/fleet/upstream_limit_tracker_test.ts
@@ -1,18 +1,11 @@
 import { drawRandom, type LoadMessage } from "@gooseberryline/core";
 import { expect, test } from "vitest";
 import type { GatewaySettings } from "../settings/types.ts";
+import { createEntry } from "../testing/create_entry.ts";
 import { createView } from "../testing/create_view.ts";
 import { FleetView } from "./fleet_view.ts";
 
-const UPSTREAM = {
-  id: "u1",
-  service: "s",
-  address: "127.0.0.1:1",
-  dataCentre: "a",
-  slots: 8,
-  isDraining: false,
-  coldUntilMs: 0,
-};
+const UPSTREAM = createEntry();
 const STEP_MS = 10;
 const LENGTH_MS = 20_000;
 const ANSWER_MS = 50;
--- a/packages/gateway/src/jobs/item_placer.ts
+++ b/packages/gateway/src/jobs/item_placer.ts
@@ -1,5 +1,4 @@
 import {
-  type BatchJob,
   chooseService,
   findRoute,
   placeItem,
@@ -9,8 +8,6 @@
 import { StartLimiter } from "./start_limiter.ts";
 import type { WaitingItem } from "./types.ts";
 
-type ItemJob = Pick<BatchJob, "host">;
-
 /** Outcome of placing an item. */
 export type ItemPlacement =
   | { readonly kind: "placed"; readonly upstream: UpstreamEntry }
@@ -28,9 +25,7 @@
     this.#startLimiter = new StartLimiter(view.settings.instanceId);
   }
 
-  place(waiting: WaitingItem, job: ItemJob): ItemPlacement {
-    const { item, tried } = waiting;
-    const { host } = job;
+  place({ item, tried }: WaitingItem, host: string): ItemPlacement {
     const { table } = this.#view;
     if (table === undefined) {
       return { kind: "wait" };
--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -1,5 +1,6 @@
 import {
   assertNever,
+  isNextEvent,
   type StreamEvent,
   splitEvents,
   type UpstreamEntry,
@@ -134,7 +135,7 @@
     const isResuming =
       this.#texts.length === this.waiting.text.texts.length &&
       last !== undefined;
-    if (id === undefined ? isResuming : last !== undefined && id !== last + 1) {
+    if (!isNextEvent(id, last, isResuming)) {
       return false;
     }
     if (data !== undefined) {
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -67,7 +67,7 @@
   readonly #events: AttemptEvents;
   readonly #startedMs: number;
   readonly #exchange: UpstreamExchange;
-  #pending: PendingAttempt;
+  readonly #pending: PendingAttempt;
   #head: ExchangeHead | undefined;
   #hasBegun = false;
   #isEnded = false;
@@ -86,8 +86,11 @@
     this.#parts = parts;
     this.#events = events;
     this.#startedMs = parts.view.readNowMs();
+    const listParts = () => (this.#hasBegun ? [] : work.promptParts);
     this.#pending = {
-      parts: work.promptParts,
+      get parts() {
+        return listParts();
+      },
       customer: work.customer ?? "",
       hasKey: (request) => work.key?.matches(request) === true,
       stop: (block) => this.#stop(describeBlock(block)),
@@ -215,11 +218,6 @@
   #recordSoundStart(): void {
     const { crashes } = this.#parts.view;
     this.#hasBegun = true;
-    if (!this.#isEnded && this.#work.key !== undefined) {
-      crashes.dropPending(this.#pending);
-      this.#pending = { ...this.#pending, parts: [] };
-      crashes.addPending(this.#pending);
-    }
     crashes.recordSoundStart(this.#work.promptParts);
   }
 
--- a/packages/gateway/src/requests/stream_relay.ts
+++ b/packages/gateway/src/requests/stream_relay.ts
@@ -1,4 +1,8 @@
-import { type StreamEvent, splitEvents } from "@gooseberryline/core";
+import {
+  isNextEvent,
+  type StreamEvent,
+  splitEvents,
+} from "@gooseberryline/core";
 import type { CallReply } from "./types.ts";
 
 const NO_BYTES: Buffer = Buffer.alloc(0);
@@ -18,8 +22,6 @@
   readonly #onDrain: () => void;
   #held: Buffer = NO_BYTES;
   #lastEventId: number | undefined;
-  /** Whether the next event id has to be the successor of the last one. */
-  #isStarted = false;
   #events = 0;
   /** Whether what comes next has to show that it follows. */
   #isResuming = false;
@@ -31,7 +33,6 @@
   ) {
     this.#reply = reply;
     this.#lastEventId = lastEventId;
-    this.#isStarted = lastEventId !== undefined;
     this.#onDrain = onDrain;
   }
 
@@ -74,17 +75,12 @@
   }
 
   #acceptEvent({ id }: StreamEvent): boolean {
-    if (id === undefined) {
-      return !this.#isResuming;
+    const isNext = isNextEvent(id, this.#lastEventId, this.#isResuming);
+    if (isNext && id !== undefined) {
+      this.#isResuming = false;
+      this.#lastEventId = id;
     }
-    this.#isResuming = false;
-    const last = this.#lastEventId;
-    if (this.#isStarted && last !== undefined && id !== last + 1) {
-      return false;
-    }
-    this.#isStarted = true;
-    this.#lastEventId = id;
-    return true;
+    return isNext;
   }
 
   #write(events: readonly StreamEvent[]): boolean {
