Take a watch that peers overtake for a call that the store did not answer

What callers saw: requests refused as an older configuration says, at an instance that the store does not answer, seconds after a newer one was acknowledged.

Cause: a watch that hangs can't be told from one without changes. Peers' news abort it after 0.3 s, but an aborted watch said nothing of the path, so the next took the same path and hung again, until another call of the instance timed out; and a second later each watch could go either way.

Change: which way a call goes is a decision of the core (store_paths). A watch aborted as behind makes the direct path suspect; watches then go by way of peers until a call that is answered at once has shown the path sound, one such probe at a time and ever less often. A relay that failed is avoided by the next call. The log line store-path tells of each turn. The client of the relay is a module of its own, so that plays need no sockets.

--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -212,6 +212,10 @@
     fields: ["prefix", "own", "revision"],
     text: "A peer has seen a later change; the watch is opened anew",
   },
+  "store-path": {
+    fields: ["isDirect", "reason"],
+    text: "Calls of the store go directly again, or by way of peers",
+  },
   "watch-history-gone": {
     fields: ["prefix", "revision"],
     text: "The store has dropped the history; the records are read afresh",
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -194,14 +194,16 @@
 
   /**
    * Chooses a random peer that reaches the store and is in direct contact with
-   * this instance.
+   * this instance; `avoidedId` only if there is no other.
    */
-  chooseStoreRelay(): FleetMember | undefined {
+  chooseStoreRelay(avoidedId?: string): FleetMember | undefined {
     const nowMs = this.readNowMs();
     const timeoutMs = this.#times.peerTimeoutMs;
-    const peers = this.listPeers().filter(({ id }) =>
+    const reachable = this.listPeers().filter(({ id }) =>
       this.load.canReachStore(id, timeoutMs, nowMs),
     );
+    const others = reachable.filter(({ id }) => id !== avoidedId);
+    const peers = others.length > 0 ? others : reachable;
     return peers[Math.floor(Math.random() * peers.length)];
   }
 
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -26,6 +26,7 @@
 import { SHUTDOWN_TIMES } from "./shutdown_times.ts";
 import { WATCH_TIMING } from "./store/constants.ts";
 import { PrefixWatch } from "./store/prefix_watch.ts";
+import { RelayClient } from "./store/relay_client.ts";
 import { RelayListener } from "./store/relay_listener.ts";
 import { RelayedStore } from "./store/relayed_store.ts";
 import { reportStoreContact } from "./store/report_store_contact.ts";
@@ -62,7 +63,9 @@
   const view = new FleetView(settings, incarnation, () => performance.now());
   const relayed = new RelayedStore({
     direct: parts.store,
-    choosePeer: () => view.chooseStoreRelay(),
+    choosePeer: (avoidedId) => view.chooseStoreRelay(avoidedId),
+    relay: new RelayClient(),
+    log,
     readNowMs: () => view.readNowMs(),
     onDirectContact: (isReached) => {
       view.hasStore = isReached;
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -9,6 +9,7 @@
 import { computeWatchWaitMs } from "./compute_watch_wait_ms.ts";
 import { WATCH_TIMING } from "./constants.ts";
 import type { WatchRank } from "./types.ts";
+import { WATCH_ABORTS } from "./watch_aborts.ts";
 
 type PrefixWatchParts = {
   readonly store: MetadataStore;
@@ -86,7 +87,7 @@
       if (revision > this.#revision) {
         const { log, prefix } = this.#parts;
         log.warn("watch-behind", { prefix, own: this.#revision, revision });
-        this.#watchAbort?.abort();
+        this.#watchAbort?.abort(WATCH_ABORTS.behind);
       }
     }, WATCH_TIMING.BEHIND_TIMEOUT_MS);
   }
--- a/packages/gateway/src/store/relayed_store.ts
+++ b/packages/gateway/src/store/relayed_store.ts
@@ -1,26 +1,31 @@
-import { Agent } from "node:http";
-import type {
-  FleetMember,
-  MetadataFailure,
-  MetadataStore,
+import {
+  chooseStorePath,
+  type DirectPath,
+  type EventLog,
+  type FleetMember,
+  type MetadataFailure,
+  type MetadataStore,
+  recordDirectCall,
+  recordProbe,
+  STORE_PATHS,
 } from "@gooseberryline/core";
-import { type Got, got } from "got";
-import { type RelayCall, relayCodec } from "./relay_codec.ts";
-
-/** Delay before the store is tried directly again, in ms. */
-const DIRECT_RETRY_DELAY_MS = 1_000;
-const CALL_TIMEOUT_MS = 2_000;
-/** Extra timeout of a watch beyond its own wait, in ms. */
-const WATCH_SLACK_MS = 1_000;
+import type { RelayClient } from "./relay_client.ts";
+import type { RelayCall } from "./relay_codec.ts";
+import { WATCH_ABORTS } from "./watch_aborts.ts";
 
 type RelayParts = {
   /** This instance's direct connection to the store. */
   readonly direct: MetadataStore;
-  /** Returns a peer that reports a connection to the store, if any. */
-  readonly choosePeer: () => FleetMember | undefined;
+  /**
+   * Returns a peer that reports a connection to the store, if any; `avoidedId`
+   * only if there is no other.
+   */
+  readonly choosePeer: (avoidedId?: string) => FleetMember | undefined;
+  readonly relay: Pick<RelayClient, "send">;
   readonly readNowMs: () => number;
   /** Called with whether the store answered this instance directly. */
   readonly onDirectContact: (isReached: boolean) => void;
+  readonly log: EventLog;
 };
 
 type StoreAnswer = { readonly kind: string };
@@ -32,15 +37,12 @@
  */
 export class RelayedStore {
   readonly #parts: RelayParts;
-  readonly #client: Got;
-  #directFromMs = Number.NEGATIVE_INFINITY;
+  #path: DirectPath = STORE_PATHS.SOUND;
+  /** The peer through which the last call failed, or brought no news in time. */
+  #avoidedPeerId: string | undefined;
 
   constructor(parts: RelayParts) {
     this.#parts = parts;
-    this.#client = got.extend({
-      retry: { limit: 0 },
-      agent: { http: new Agent({ keepAlive: true, scheduling: "lifo" }) },
-    });
   }
 
   /** Builds a store client that falls back to the relay. */
@@ -92,52 +94,79 @@
     signal?: AbortSignal,
   ): Promise<Result | MetadataFailure> {
     const { choosePeer, readNowMs } = this.#parts;
-    const peer = choosePeer();
-    if (peer !== undefined && readNowMs() < this.#directFromMs) {
+    const peer = choosePeer(this.#avoidedPeerId);
+    const facts = {
+      isProbeable: isProbeable(call),
+      hasPeer: peer !== undefined,
+    };
+    const choice = chooseStorePath(this.#path, facts, readNowMs());
+    if (choice.kind === "peer" && peer !== undefined) {
+      if (choice.isProbe) {
+        void this.#probe(sendDirect);
+      }
       return this.#relay<Result>(peer, call, signal);
     }
     const answer = await sendDirect();
     if (signal?.aborted === true) {
+      this.#recordAbort(signal);
       return answer;
     }
-    this.#recordDirect(answer.kind !== "failed");
-    const isRetryable = canRetry(call, answer);
-    return answer.kind === "failed" && isRetryable && peer !== undefined
+    this.#recordDirect(answer);
+    return answer.kind === "failed" && canRetry(call, answer) && peer
       ? this.#relay<Result>(peer, call, signal)
       : answer;
   }
 
-  #recordDirect(isReached: boolean): void {
-    const { readNowMs, onDirectContact } = this.#parts;
-    this.#directFromMs = isReached
-      ? Number.NEGATIVE_INFINITY
-      : readNowMs() + DIRECT_RETRY_DELAY_MS;
+  /** Sends a call that a peer makes as well, to see if the store answers it. */
+  async #probe(sendDirect: () => Promise<StoreAnswer>): Promise<void> {
+    this.#path = recordProbe(this.#path, this.#parts.readNowMs());
+    this.#recordDirect(await sendDirect());
+  }
+
+  /** A watch that peers' news overtook has hung, as a call without an answer. */
+  #recordAbort(signal: AbortSignal): void {
+    if (signal.reason === WATCH_ABORTS.behind) {
+      this.#setReached(false, "a watch is behind the peers");
+    }
+  }
+
+  #recordDirect(answer: StoreAnswer): void {
+    const reason = "reason" in answer ? String(answer.reason) : "";
+    this.#setReached(answer.kind !== "failed", reason);
+  }
+
+  #setReached(isReached: boolean, reason: string): void {
+    const { readNowMs, onDirectContact, log } = this.#parts;
+    const before = this.#path;
+    this.#path = recordDirectCall(before, isReached, readNowMs());
+    if (before.kind !== this.#path.kind) {
+      log.info("store-path", { isDirect: isReached, reason });
+    }
     onDirectContact(isReached);
   }
 
   async #relay<Result extends StoreAnswer>(
-    { address, relayPort }: FleetMember,
+    peer: FleetMember,
     call: RelayCall,
     signal?: AbortSignal,
   ): Promise<Result | MetadataFailure> {
-    const waitMs = call.kind === "watch" ? call.waitMs + WATCH_SLACK_MS : 0;
-    try {
-      const text = await this.#client
-        .post(`http://${address}:${relayPort}/`, {
-          body: relayCodec.encode(call),
-          timeout: { request: CALL_TIMEOUT_MS + waitMs },
-          ...(signal === undefined ? {} : { signal }),
-        })
-        .text();
-      // Peers run the same program, so the answer matches the call's type.
-      return relayCodec.decode(text) as Result;
-    } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      return { kind: "failed", isUndone: false, step: call.kind, reason };
-    }
+    // Peers run the same program, so the answer matches the call's type.
+    const answer = (await this.#parts.relay.send(peer, call, signal)) as
+      | Result
+      | MetadataFailure;
+    this.#avoidedPeerId = answer.kind === "failed" ? peer.id : undefined;
+    return answer;
   }
 }
 
+/**
+ * Returns whether a call may be executed twice. A watch isn't sent as a probe: it
+ * says nothing while there is no change.
+ */
+function isProbeable({ kind }: RelayCall): boolean {
+  return kind === "read" || kind === "list" || kind === "keep-lease";
+}
+
 /**
  * Returns whether a failed call may be retried through a peer. A watch is
  * restarted by its caller, since part of its wait has passed.
--- a/packages/gateway/src/store/relayed_store_test.ts
+++ b/packages/gateway/src/store/relayed_store_test.ts
@@ -2,6 +2,8 @@
 import { createMetadata } from "@gooseberryline/fakes";
 import { afterEach, expect, test } from "vitest";
 import { findPort } from "../testing/find_port.ts";
+import { SILENT_LOG } from "../testing/silent_log.ts";
+import { RelayClient } from "./relay_client.ts";
 import { RelayListener } from "./relay_listener.ts";
 import { RelayedStore } from "./relayed_store.ts";
 
@@ -48,6 +50,8 @@
   const relayed = new RelayedStore({
     direct: failing.store,
     choosePeer: () => peer,
+    relay: new RelayClient(),
+    log: SILENT_LOG,
     readNowMs: () => performance.now(),
     onDirectContact: () => undefined,
   });
