--- a/packages/gateway/src/fleet/member_record.ts
+++ b/packages/gateway/src/fleet/member_record.ts
@@ -3,13 +3,16 @@
 import { decodeJson } from "../decode_json.ts";
 
 const PREFIX = "instances/";
+const MAX_PORT = 65_535;
+
+const PORT = z.number().int().nonnegative().max(MAX_PORT);
 
 const SCHEMA = z.object({
   id: z.string(),
   incarnation: z.string(),
-  address: z.string(),
-  port: z.number(),
-  relayPort: z.number(),
+  address: z.ipv4(),
+  port: PORT,
+  relayPort: PORT,
   dataCentre: z.string(),
   duty: z.enum([DUTIES.serve, DUTIES.run]),
 });
