--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -1,6 +1,8 @@
 /** Fields of every log line about a request. */
 const REQUEST_FIELDS = [
   "requestId",
+  "resumes",
+  "lastEventId",
   "route",
   "customer",
   "upstreams",
@@ -165,7 +167,7 @@
     text: "A data centre was taken out or brought back",
   },
   "upstream-listed": {
-    fields: ["upstream", "dataCentre", "isDraining", "coldMs"],
+    fields: ["upstream", "dataCentre", "version", "isDraining", "coldMs"],
     text: "An upstream's entry is new or has changed",
   },
   "upstream-limit": {
--- a/packages/core/src/placing/types.ts
+++ b/packages/core/src/placing/types.ts
@@ -17,6 +17,11 @@
   readonly coldUntilMs: number;
   /** Start of its process, by its own clock, in ms; undefined if not told. */
   readonly bornMs?: number | undefined;
+  /**
+   * Version of its software, without an order; undefined if not told. What two
+   * versions write of one stream does not fit together.
+   */
+  readonly version?: string | undefined;
 };
 
 /** Requests and batch items in flight at an upstream. */
--- a/packages/gateway/src/dialect/types.ts
+++ b/packages/gateway/src/dialect/types.ts
@@ -18,6 +18,8 @@
   readonly deadlineMs: number | undefined;
   /** Id of the last event that the caller has received of a stream. */
   readonly lastEventId: number | undefined;
+  /** Id of the request that brought the stream's first event, if it goes on. */
+  readonly resumes: string | undefined;
   /** Identifies the shared prefix of the prompt, for placement affinity. */
   readonly affinityKey: string | undefined;
   /** Ids of the prompt's parts that other requests may share, in order. */
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -165,10 +165,11 @@
       directory.remove(id, nowMs);
       return;
     }
-    const { isDraining, dataCentre, coldUntilMs } = entry.value;
+    const { isDraining, dataCentre, coldUntilMs, version } = entry.value;
     log.info("upstream-listed", {
       upstream: id,
       dataCentre,
+      version,
       isDraining,
       coldMs: Math.max(0, Math.round(coldUntilMs - nowMs)),
     });
--- a/packages/gateway/src/requests/attempt_tracker.ts
+++ b/packages/gateway/src/requests/attempt_tracker.ts
@@ -99,6 +99,8 @@
     const { head, route, customer } = this.#call;
     return {
       requestId: head.requestId,
+      resumes: head.resumes,
+      lastEventId: head.lastEventId,
       route: route.name,
       customer: customer?.name,
       upstreams: this.#attemptedIds.join(" "),
--- a/packages/gateway/src/testing/plain_dialect.ts
+++ b/packages/gateway/src/testing/plain_dialect.ts
@@ -7,6 +7,7 @@
     key: undefined,
     deadlineMs: undefined,
     lastEventId: undefined,
+    resumes: undefined,
     affinityKey: undefined,
     promptParts: headers.parts?.toString().split(" ") ?? [],
     waitMs: 0,
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -20,6 +20,8 @@
 type RunParts = {
   /** Addresses of the upstreams, in the order in which they are tried. */
   readonly addresses: readonly string[];
+  /** Versions of the upstreams, none by default. */
+  readonly versions?: readonly string[];
   readonly route?: Partial<Route>;
   readonly lastEventId?: number;
   /** Ids of the prompt's parts that other requests may share. */
@@ -66,6 +68,7 @@
 /** Runs one request against the given upstreams. */
 export function runRequest({
   addresses,
+  versions = [],
   route,
   lastEventId,
   promptParts = [],
@@ -85,6 +88,7 @@
       slots: 8,
       isDraining: false,
       coldUntilMs: 0,
+      version: versions[index],
     });
   });
   const answer: TestAnswer = {
