Let a stream go on only at the software version that began it

What callers saw: answers of 200, whole, whose events came from two versions.

Cause: the version of an upstream was dropped when its entry was decoded, and what began a stream was known to one instance only, in memory. A retry within an answer, and a caller's take-up after the instances lost power, went to any upstream.

Change: one decision of the core (stream_versions) on what may go on where. Which versions may have begun streams that still live stands in the store, followed with the instances' records. While there are several, each stream is written to the store, in batches and under a lease; with one version nothing is written. A take-up of a stream whose version is not known for certain gets 503, 'not run', at once.

--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -170,6 +170,18 @@
     fields: ["upstream", "dataCentre", "version", "isDraining", "coldMs"],
     text: "An upstream's entry is new or has changed",
   },
+  "version-history": {
+    fields: ["service", "versions"],
+    text: "The versions of a service's upstreams that may have begun streams have changed",
+  },
+  "version-history-unreadable": {
+    fields: ["service"],
+    text: "The record of a service's versions can't be read; it is not used",
+  },
+  "stream-origins-unwritten": {
+    fields: ["streams", "reason"],
+    text: "It could not be written which versions began streams; it is tried again",
+  },
   "upstream-limit": {
     fields: ["upstream", "perSecond", "source"],
     text: "An upstream names another limit on its requests; none if perSecond is missing",
--- /dev/null
+++ b/packages/core/src/stream_versions/get_version.ts
@@ -0,0 +1,6 @@
+import type { UpstreamEntry } from "../placing/types.ts";
+
+/** Returns an upstream's version; empty if it names none. */
+export function getVersion({ version }: UpstreamEntry): string {
+  return version ?? "";
+}
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -11,6 +11,8 @@
 import type { RecordDialect } from "../dialect/types.ts";
 import { WATCH_TIMING } from "../store/constants.ts";
 import { PrefixWatch } from "../store/prefix_watch.ts";
+import { historyRecord } from "../streams/history_record.ts";
+import type { VersionKeeper } from "../streams/version_keeper.ts";
 import type { FleetView } from "./fleet_view.ts";
 import { memberRecord } from "./member_record.ts";
 
@@ -20,6 +22,7 @@
   readonly dialect: RecordDialect;
   readonly log: EventLog;
   readonly blocks: BlockKeeper;
+  readonly versions: VersionKeeper;
   readonly onConfig: () => void;
   /**
    * Called when this instance is to hand over its jobs, or no longer has to.
@@ -39,9 +42,10 @@
       this.#watch(dialect.operatorPrefix, (event) =>
         this.#handleOperatorEvent(event),
       ),
-      this.#watch(dialect.upstreamPrefix, (event) =>
-        this.#handleUpstreamEvent(event),
-      ),
+      this.#watch(dialect.upstreamPrefix, (event) => {
+        this.#handleUpstreamEvent(event);
+        this.#parts.versions.review();
+      }),
       this.#watch(
         memberRecord.prefix,
         (event) => this.#handleMemberEvent(event),
@@ -178,7 +182,12 @@
   }
 
   #handleMemberEvent(event: MetadataEvent): void {
-    const { view, log, blocks } = this.#parts;
+    const { view, log, blocks, versions } = this.#parts;
+    const service = historyRecord.parseKey(getEventKey(event));
+    if (service !== undefined) {
+      versions.handleEvent(service, event);
+      return;
+    }
     const blockId = blockRecord.parseKey(getEventKey(event));
     if (blockId !== undefined) {
       blocks.handleEvent(blockId, event);
--- a/packages/gateway/src/fleet/upstream_directory.ts
+++ b/packages/gateway/src/fleet/upstream_directory.ts
@@ -1,4 +1,8 @@
-import type { LeavingUpstream, UpstreamEntry } from "@gooseberryline/core";
+import {
+  getVersion,
+  type LeavingUpstream,
+  type UpstreamEntry,
+} from "@gooseberryline/core";
 import { FLEET } from "./constants.ts";
 
 type DirectoryEntry = {
@@ -121,6 +125,16 @@
       .filter(({ dataCentre }) => !this.#evacuated.has(dataCentre));
   }
 
+  /** Lists the versions of each service's upstreams, whatever their state. */
+  listVersions(): ReadonlyMap<string, ReadonlySet<string>> {
+    const versions = new Map<string, Set<string>>();
+    this.#held.forEach(({ entry }) => {
+      const known = versions.get(entry.service) ?? new Set();
+      versions.set(entry.service, known.add(getVersion(entry)));
+    });
+    return versions;
+  }
+
   count(): number {
     return this.#held.size;
   }
--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -9,6 +9,7 @@
 import { RequestRun } from "../requests/request_run.ts";
 import type { CallReply } from "../requests/types.ts";
 import type { Endpoint } from "../settings/types.ts";
+import type { StreamOrigins } from "../streams/stream_origins.ts";
 import { buildReply } from "./build_reply.ts";
 import { closeServer } from "./close_server.ts";
 import { countHeaderBytes } from "./count_header_bytes.ts";
@@ -17,6 +18,7 @@
 
 type CallerListenerParts = AttemptParts & {
   readonly jobs: JobApi;
+  readonly origins: StreamOrigins;
   readonly onDone: (outcome: string, tookMs: number) => void;
 };
 
--- a/packages/gateway/src/http/caller_listener_test.ts
+++ b/packages/gateway/src/http/caller_listener_test.ts
@@ -4,6 +4,7 @@
 import { expect, test } from "vitest";
 import { JobApi } from "../jobs/job_api.ts";
 import { ResultCountFeed } from "../jobs/result_count_feed.ts";
+import { createOrigins } from "../testing/create_origins.ts";
 import { createView } from "../testing/create_view.ts";
 import { findPort } from "../testing/find_port.ts";
 import { plainDialect } from "../testing/plain_dialect.ts";
@@ -19,6 +20,7 @@
   const listener = new CallerListener({
     ...shared,
     pool: new ConnectionPool(1_000),
+    origins: createOrigins(view).origins,
     jobs: new JobApi({
       ...shared,
       store: createMetadata().store,
--- a/packages/gateway/src/requests/call_errors.ts
+++ b/packages/gateway/src/requests/call_errors.ts
@@ -71,6 +71,13 @@
     run: "not run",
     retryAfterMs: drawRetryAfterMs(NOT_READY_RETRY_MS, Math.random()),
   }),
+  /** The stream can't go on, but its request may be sent as a new one. */
+  streamOver: (): CallError => ({
+    status: 503,
+    code: "stream_over",
+    message: "it is not known which version began the stream",
+    run: "not run",
+  }),
   /** The request has crashed upstreams, so no retry can help. */
   blocked: (
     { kind }: CrashBlock,
--- a/packages/gateway/src/requests/choose_upstream.ts
+++ b/packages/gateway/src/requests/choose_upstream.ts
@@ -1,8 +1,22 @@
-import { type Placement, placeRequest } from "@gooseberryline/core";
+import {
+  listCandidatesOfOrigin,
+  type Placement,
+  placeRequest,
+  type StreamOrigin,
+} from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { REQUESTS } from "./constants.ts";
 import type { AdmittedCall } from "./types.ts";
 
+type UpstreamChoice = {
+  /** Ids of the upstreams at which the request has failed. */
+  readonly tried: ReadonlySet<string>;
+  /** Time until the request's deadline, in ms. */
+  readonly leftMs: number;
+  /** What began the stream; undefined unless it has begun. */
+  readonly origin: StreamOrigin | undefined;
+};
+
 /**
  * Chooses the upstream of a request by the load and health that this instance
  * knows of.
@@ -10,13 +24,15 @@
 export function chooseUpstream(
   view: FleetView,
   call: AdmittedCall,
-  tried: ReadonlySet<string>,
-  leftMs: number,
+  { tried, leftMs, origin }: UpstreamChoice,
 ): Placement {
   const { service, head, path, receivedMs, route } = call;
   const nowMs = view.readNowMs();
   const request = {
-    candidates: view.listCandidates(service, "online"),
+    candidates: listCandidatesOfOrigin(
+      view.listCandidates(service, "online"),
+      origin,
+    ),
     tried,
     ownDataCentre: view.settings.dataCentre,
     affinityKey: head.affinityKey ?? head.requestId ?? path,
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -6,18 +6,21 @@
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import type { ExchangeHead } from "../exchange/types.ts";
+import type { StreamOrigins } from "../streams/stream_origins.ts";
 import { admitCustomer } from "./admit_customer.ts";
-import { Attempt, type AttemptParts, type AttemptResult } from "./attempt.ts";
+import type { Attempt, AttemptParts, AttemptResult } from "./attempt.ts";
 import { AttemptTracker } from "./attempt_tracker.ts";
-import { buildExchangeOptions } from "./build_exchange_options.ts";
 import { callErrors } from "./call_errors.ts";
 import { chooseUpstream } from "./choose_upstream.ts";
 import { REQUESTS } from "./constants.ts";
 import { RequestEnding } from "./request_ending.ts";
+import { RequestOrigin } from "./request_origin.ts";
+import { startAttempt } from "./start_attempt.ts";
 import { StreamRelay } from "./stream_relay.ts";
-import type { AdmittedCall, CallError, CallReply } from "./types.ts";
+import type { AdmittedCall, CallReply } from "./types.ts";
 
 type RequestRunParts = AttemptParts & {
+  readonly origins: Pick<StreamOrigins, "find" | "recordBegun">;
   readonly onDone: (outcome: string, tookMs: number) => void;
 };
 
@@ -36,6 +39,7 @@
   #head: ExchangeHead | undefined;
   #body: Buffer[] = [];
   #hasStarted = false;
+  readonly #origin: RequestOrigin;
   #timer: NodeJS.Timeout | undefined;
   readonly #ending: RequestEnding;
 
@@ -44,7 +48,7 @@
     this.#reply = reply;
     this.#parts = parts;
     this.#tracker = new AttemptTracker(call, parts.view);
-    const { onDone } = parts;
+    this.#origin = new RequestOrigin(call, parts.origins);
     this.#ending = new RequestEnding({
       ...parts,
       call,
@@ -52,20 +56,19 @@
       tracker: this.#tracker,
       onDone: (outcome, tookMs) => {
         clearTimeout(this.#timer);
-        onDone(outcome, tookMs);
+        this.#origin.recordEnd();
+        parts.onDone(outcome, tookMs);
       },
     });
-    const { lastEventId } = call.head;
-    const resume = (): void => this.#attempt?.resume();
-    this.#relay = new StreamRelay(reply, lastEventId, resume);
+    this.#relay = new StreamRelay(reply, call.head.lastEventId, () =>
+      this.#attempt?.resume(),
+    );
   }
 
   start(): void {
-    this.#timer = setTimeout(
-      () => this.#expire(),
-      this.#tracker.computeRemainingMs(),
-    );
-    this.#place();
+    const leftMs = this.#tracker.computeRemainingMs();
+    this.#timer = setTimeout(() => this.#expire(), leftMs);
+    void (this.#origin.isTakenUp ? this.#placeTakenUp() : this.#place());
   }
 
   /** Cancels the request after the caller has disconnected. */
@@ -76,20 +79,30 @@
     }
   }
 
+  /** Goes on at an upstream of the version that began the stream, or nowhere. */
+  async #placeTakenUp(): Promise<void> {
+    const isKnown = await this.#origin.find();
+    if (this.#ending.isEnded) {
+      return;
+    }
+    if (!isKnown) {
+      this.#ending.refuse(callErrors.streamOver());
+      return;
+    }
+    this.#place();
+  }
+
   #place(): void {
-    const { view } = this.#parts;
     const block = this.#tracker.findBlock();
     if (block !== undefined) {
       this.#ending.refuseBlocked(block, this.#hasStarted);
       return;
     }
-    const leftMs = this.#tracker.computeRemainingMs();
-    const placement = chooseUpstream(
-      view,
-      this.#call,
-      this.#tracker.failed,
-      leftMs,
-    );
+    const placement = chooseUpstream(this.#parts.view, this.#call, {
+      tried: this.#tracker.failed,
+      leftMs: this.#tracker.computeRemainingMs(),
+      origin: this.#origin.current,
+    });
     switch (placement.kind) {
       case "placed":
         this.#admit(placement.upstream, placement.waitMs);
@@ -98,7 +111,10 @@
         this.#abandon("every upstream is full", placement.freeInMs);
         return;
       case "none":
-        this.#abandon("no upstream is in use", REQUESTS.NO_UPSTREAM_RETRY_MS);
+        this.#abandon(
+          this.#origin.describeLack(),
+          REQUESTS.NO_UPSTREAM_RETRY_MS,
+        );
         return;
       default:
         assertNever(placement);
@@ -107,10 +123,9 @@
 
   /** Takes a rate-limit token, once per request, then sends the request. */
   #admit(upstream: UpstreamEntry, waitMs: number): void {
-    const { view } = this.#parts;
     const error = this.#isAdmitted
       ? undefined
-      : admitCustomer(view, this.#call.customer);
+      : admitCustomer(this.#parts.view, this.#call.customer);
     if (error !== undefined) {
       this.#ending.refuse(error);
       return;
@@ -120,23 +135,14 @@
   }
 
   #send(upstream: UpstreamEntry, waitMs: number): void {
-    this.#tracker.recordAttempt(upstream.id, waitMs);
     this.#head = undefined;
     this.#body = [];
     this.#relay.restart();
-    const options = buildExchangeOptions(this.#call, this.#parts.dialect, {
-      upstream,
-      waitMs,
-      leftMs: this.#tracker.computeRemainingMs(),
-      runs: this.#tracker.runs,
-      lastEventId: this.#relay.lastEventId,
-    });
-    const { key, head, customer } = this.#call;
-    const { promptParts } = head;
-    const eventsBefore = this.#relay.eventCount;
-    this.#attempt = new Attempt(
-      { upstream, lane: "online", key, promptParts, customer: customer?.name },
-      options,
+    const call = this.#call;
+    const tracker = this.#tracker;
+    const { lastEventId, eventCount } = this.#relay;
+    this.#attempt = startAttempt(
+      { call, tracker, upstream, waitMs, lastEventId },
       this.#parts,
       {
         onHead: (response) => {
@@ -144,7 +150,7 @@
         },
         onChunk: (chunk) => this.#handleChunk(chunk),
         onEnd: (end) => this.#handleEnd(end),
-        countEvents: () => this.#relay.eventCount - eventsBefore,
+        countEvents: () => this.#relay.eventCount - eventCount,
       },
     );
   }
@@ -156,6 +162,9 @@
     }
     this.#startReply();
     const result = this.#relay.relayChunk(chunk);
+    if (this.#relay.eventCount > 0 && this.#attempt !== undefined) {
+      this.#origin.recordBegun(this.#attempt.upstream);
+    }
     if (result === "out-of-order") {
       this.#cancelAttempt();
       this.#handleFailure({ kind: "lost", reason: "events out of order" });
@@ -263,21 +272,16 @@
       return;
     }
     const mayHaveRun = this.#tracker.runs > 0;
-    this.#fail(
-      reason,
-      mayHaveRun
-        ? callErrors.upstreamFailed(reason)
-        : callErrors.noCapacity(reason, availableInMs),
-    );
+    const error = mayHaveRun
+      ? callErrors.upstreamFailed(reason)
+      : callErrors.noCapacity(reason, availableInMs);
+    this.#ending.fail(reason, error, this.#hasStarted);
   }
 
   #expire(): void {
     this.#cancelAttempt();
     const reason = "the time is up";
-    this.#fail(reason, callErrors.timedOut(reason, this.#tracker.runs > 0));
-  }
-
-  #fail(reason: string, error: CallError): void {
+    const error = callErrors.timedOut(reason, this.#tracker.runs > 0);
     this.#ending.fail(reason, error, this.#hasStarted);
   }
 
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -30,6 +30,9 @@
 import { RelayListener } from "./store/relay_listener.ts";
 import { RelayedStore } from "./store/relayed_store.ts";
 import { reportStoreContact } from "./store/report_store_contact.ts";
+import { OriginWriter } from "./streams/origin_writer.ts";
+import { StreamOrigins } from "./streams/stream_origins.ts";
+import { VersionKeeper } from "./streams/version_keeper.ts";
 import { waitMs } from "./wait_ms.ts";
 
 export type GatewayParts = {
@@ -81,9 +84,25 @@
   const state = { isLoaded: false, isStopping: false };
   const resultCounts = new ResultCountFeed(() => view.readNowMs());
   const jobs = new JobApi({ ...shared, resultCounts });
+  const versions = new VersionKeeper({
+    store,
+    log,
+    directory: view.directory,
+    isFirstStart: settings.isFirstStart,
+    readUnixMs: () => Date.now(),
+    onMixed: (service) => origins.recordMixed(service),
+  });
+  const originWriter = new OriginWriter({
+    store,
+    log,
+    readNowMs: () => view.readNowMs(),
+    countInstances: () => view.members.count(),
+  });
+  const origins = new StreamOrigins({ store, versions, writer: originWriter });
   const listener = new CallerListener({
     ...shared,
     jobs,
+    origins,
     onDone: metrics.recordRequest,
   });
   const runner = new JobRunner(shared);
@@ -102,6 +121,7 @@
     view,
     store,
     blocks,
+    versions,
     dialect: dialect.records,
     log,
     onConfig: () => listener.applyLimits(),
@@ -172,6 +192,7 @@
   log.info("started", { incarnation, duty: settings.duty });
   void watches.start().then(() => {
     state.isLoaded = true;
+    versions.start();
     log.info("ready", { sinceStartMs: Math.round(performance.now()) });
   });
 
@@ -189,7 +210,9 @@
     claims.stop();
     watches.stop();
     blocks.stop();
+    versions.stop();
     crashWatch.stop();
+    await originWriter.stop();
     await membership.stop();
     peers.stop();
     relay.stop();
--- a/packages/gateway/src/settings/types.ts
+++ b/packages/gateway/src/settings/types.ts
@@ -23,6 +23,8 @@
   readonly metrics: Endpoint | undefined;
   /** Time from the stop signal until the process is killed, in ms. */
   readonly graceMs: number;
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean;
   /** Number of requests that a window may contain beyond a customer's limit. */
   readonly quotaSlack: number;
   /**
--- /dev/null
+++ b/packages/gateway/src/streams/history_record.ts
@@ -0,0 +1,26 @@
+import type { VersionHistory } from "@gooseberryline/core";
+import { z } from "zod";
+import { decodeJson } from "../decode_json.ts";
+import { memberRecord } from "../fleet/member_record.ts";
+
+/** Within the prefix of the instances, so that one watch follows both. */
+const PREFIX = `${memberRecord.prefix}versions/`;
+
+const SCHEMA: z.ZodType<VersionHistory> = z.object({
+  service: z.string(),
+  sinceMs: z.number(),
+  versions: z.record(z.string(), z.number().nullable()),
+});
+
+/** Keys and encoding of the store records of a service's versions. */
+export const historyRecord = {
+  buildKey: (service: string): string => `${PREFIX}${service}`,
+  /** Returns the service; undefined if the key is of another record. */
+  parseKey: (key: string): string | undefined =>
+    key.startsWith(PREFIX) ? key.slice(PREFIX.length) : undefined,
+  encode: (history: VersionHistory): Buffer =>
+    Buffer.from(JSON.stringify(history)),
+  /** Returns undefined for a value that is not such a record. */
+  decode: (value: Buffer): VersionHistory | undefined =>
+    decodeJson(SCHEMA, value),
+} as const;
--- a/packages/gateway/src/testing/create_view.ts
+++ b/packages/gateway/src/testing/create_view.ts
@@ -14,6 +14,7 @@
     readiness: undefined,
     metrics: undefined,
     graceMs: 1_000,
+    isFirstStart: false,
     quotaSlack: 20,
     ramp: { over: 1, slack: 1 },
   };
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -4,6 +4,7 @@
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { RequestRun } from "../requests/request_run.ts";
 import type { CallReply } from "../requests/types.ts";
+import type { StreamOrigins } from "../streams/stream_origins.ts";
 import { createView } from "./create_view.ts";
 import { plainDialect } from "./plain_dialect.ts";
 import { SILENT_LOG } from "./silent_log.ts";
@@ -23,7 +24,11 @@
   /** Versions of the upstreams, none by default. */
   readonly versions?: readonly string[];
   readonly route?: Partial<Route>;
-  readonly lastEventId?: number;
+  readonly lastEventId?: number | undefined;
+  /** Id of the request that brought the stream's first event. */
+  readonly resumes?: string;
+  /** Knows what began streams; by default the version is the upstreams'. */
+  readonly origins?: Pick<StreamOrigins, "find" | "recordBegun">;
   /** Ids of the prompt's parts that other requests may share. */
   readonly promptParts?: readonly string[];
   /** Prefix of the upstreams' ids, which end with their index. */
@@ -65,12 +70,19 @@
   maxBacklogTokens: 0,
 };
 
+const ONE_VERSION: Pick<StreamOrigins, "find" | "recordBegun"> = {
+  find: async () => ({ service: SERVICE, version: "" }),
+  recordBegun: () => () => undefined,
+};
+
 /** Runs one request against the given upstreams. */
 export function runRequest({
   addresses,
   versions = [],
   route,
   lastEventId,
+  resumes,
+  origins = ONE_VERSION,
   promptParts = [],
   idPrefix = "u",
   body = "prompt",
@@ -111,6 +123,7 @@
       ...plainDialect.parseCallHead({}),
       requestId,
       lastEventId,
+      resumes,
       promptParts,
     },
     route: { ...ROUTE, ...route },
@@ -127,6 +140,7 @@
   const run = new RequestRun(call, buildTestReply(answer), {
     view,
     pool,
+    origins,
     dialect: plainDialect,
     log: SILENT_LOG,
     onDone: (outcome) => {
--- a/packages/measure/src/capacity/measure_gateway.ts
+++ b/packages/measure/src/capacity/measure_gateway.ts
@@ -29,6 +29,7 @@
   readiness: undefined,
   metrics: undefined,
   graceMs: 1_000,
+  isFirstStart: false,
   quotaSlack: 20,
   ramp: { over: 1, slack: 1 },
 } as const;
--- a/packages/measure/src/load_messages/simulate_load_messages.ts
+++ b/packages/measure/src/load_messages/simulate_load_messages.ts
@@ -119,6 +119,7 @@
     readiness: undefined,
     metrics: undefined,
     graceMs: 1,
+    isFirstStart: false,
     quotaSlack: 20,
     ramp: { over: 1, slack: 1 },
   } as const;
