Let an item go on only at the software version that wrote its text

The text names its version, in the saved record too; an item whose version is no longer listed begins anew, as does a text saved by an earlier build.

--- a/packages/core/src/batches/types.ts
+++ b/packages/core/src/batches/types.ts
@@ -1,5 +1,7 @@
 /** Types of batch jobs as stored in the metadata store. */
 
+import type { StreamOrigin } from "../stream_versions/types.ts";
+
 /** An item as submitted by its caller. */
 export type BatchItem = {
   readonly id: string;
@@ -63,6 +65,8 @@
   /** Data of the events received so far. */
   readonly texts: readonly string[];
   readonly lastEventId: number;
+  /** What wrote them; left out by earlier builds, whose texts begin anew. */
+  readonly origin?: StreamOrigin | undefined;
   /** Accumulated run time, in ms. */
   readonly ranMs: number;
 };
--- a/packages/gateway/src/jobs/batch_records.ts
+++ b/packages/gateway/src/jobs/batch_records.ts
@@ -62,6 +62,7 @@
   index: z.number(),
   texts: z.array(z.string()),
   lastEventId: z.number(),
+  origin: z.object({ service: z.string(), version: z.string() }).optional(),
   ranMs: z.number(),
 });
 
--- a/packages/gateway/src/jobs/item_placer.ts
+++ b/packages/gateway/src/jobs/item_placer.ts
@@ -1,20 +1,29 @@
 import {
+  type Candidate,
   chooseService,
   findRoute,
+  listCandidatesOfOrigin,
   placeItem,
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { StartLimiter } from "./start_limiter.ts";
-import type { WaitingItem } from "./types.ts";
+import type { ItemText, WaitingItem } from "./types.ts";
 
 /** Outcome of placing an item. */
 export type ItemPlacement =
-  | { readonly kind: "placed"; readonly upstream: UpstreamEntry }
+  | {
+      readonly kind: "placed";
+      readonly upstream: UpstreamEntry;
+      /** The text that it goes on from. */
+      readonly text: ItemText;
+    }
   | { readonly kind: "wait" }
   /** No route matches the item, or its route has no service. */
   | { readonly kind: "no-route" };
 
+const NO_TEXT: ItemText = { texts: [], lastEventId: undefined };
+
 /** Places items on upstream slots that online requests leave free. */
 export class ItemPlacer {
   readonly #view: FleetView;
@@ -25,7 +34,7 @@
     this.#startLimiter = new StartLimiter(view.settings.instanceId);
   }
 
-  place({ item, tried }: WaitingItem, host: string): ItemPlacement {
+  place({ item, text, tried }: WaitingItem, host: string): ItemPlacement {
     const { table } = this.#view;
     if (table === undefined) {
       return { kind: "wait" };
@@ -38,7 +47,13 @@
     const nowMs = this.#view.readNowMs();
     const workers = this.#view.load.listPeersWithWaitingItems(nowMs);
     const listed = this.#view.listCandidates(service, "batch");
-    const candidates = this.#startLimiter.listStartable(listed, workers, nowMs);
+    const resumable = listResumable(listed, text);
+    const isAnew = resumable.length === 0;
+    const candidates = this.#startLimiter.listStartable(
+      isAnew ? listed : resumable,
+      workers,
+      nowMs,
+    );
     // An upstream that failed before is better than none.
     const upstream =
       placeItem(candidates, tried, nowMs) ??
@@ -47,6 +62,20 @@
       return { kind: "wait" };
     }
     this.#startLimiter.recordStart(upstream.id, nowMs);
-    return { kind: "placed", upstream };
+    return { kind: "placed", upstream, text: isAnew ? NO_TEXT : text };
   }
 }
+
+/**
+ * Lists the upstreams that can go on with a text: those of the version that wrote
+ * it. An item begins anew once there is none.
+ */
+function listResumable(
+  listed: readonly Candidate[],
+  { origin, lastEventId }: ItemText,
+): readonly Candidate[] {
+  const hasBegun = lastEventId !== undefined;
+  return hasBegun && origin === undefined
+    ? []
+    : listCandidatesOfOrigin(listed, hasBegun ? origin : undefined);
+}
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -144,7 +144,8 @@
         return true;
       case "placed": {
         this.#dropWaiting(waiting);
-        const run: ItemRun = new ItemRun(waiting, placement.upstream, {
+        const { upstream, text } = placement;
+        const run: ItemRun = new ItemRun({ ...waiting, text }, upstream, {
           ...this.#parts,
           host,
           customer,
--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -1,5 +1,6 @@
 import {
   assertNever,
+  getVersion,
   isNextEvent,
   type StreamEvent,
   splitEvents,
@@ -177,7 +178,15 @@
   }
 
   #getText(): ItemText {
-    return { texts: this.#texts, lastEventId: this.#lastEventId };
+    const { text } = this.waiting;
+    const { service } = this.upstream;
+    const version = getVersion(this.upstream);
+    return {
+      texts: this.#texts,
+      lastEventId: this.#lastEventId,
+      origin:
+        text.lastEventId === undefined ? { service, version } : text.origin,
+    };
   }
 
   #end(end: ItemRunEnd): void {
--- a/packages/gateway/src/jobs/text_saver.ts
+++ b/packages/gateway/src/jobs/text_saver.ts
@@ -129,7 +129,7 @@
 }
 
 function encodeText({ index, text, ranMs }: WaitingItem): Buffer {
-  const { texts, lastEventId = 0 } = text;
-  const record: PartialItemText = { index, texts, lastEventId, ranMs };
-  return batchRecords.encode(record);
+  const { texts, lastEventId = 0, origin } = text;
+  const record = { index, texts, lastEventId, origin, ranMs };
+  return batchRecords.encode(record satisfies PartialItemText);
 }
--- a/packages/gateway/src/jobs/types.ts
+++ b/packages/gateway/src/jobs/types.ts
@@ -1,10 +1,12 @@
 /** Types of the items that a worker runs. */
-import type { BatchItem } from "@gooseberryline/core";
+import type { BatchItem, StreamOrigin } from "@gooseberryline/core";
 
 /** Partial output of an item: texts of the events received completely. */
 export type ItemText = {
   readonly texts: readonly string[];
   readonly lastEventId: number | undefined;
+  /** What wrote them, which alone may go on; undefined if nothing is known. */
+  readonly origin?: StreamOrigin | undefined;
 };
 
 /** An item that waits for an upstream. */
--- a/packages/gateway/src/testing/create_item_pool.ts
+++ b/packages/gateway/src/testing/create_item_pool.ts
@@ -12,7 +12,9 @@
 const SERVICE = "s";
 const ROUTE = { ...JOB_ROUTE, targets: [{ service: SERVICE, weight: 1 }] };
 
-type ItemUpstream = Pick<TestUpstream, "address">;
+type ItemUpstream = Pick<TestUpstream, "address"> & {
+  readonly version?: string;
+};
 
 /** Creates a pool with a job of one item, submitted `ageMs` ago, and upstreams. */
 export function createItemPool(
@@ -32,7 +34,7 @@
       idleTimeoutMs: 1,
     },
   });
-  const addUpstream = ({ address }: ItemUpstream, id: string): void =>
+  const addUpstream = ({ address, version }: ItemUpstream, id: string): void =>
     view.directory.set({
       id,
       service: SERVICE,
@@ -41,6 +43,7 @@
       slots: 8,
       isDraining: false,
       coldUntilMs: 0,
+      version,
     });
   upstreams.forEach((upstream, index) => {
     addUpstream(upstream, `u${index}`);
