--- a/packages/gateway/src/requests/cut_head_test.ts
+++ b/packages/gateway/src/requests/cut_head_test.ts
@@ -23,7 +23,7 @@
 };
 
 /** Cuts the answer's head at each byte; returns the answers that callers got. */
-async function cutAtEachByte({ head, shape, lastEventId, isLater }: Cut) {
+async function runEachCut({ head, shape, lastEventId, isLater }: Cut) {
   const cuts = Array.from({ length: head.length }, (_, bytes) => bytes);
   const route = { shape, maxAttempts: 1, isIdempotent: true };
   return Promise.all(
@@ -63,7 +63,7 @@
 test.each(CASES)(
   "an answer cut in its head is an error to callers: $name, $shape, later $isLater, after event $lastEventId",
   async (cut) => {
-    const answers = await cutAtEachByte(cut);
+    const answers = await runEachCut(cut);
     expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 502));
     expect(answers.map(({ run }) => run)).toEqual(
       answers.map(() => "may have run"),
