Ask for a change by a second way while the watch that is behind goes on

What callers would see: a change in force seconds late at an instance to which the store answers slowly.

Cause: a watch was ended 0.3 s after a peer told of a change that it had not brought, and begun anew, so an answer that takes longer never arrived.

Change: the change is asked for by way of a peer that has seen it, up to three calls at a time; the first that brings it ends the rest.

--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -224,7 +224,7 @@
   },
   "watch-behind": {
     fields: ["prefix", "own", "revision"],
-    text: "A peer has seen a later change; the watch is opened anew",
+    text: "A peer has seen a later change; it is asked for by another way as well",
   },
   "store-path": {
     fields: ["isDirect", "reason"],
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -20,6 +20,7 @@
 import { MessageRouter } from "./message_router.ts";
 import { QuotaTracker } from "./quota_tracker.ts";
 import { RampTracker } from "./ramp_tracker.ts";
+import { StoreRelayChooser } from "./store_relay_chooser.ts";
 import { UpstreamDirectory } from "./upstream_directory.ts";
 import { UpstreamLimitTracker } from "./upstream_limit_tracker.ts";
 
@@ -36,6 +37,7 @@
   readonly crashes: CrashTracker;
   readonly quotas: QuotaTracker;
   readonly limits: UpstreamLimitTracker;
+  readonly storeRelays: StoreRelayChooser;
   readonly #ramps: RampTracker;
   readonly #router: MessageRouter;
   readonly #readNowMs: () => number;
@@ -105,6 +107,12 @@
       getPeerTimeoutMs: () => this.#times.peerTimeoutMs,
       readNowMs,
     });
+    this.storeRelays = new StoreRelayChooser({
+      load,
+      listPeers: () => this.listPeers(),
+      getPeerTimeoutMs: () => this.#times.peerTimeoutMs,
+      readNowMs,
+    });
     this.#ramps = new RampTracker({ instanceId, members, bounds: ramp });
   }
 
@@ -192,21 +200,6 @@
     return true;
   }
 
-  /**
-   * Chooses a random peer that reaches the store and is in direct contact with
-   * this instance; `avoidedId` only if there is no other.
-   */
-  chooseStoreRelay(avoidedId?: string): FleetMember | undefined {
-    const nowMs = this.readNowMs();
-    const timeoutMs = this.#times.peerTimeoutMs;
-    const reachable = this.listPeers().filter(({ id }) =>
-      this.load.canReachStore(id, timeoutMs, nowMs),
-    );
-    const others = reachable.filter(({ id }) => id !== avoidedId);
-    const peers = others.length > 0 ? others : reachable;
-    return peers[Math.floor(Math.random() * peers.length)];
-  }
-
   /** Lists the peers that the next load message is sent to. */
   listMessageTargets(): readonly FleetMember[] {
     return this.#router.listTargets(this.#sequence);
--- a/packages/gateway/src/fleet/load_tracker.ts
+++ b/packages/gateway/src/fleet/load_tracker.ts
@@ -200,6 +200,11 @@
     );
   }
 
+  /** Returns the latest store revision that a peer has seen under a prefix. */
+  getSeenRevision(peerId: string, prefix: string): number {
+    return this.#peers.get(peerId)?.message.seen[prefix] ?? 0;
+  }
+
   /**
    * Lists, for each peer in direct contact, the instances whose messages do not
    * reach it.
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -19,6 +19,7 @@
 type RecordWatchesParts = {
   readonly view: FleetView;
   readonly store: MetadataStore;
+  readonly detour: Pick<MetadataStore, "watchPrefix">;
   readonly dialect: RecordDialect;
   readonly log: EventLog;
   readonly blocks: BlockKeeper;
@@ -89,10 +90,11 @@
     onEvent: (event: MetadataEvent) => void,
     minIntervalMs = 0,
   ): PrefixWatch {
-    const { store, log, view } = this.#parts;
+    const { store, detour, log, view } = this.#parts;
     const getRank = () => view.getRank();
     return new PrefixWatch({
       store,
+      detour,
       prefix,
       log,
       onEvent,
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -66,7 +66,9 @@
   const view = new FleetView(settings, incarnation, () => performance.now());
   const relayed = new RelayedStore({
     direct: parts.store,
-    choosePeer: (avoidedId) => view.chooseStoreRelay(avoidedId),
+    choosePeer: (avoidedId) => view.storeRelays.choose(avoidedId),
+    chooseInformedPeer: (prefix, after, avoidedId) =>
+      view.storeRelays.chooseInformed(prefix, after, avoidedId),
     relay: new RelayClient(),
     log,
     readNowMs: () => view.readNowMs(),
@@ -77,6 +79,7 @@
   const store = reportStoreContact(relayed.build(), (isReached) =>
     view.directory.recordStoreContact(isReached, view.readNowMs()),
   );
+  const detour = relayed.buildDetour();
   const relay = new RelayListener(parts.store);
   const pool = new ConnectionPool(EXCHANGE.IDLE_TIMEOUT_MS);
   const metrics = createGatewayMetrics();
@@ -109,6 +112,7 @@
   const sweeper = new JobSweeper(shared);
   const claims = new PrefixWatch({
     store,
+    detour,
     prefix: batchKeys.claimPrefix,
     log,
     onEvent: (event) => runner.handleClaimEvent(event),
@@ -120,6 +124,7 @@
   const watches = new RecordWatches({
     view,
     store,
+    detour,
     blocks,
     versions,
     dialect: dialect.records,
--- a/packages/gateway/src/store/constants.ts
+++ b/packages/gateway/src/store/constants.ts
@@ -19,8 +19,15 @@
   RECOVERY_WAIT_MS: 300,
   /** Interval at which some watch of the fleet ends and tells peers, in ms. */
   STAGGER_MS: 500,
-  /** Time allowed to receive a change that a peer has seen, in ms. */
+  /**
+   * Time allowed to receive a change that a peer has seen, in ms, before it is
+   * asked for by another way as well, and again after each such time.
+   */
   BEHIND_TIMEOUT_MS: 300,
+  /** How long a call by another way waits for the change, in ms. */
+  DETOUR_WAIT_MS: 300,
+  /** Calls by another way at the same time. */
+  MAX_DETOURS: 3,
   /**
    * Minimum time between two watches of the instances' records, in ms; shorter
    * than `BEHIND_TIMEOUT_MS`, as peers tell each other of changes.
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -2,6 +2,7 @@
   type EventLog,
   getEventKey,
   getEventRevision,
+  type MetadataChanges,
   type MetadataEvent,
   type MetadataStore,
 } from "@gooseberryline/core";
@@ -13,6 +14,8 @@
 
 type PrefixWatchParts = {
   readonly store: MetadataStore;
+  /** Asks for changes by another way than the watch that waits. */
+  readonly detour: Pick<MetadataStore, "watchPrefix">;
   readonly prefix: string;
   readonly log: EventLog;
   /** Returns this instance's rank among the watchers of the same records. */
@@ -40,6 +43,8 @@
   #isCurrent = false;
   #watchAbort: AbortController | undefined;
   #behindTimer: NodeJS.Timeout | undefined;
+  /** Calls by another way, while the watch is behind. */
+  readonly #detours = new Set<AbortController>();
   #failures = 0;
   /** When the last watch started, on the monotonic clock, in ms. */
   #startedMs = Number.NEGATIVE_INFINITY;
@@ -62,6 +67,7 @@
   stop(): void {
     this.#isStopped = true;
     clearTimeout(this.#behindTimer);
+    this.#dropDetours();
     this.#watchAbort?.abort();
   }
 
@@ -74,8 +80,9 @@
   }
 
   /**
-   * Handles the latest revision that a peer has seen. A watch that stays behind
-   * it probably has a dead connection, so it is aborted and restarted.
+   * Handles the latest revision that a peer has seen. A watch that stays behind it
+   * has a dead connection, or a slow one: the change is asked for by another way,
+   * and the watch is aborted once that has brought it.
    */
   handlePeerRevision(revision: number): void {
     const isBehind = this.#isCurrent && revision > this.#revision;
@@ -87,11 +94,41 @@
       if (revision > this.#revision) {
         const { log, prefix } = this.#parts;
         log.warn("watch-behind", { prefix, own: this.#revision, revision });
-        this.#watchAbort?.abort(WATCH_ABORTS.behind);
+        void this.#takeDetour();
       }
     }, WATCH_TIMING.BEHIND_TIMEOUT_MS);
   }
 
+  async #takeDetour(): Promise<void> {
+    const watch = this.#watchAbort;
+    if (watch === undefined || this.#detours.size >= WATCH_TIMING.MAX_DETOURS) {
+      return;
+    }
+    const abort = new AbortController();
+    this.#detours.add(abort);
+    const changes = await this.#parts.detour.watchPrefix(
+      this.#parts.prefix,
+      this.#revision,
+      WATCH_TIMING.DETOUR_WAIT_MS,
+      abort.signal,
+    );
+    this.#detours.delete(abort);
+    const isNews =
+      changes.kind === "compacted" ||
+      (changes.kind === "changes" && changes.events.length > 0);
+    if (!abort.signal.aborted && isNews) {
+      this.#adopt(changes);
+      watch.abort(WATCH_ABORTS.behind);
+    }
+  }
+
+  #dropDetours(): void {
+    this.#detours.forEach((abort) => {
+      abort.abort();
+    });
+    this.#detours.clear();
+  }
+
   async #follow(): Promise<void> {
     while (!this.#isStopped) {
       const isReached = this.#isCurrent
@@ -159,7 +196,7 @@
   }
 
   async #watch(): Promise<boolean> {
-    const { store, prefix, log } = this.#parts;
+    const { store, prefix } = this.#parts;
     const abort = new AbortController();
     this.#watchAbort = abort;
     const changes = await store.watchPrefix(
@@ -168,9 +205,13 @@
       this.#computeWaitMs(),
       abort.signal,
     );
-    if (abort.signal.aborted) {
-      return true;
-    }
+    this.#dropDetours();
+    return abort.signal.aborted || this.#adopt(changes);
+  }
+
+  /** Takes over what a watch brought; returns whether the store answered it. */
+  #adopt(changes: MetadataChanges): boolean {
+    const { prefix, log } = this.#parts;
     switch (changes.kind) {
       case "changes":
         // The store's revision may be ahead of changes not delivered yet, so
--- a/packages/gateway/src/store/prefix_watch_test.ts
+++ b/packages/gateway/src/store/prefix_watch_test.ts
@@ -17,6 +17,7 @@
   metadata.writeRecord("a/1", "one");
   const watch = new PrefixWatch({
     store: metadata.store,
+    detour: metadata.store,
     prefix: "a/",
     log: SILENT_LOG,
     getWatchRank: () => ({ rank, count: watchers }),
--- a/packages/gateway/src/store/relayed_store.ts
+++ b/packages/gateway/src/store/relayed_store.ts
@@ -3,6 +3,7 @@
   type DirectPath,
   type EventLog,
   type FleetMember,
+  type MetadataChanges,
   type MetadataFailure,
   type MetadataStore,
   recordDirectCall,
@@ -21,6 +22,12 @@
    * only if there is no other.
    */
   readonly choosePeer: (avoidedId?: string) => FleetMember | undefined;
+  /** The same, preferring peers that have seen a change after a revision. */
+  readonly chooseInformedPeer: (
+    prefix: string,
+    after: number,
+    avoidedId?: string,
+  ) => FleetMember | undefined;
   readonly relay: Pick<RelayClient, "send">;
   readonly readNowMs: () => number;
   /** Called with whether the store answered this instance directly. */
@@ -88,6 +95,24 @@
     };
   }
 
+  /**
+   * Builds a client that asks for changes by way of a peer that has seen them,
+   * whatever is known of the direct path; directly, by a call of its own, if there
+   * is no peer.
+   */
+  buildDetour(): Pick<MetadataStore, "watchPrefix"> {
+    const { direct, chooseInformedPeer } = this.#parts;
+    return {
+      watchPrefix: (prefix, after, waitMs, signal) => {
+        const peer = chooseInformedPeer(prefix, after, this.#avoidedPeerId);
+        const call = { kind: "watch", prefix, after, waitMs } as const;
+        return peer === undefined
+          ? direct.watchPrefix(prefix, after, waitMs, signal)
+          : this.#relay<MetadataChanges>(peer, call, signal);
+      },
+    };
+  }
+
   async #send<Result extends StoreAnswer>(
     sendDirect: () => Promise<Result>,
     call: RelayCall,
--- a/packages/gateway/src/store/relayed_store_test.ts
+++ b/packages/gateway/src/store/relayed_store_test.ts
@@ -50,6 +50,7 @@
   const relayed = new RelayedStore({
     direct: failing.store,
     choosePeer: () => peer,
+    chooseInformedPeer: () => peer,
     relay: new RelayClient(),
     log: SILENT_LOG,
     readNowMs: () => performance.now(),
--- a/packages/gateway/src/testing/simulate_silent_store.ts
+++ b/packages/gateway/src/testing/simulate_store_trouble.ts
@@ -8,35 +8,25 @@
 import { PrefixWatch } from "../store/prefix_watch.ts";
 import type { RelayCall } from "../store/relay_codec.ts";
 import { RelayedStore } from "../store/relayed_store.ts";
-import { createSilentStore } from "./create_silent_store.ts";
+import { createTroubledStore } from "./create_troubled_store.ts";
 import { PlayedRecord } from "./played_record.ts";
 import { SILENT_LOG } from "./silent_log.ts";
-
-/** A fleet with a store that answers nothing to some of its instances. */
-export type SilentStorePlay = {
-  readonly instances: number;
-  /** How many of them the store answers. */
-  readonly answered: number;
-  /** Whether instances renew a lease each second. */
-  readonly hasLeases: boolean;
-  /** Time between two changes, in ms. */
-  readonly changeMs: number;
-  readonly changes: number;
-  /** Time that the store takes to answer those that it answers, in ms. */
-  readonly answerMs?: number;
-};
+import type { StoreTrouble, StoreTroublePlay } from "./types.ts";
 
 const LEASE_INTERVAL_MS = 1_000;
 
 /** Time after the last change in which the instances may still receive it. */
 const SETTLE_MS = 5_000;
 
+/** Time before the trouble in which the instances read the record, in ms. */
+const QUIET_MS = 5_000;
+
 /**
  * Plays changes of a record in virtual time; returns the longest time until an
  * instance had a change or a later one, in ms.
  */
-export async function simulateSilentStore(
-  play: SilentStorePlay,
+export async function simulateStoreTrouble(
+  play: StoreTroublePlay,
 ): Promise<number> {
   vi.useFakeTimers();
   const record = new PlayedRecord();
@@ -44,22 +34,20 @@
     startInstance(index, play, record),
   );
   const timers = fleet.flatMap((instance) => instance.start(fleet));
-  await vi.advanceTimersByTimeAsync(5_000);
-  fleet.slice(play.answered).forEach((instance) => {
-    instance.cutOff();
-  });
-  const writtenMs: number[] = [];
-  const playChange = async (change: number): Promise<void> => {
-    if (change > play.changes) {
-      return;
-    }
-    writtenMs.push(performance.now());
-    record.write();
-    await vi.advanceTimersByTimeAsync(play.changeMs);
-    await playChange(change + 1);
+  const troubled = fleet.slice(play.sound);
+  const setTrouble = (trouble?: StoreTrouble): void => {
+    troubled.forEach((instance) => {
+      instance.setTrouble(trouble);
+    });
   };
-  await playChange(1);
-  await vi.advanceTimersByTimeAsync(SETTLE_MS);
+  const startMs = performance.now() + QUIET_MS;
+  setTimeout(() => setTrouble(play.trouble), QUIET_MS);
+  setTimeout(() => setTrouble(), QUIET_MS + play.troubleMs);
+  play.changesAtMs.forEach((atMs) => {
+    setTimeout(() => record.write(), QUIET_MS + atMs);
+  });
+  const lastMs = Math.max(play.troubleMs, ...play.changesAtMs);
+  await vi.advanceTimersByTimeAsync(QUIET_MS + lastMs + SETTLE_MS);
   fleet.forEach(({ watch }) => {
     watch.stop();
   });
@@ -68,8 +56,8 @@
   });
   vi.useRealTimers();
   return Math.max(
-    ...writtenMs.flatMap((atMs, index) =>
-      fleet.map(({ seen }) => findFirst(seen, index + 1) - atMs),
+    ...play.changesAtMs.flatMap((atMs, index) =>
+      fleet.map(({ seen }) => findFirst(seen, index + 1) - startMs - atMs),
     ),
   );
 }
@@ -90,7 +78,7 @@
     call: RelayCall,
     signal?: AbortSignal,
   ) => Promise<unknown>;
-  readonly cutOff: () => void;
+  readonly setTrouble: (trouble?: StoreTrouble) => void;
   readonly start: (
     fleet: readonly PlayedInstance[],
   ) => readonly NodeJS.Timeout[];
@@ -98,24 +86,37 @@
 
 function startInstance(
   index: number,
-  play: SilentStorePlay,
+  play: StoreTroublePlay,
   record: PlayedRecord,
 ): PlayedInstance {
-  const state = { isCutOff: false, isReached: true, draws: 0 };
-  const direct = createSilentStore(record, state, play.answerMs ?? 4);
+  const state = {
+    trouble: undefined as StoreTrouble | undefined,
+    isReached: true,
+    draws: 0,
+  };
+  const direct = createTroubledStore(record, state);
   const seen = new Map<number, number>();
   const peers: PlayedInstance[] = [];
-  const relayed = new RelayedStore({
+  const choose = (
+    candidates: readonly PlayedInstance[],
+    avoidedId: string | undefined,
+  ): FleetMember | undefined => {
+    const usable = candidates.filter(
+      (peer) => peer.id !== avoidedId && peer.isReached(),
+    );
+    state.draws += 1;
+    const random = drawRandom(index * 10_000 + state.draws).value;
+    const chosen = usable[Math.floor(random * usable.length)];
+    return chosen === undefined ? undefined : toMember(chosen.id);
+  };
+  const relay = new RelayedStore({
     direct,
-    choosePeer: (avoidedId) => {
-      const usable = peers.filter(
-        (peer) => peer.id !== avoidedId && peer.isReached(),
-      );
-      state.draws += 1;
-      const random = drawRandom(index * 10_000 + state.draws).value;
-      const chosen = usable[Math.floor(random * usable.length)];
-      return chosen === undefined ? undefined : toMember(chosen.id);
-    },
+    choosePeer: (avoidedId) => choose(peers, avoidedId),
+    chooseInformedPeer: (_, after, avoidedId) =>
+      choose(
+        peers.filter(({ watch: { seen: revision } }) => revision > after),
+        avoidedId,
+      ),
     relay: {
       send: async ({ id }, call, signal) =>
         peers.find((peer) => peer.id === id)?.callStore(call, signal),
@@ -125,9 +126,11 @@
       state.isReached = isReached;
     },
     log: SILENT_LOG,
-  }).build();
+  });
+  const relayed = relay.build();
   const watch = new PrefixWatch({
     store: relayed,
+    detour: relay.buildDetour(),
     prefix: "a/",
     log: SILENT_LOG,
     getWatchRank: () => ({ rank: index, count: play.instances }),
@@ -149,8 +152,8 @@
     seen,
     isReached: () => state.isReached,
     callStore: (call, signal) => dispatchCall(direct, call, signal),
-    cutOff: () => {
-      state.isCutOff = true;
+    setTrouble: (trouble) => {
+      state.trouble = trouble;
     },
     start: (fleet) => {
       peers.push(...fleet.filter(({ id }) => id !== `i${index}`));
