Count a history of versions from its removal on, and refuse take-ups soon

Found in reading the change: an instance of the first start took a history that an operator had removed for complete from the beginning; a take-up waited for a silent store up to the timeout of a call, 1.5 s and more; and a version missing for moments in one instance's list was written as gone, and back by another. Each has a test.

--- a/packages/gateway/src/streams/constants.ts
+++ b/packages/gateway/src/streams/constants.ts
@@ -18,6 +18,13 @@
   RETRY_MS: 200,
   /** Time that another instance's record may take to be written, in ms. */
   LATE_RECORD_MS: 150,
-  /** Longest delay before a change of the versions is written, in ms. */
+  /** Longest wait for the record of a stream that is taken up, in ms. */
+  READ_TIMEOUT_MS: 400,
+  /** Longest delay before a version that is new is written, in ms. */
   HISTORY_DELAY_MS: 300,
+  /**
+   * Time that a version has to be gone before that is written, in ms: longer than
+   * instances differ in what they have listed.
+   */
+  GONE_DELAY_MS: 3_000,
 } as const;
--- a/packages/gateway/src/streams/stream_origins.ts
+++ b/packages/gateway/src/streams/stream_origins.ts
@@ -83,13 +83,11 @@
 
   async #read(key: string, service: string) {
     const open = this.#open.get(key);
-    const read =
-      open === undefined ? await this.#parts.store.readKey(key) : undefined;
-    if (read?.kind === "failed") {
-      return { kind: "unread", origin: undefined } as const;
+    const read = open === undefined ? await this.#readRecord(key) : undefined;
+    if (read === "unread") {
+      return { kind: read, origin: undefined } as const;
     }
-    const value = read?.item?.value;
-    const origin = open ?? (value && originRecord.decode(value));
+    const origin = open ?? (read && originRecord.decode(read));
     if (origin === undefined) {
       return { kind: "missing", origin } as const;
     }
@@ -98,4 +96,13 @@
       ? ({ kind: "known", origin } as const)
       : ({ kind: "elsewhere", origin: undefined } as const);
   }
+
+  /** Reads a record; the caller waits, so a late answer is none. */
+  async #readRecord(key: string): Promise<Buffer | undefined | "unread"> {
+    const read = await Promise.race([
+      this.#parts.store.readKey(key),
+      waitMs(STREAM_RECORDS.READ_TIMEOUT_MS),
+    ]);
+    return read?.kind === "read" ? read.item?.value : "unread";
+  }
 }
--- a/packages/gateway/src/streams/stream_origins_test.ts
+++ b/packages/gateway/src/streams/stream_origins_test.ts
@@ -4,6 +4,8 @@
 import { createEntry } from "../testing/create_entry.ts";
 import { createOrigins } from "../testing/create_origins.ts";
 import { createView } from "../testing/create_view.ts";
+import { STREAM_RECORDS } from "./constants.ts";
+import { historyRecord } from "./history_record.ts";
 
 const SERVICE = "s";
 const SETTLE_MS = 1_000;
@@ -142,3 +144,36 @@
   end();
   expect(await takeUp("r1")).toMatchObject({ version: "v2" });
 });
+
+test("a history that was removed does not count for the time before", async () => {
+  const { metadata, versions, takeUp } = await startInstance(["v1"]);
+  const key = historyRecord.buildKey(SERVICE);
+  metadata.remove(key);
+  versions.handleEvent(SERVICE, { kind: "removed", key, revision: 99 });
+  expect(await takeUp("unknown")).toBeUndefined();
+  await vi.advanceTimersByTimeAsync(STREAM_VERSIONS.STREAM_LIFE_MS);
+  expect(await takeUp("unknown")).toMatchObject({ version: "v1" });
+});
+
+test("a take-up is refused soon if the store is silent", async () => {
+  const { origins, metadata } = await startInstance(["v1"]);
+  vi.spyOn(metadata.store, "readKey").mockReturnValue(
+    new Promise(() => undefined),
+  );
+  const found = origins.find({
+    service: SERVICE,
+    customer: "c",
+    resumes: "r1",
+  });
+  await vi.advanceTimersByTimeAsync(STREAM_RECORDS.READ_TIMEOUT_MS);
+  expect(await found).toBeUndefined();
+});
+
+test("a version that is gone for moments is not written as gone", async () => {
+  const { metadata, list } = await startInstance(["v1", "v2"]);
+  const commits = metadata.calls.commit;
+  await list(["v2"]);
+  await list(["v1", "v2"]);
+  await vi.advanceTimersByTimeAsync(2 * STREAM_RECORDS.GONE_DELAY_MS);
+  expect(metadata.calls.commit).toBe(commits);
+});
--- a/packages/gateway/src/streams/version_keeper.ts
+++ b/packages/gateway/src/streams/version_keeper.ts
@@ -22,6 +22,11 @@
   readonly onMixed: (service: string) => void;
 };
 
+type PlannedWrite = {
+  readonly timer: NodeJS.Timeout;
+  readonly isUrgent: boolean;
+};
+
 type StoredHistory = {
   readonly history: VersionHistory;
   readonly revision: number;
@@ -36,7 +41,9 @@
 export class VersionKeeper {
   readonly #parts: VersionKeeperParts;
   readonly #stored = new Map<string, StoredHistory>();
-  readonly #timers = new Map<string, NodeJS.Timeout>();
+  readonly #planned = new Map<string, PlannedWrite>();
+  /** Services whose record was removed: it was not complete from then on. */
+  readonly #removed = new Set<string>();
   /** Services of which `onMixed` has been told. */
   readonly #mixed = new Set<string>();
   #isLoaded = false;
@@ -54,7 +61,7 @@
 
   stop(): void {
     this.#isStopped = true;
-    this.#timers.forEach((timer) => {
+    this.#planned.forEach(({ timer }) => {
       clearTimeout(timer);
     });
   }
@@ -63,6 +70,7 @@
   handleEvent(service: string, event: MetadataEvent): void {
     if (event.kind === "removed") {
       this.#stored.delete(service);
+      this.#removed.add(service);
     } else {
       const { value, revision } = event.item;
       const history = historyRecord.decode(value);
@@ -108,11 +116,27 @@
       return;
     }
     this.#reportMixed(service);
-    if (this.#findUpdate(service) !== undefined && !this.#timers.has(service)) {
-      const delayMs = Math.random() * STREAM_RECORDS.HISTORY_DELAY_MS;
-      const timer = setTimeout(() => void this.#write(service), delayMs);
-      this.#timers.set(service, timer);
+    if (this.#findUpdate(service) !== undefined) {
+      this.#writeLater(service);
+    }
+  }
+
+  /** Plans a write: soon for a new version, later for one that is gone. */
+  #writeLater(service: string): void {
+    const { history, listed } = this.#getFacts(service);
+    const isUrgent = [...listed].some(
+      (version) => history?.versions[version] !== null,
+    );
+    const planned = this.#planned.get(service);
+    if (planned !== undefined && (planned.isUrgent || !isUrgent)) {
+      return;
     }
+    clearTimeout(planned?.timer);
+    const delayMs =
+      (isUrgent ? 0 : STREAM_RECORDS.GONE_DELAY_MS) +
+      Math.random() * STREAM_RECORDS.HISTORY_DELAY_MS;
+    const timer = setTimeout(() => void this.#write(service), delayMs);
+    this.#planned.set(service, { timer, isUrgent });
   }
 
   #reportMixed(service: string): void {
@@ -127,7 +151,8 @@
   /** Returns the history as it should be; undefined if it is so. */
   #findUpdate(service: string): VersionHistory | undefined {
     const facts = this.#getFacts(service);
-    const sinceMs = this.#parts.isFirstStart ? 0 : facts.unixMs;
+    const isComplete = this.#parts.isFirstStart && !this.#removed.has(service);
+    const sinceMs = isComplete ? 0 : facts.unixMs;
     const updated = updateHistory(service, facts, sinceMs);
     return updated === facts.history ? undefined : updated;
   }
@@ -135,7 +160,7 @@
   async #write(service: string): Promise<void> {
     const history = this.#findUpdate(service);
     if (history === undefined) {
-      this.#timers.delete(service);
+      this.#planned.delete(service);
       return;
     }
     const key = historyRecord.buildKey(service);
@@ -145,7 +170,7 @@
       set: [{ key, value: historyRecord.encode(history) }],
       remove: [],
     });
-    this.#timers.delete(service);
+    this.#planned.delete(service);
     if (written.kind === "committed") {
       this.#parts.log.info("version-history", {
         service,
