Wait for the configuration at the instance whose document the test reads

Traced by reading: the test waited until instance two had the configuration and then read that of instance one, which may adopt it later. It now waits for both, and checks all that it did.

--- a/packages/measure/src/system/fleet_test.ts
+++ b/packages/measure/src/system/fleet_test.ts
@@ -128,7 +128,9 @@
 
 test("with the store down, a new instance uses its peers' configuration", async () => {
   const fleet = await startInstances(["one", "two"]);
-  await waitUntil(() => readRevision(fleet, "two") === 1);
+  await waitUntil(() =>
+    ["one", "two"].every((id) => readRevision(fleet, id) === 1),
+  );
   const document = fleet.daemons.get("one")?.readState().config?.document;
   const revision = document && (await fleet.storeConfig(document));
   expect(revision).toBeGreaterThan(1);
