--- a/review/stand_ins/model_server.mjs
+++ b/review/stand_ins/model_server.mjs
@@ -24,6 +24,10 @@
   #seals = 0;
   /** Called before a request on a connection that has carried others. */
   onReused = () => undefined;
+  /** Whether a stream has neither a length nor chunks: it ends with its connection. */
+  isUnframed = () => false;
+  /** Called for each event that was sent, with its number. */
+  onEvent = () => undefined;
 
   /** `parts`: id, service, zone, slots, events, eventMs, store, record. */
   constructor(parts) {
@@ -147,6 +151,12 @@
       record({ what: "answered", server: id, attempt });
       return;
     }
+    const isUnframed = this.isUnframed();
+    if (isUnframed) {
+      res.useChunkedEncodingByDefault = false;
+      res.shouldKeepAlive = false;
+      record({ what: "unframed", server: id, attempt });
+    }
     res.writeHead(200, { ...head, "content-type": "text/event-stream" });
     for (let event = first; event <= events; event += 1) {
       await wait(eventMs);
@@ -155,6 +165,7 @@
         return;
       }
       res.write(`id: ${event}\ndata: ${buildEventText(attempt, event)}\n\n`);
+      this.onEvent({ attempt, event, isUnframed });
     }
     res.end();
     record({ what: "answered", server: id, attempt });
