--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -1,5 +1,5 @@
 /**
- * All servers of one service are lost for good. Batch jobs for another service,
+ * The only server of a small service is lost for good. Batch jobs for another service,
  * whose servers are sound and free, have to be done all the same.
  */
 import { readResults, submitJob } from "../stand_ins/client.mjs";
@@ -12,10 +12,20 @@
   wait,
 } from "../stand_ins/system.mjs";
 
-const SOUND = { service: "pega", prefix: "/tender/" };
-const LOST = { service: "tarn", prefix: "/minutes/" };
+const SOUND = {
+  service: "pega",
+  prefix: "/tender/",
+  zones: ["uio-n", "uio-s"],
+  events: 150,
+};
+/** A small service: one server, whose items are short. */
+const LOST = {
+  service: "tarn",
+  prefix: "/minutes/",
+  zones: ["uio-n"],
+  events: 40,
+};
 const SLOTS = 8;
-const EVENTS = 150;
 const EVENT_MS = 25;
 /** A batch job about every 2 s, for each of both routes. */
 const JOBS = 10;
@@ -44,15 +54,15 @@
 playCase(new URL("./", import.meta.url), async (parts) => {
   const { system, recorder, isTroubled } = parts;
   const record = recorder.add;
-  const servers = [SOUND, LOST].flatMap(({ service }) =>
-    ["uio-n", "uio-s"].map(
+  const servers = [SOUND, LOST].flatMap(({ service, zones, events }) =>
+    zones.map(
       (zone) =>
         new ModelServer({
           id: `i-${service}-${zone}`,
           service,
           zone,
           slots: SLOTS,
-          events: EVENTS,
+          events,
           eventMs: EVENT_MS,
           store: system.store,
           record,
