--- a/review/stand_ins/system.mjs
+++ b/review/stand_ins/system.mjs
@@ -90,7 +90,6 @@
           ? { callers: `${ip}:${base + 8}`, readiness: `${ip}:${base + 9}` }
           : {}),
         graceSeconds: 8,
-        isFirstStart: true,
         quotaSlack: 20,
         rampOver: 1.5,
         rampSlack: 5,
@@ -114,7 +113,9 @@
   }
 
   startProcess(name) {
-    const settings = this.#settings.get(name);
+    // `bootstrap` is true only when the whole system starts for the first time.
+    const isFirstStart = !this.#processes.has(name);
+    const settings = { ...this.#settings.get(name), isFirstStart };
     const path = join(this.#folder, `${name}.jsonc`);
     writeFileSync(path, JSON.stringify(settings));
     const role = settings.callers === undefined ? "worker" : "gateway";
