Keep a job's items waiting until its configuration is known

Cause: the worker took a route that its own, older configuration did not have yet for one that had ended. The job's record did not say which configuration had accepted it.

Change: the job's record bears the revision of the configuration that accepted it; an item is placed, or errored for want of a route, only at that revision or later. Until then the worker asks for the change by a second way.

--- a/packages/core/src/batches/types.ts
+++ b/packages/core/src/batches/types.ts
@@ -19,6 +19,11 @@
   readonly customer: string;
   readonly host: string;
   readonly prefix: string;
+  /**
+   * Revision of the configuration that accepted it; 0 in a record of an earlier
+   * build. An instance that knows less can't tell that its route has ended.
+   */
+  readonly configRevision: number;
   /** Unix ms. */
   readonly submittedAtMs: number;
   /** Duration from submission to the due time, in ms. */
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -60,6 +60,10 @@
   readWatchRevisions: () => LoadMessage["seen"] = () => ({});
   /** Called with the latest store revisions seen by a peer's watches. */
   onPeerWatchRevisions: (seen: LoadMessage["seen"]) => void = () => undefined;
+  /**
+   * Called when work waits for a newer configuration than the one known here.
+   */
+  onConfigBehind: () => void = () => undefined;
   /** Returns the number of results that this instance has listed, by job. */
   readResultCounts: () => LoadMessage["listed"] = () => ({});
   /** Called with the number of results that a peer has listed, by job. */
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -79,6 +79,16 @@
     });
   }
 
+  /** Asks for changes of the configuration, which others are known to have. */
+  requestConfig(): void {
+    const { operatorPrefix } = this.#parts.dialect;
+    this.#watches
+      .filter(({ prefix }) => prefix === operatorPrefix)
+      .forEach((watch) => {
+        watch.requestChanges();
+      });
+  }
+
   stop(): void {
     this.#watches.forEach((watch) => {
       watch.stop();
--- a/packages/gateway/src/jobs/batch_records.ts
+++ b/packages/gateway/src/jobs/batch_records.ts
@@ -25,6 +25,7 @@
   customer: z.string(),
   host: z.string(),
   prefix: z.string(),
+  configRevision: z.number().default(0),
   submittedAtMs: z.number(),
   dueMs: z.number(),
   retentionMs: z.number(),
--- a/packages/gateway/src/jobs/build_job.ts
+++ b/packages/gateway/src/jobs/build_job.ts
@@ -16,6 +16,8 @@
   readonly id: string;
   readonly customer: string;
   readonly route: Route;
+  /** Revision of the configuration that has the route. */
+  readonly configRevision: number;
   readonly items: readonly BatchItem[];
   readonly submittedAtMs: number;
   readonly workers: readonly FleetMember[];
@@ -34,6 +36,7 @@
     customer: parts.customer,
     host: route.host,
     prefix: route.prefix,
+    configRevision: parts.configRevision,
     submittedAtMs,
     dueMs: route.dueMs,
     retentionMs: route.retentionMs,
--- a/packages/gateway/src/jobs/item_placer.ts
+++ b/packages/gateway/src/jobs/item_placer.ts
@@ -1,4 +1,5 @@
 import {
+  type BatchJob,
   type Candidate,
   chooseService,
   findRoute,
@@ -34,9 +35,17 @@
     this.#startLimiter = new StartLimiter(view.settings.instanceId);
   }
 
-  place({ item, text, tried }: WaitingItem, host: string): ItemPlacement {
+  /**
+   * Places an item of a job. It waits at an instance whose configuration is older
+   * than the one that accepted the job.
+   */
+  place(
+    { item, text, tried }: WaitingItem,
+    { host, configRevision }: BatchJob,
+  ): ItemPlacement {
     const { table } = this.#view;
-    if (table === undefined) {
+    if (table === undefined || table.config.revision < configRevision) {
+      this.#view.onConfigBehind();
       return { kind: "wait" };
     }
     const route = findRoute(table, host, item.path);
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -131,7 +131,7 @@
       return true;
     }
     const { host, customer } = loaded.job;
-    const placement = this.#placer.place(waiting, host);
+    const placement = this.#placer.place(waiting, loaded.job);
     switch (placement.kind) {
       case "wait":
         return false;
--- a/packages/gateway/src/jobs/job_acceptor.ts
+++ b/packages/gateway/src/jobs/job_acceptor.ts
@@ -88,10 +88,12 @@
   ): Promise<void> {
     const { view } = this.#parts;
     this.#writes += 1;
+    const configRevision = view.table?.config.revision ?? 0;
     const { job, commit } = buildJob({
       id,
       customer: customer?.name ?? "",
       route,
+      configRevision,
       items,
       submittedAtMs: Date.now(),
       workers: view.members.list(DUTIES.run),
@@ -107,7 +109,7 @@
       reply,
       tokens: countTokens(items),
       limit: route.maxBacklogTokens,
-      configRevision: view.table?.config.revision ?? 0,
+      configRevision,
     };
     await this.#attempt(submission, {
       failuresLeft: JOB_CONSTANTS.MAX_ACCEPT_ATTEMPTS - 1,
--- a/packages/gateway/src/jobs/job_sweeper_test.ts
+++ b/packages/gateway/src/jobs/job_sweeper_test.ts
@@ -16,6 +16,7 @@
     customer: "t1",
     host: "h",
     prefix: "/",
+    configRevision: 1,
     submittedAtMs: 1_000,
     dueMs: 10_000,
     retentionMs: 60_000,
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -154,6 +154,7 @@
   view.onPeerResultCounts = (listed) => resultCounts.recordCounts(listed);
   view.readWatchRevisions = () => watches.listRevisions();
   view.onPeerWatchRevisions = (seen) => watches.recordPeerRevisions(seen);
+  view.onConfigBehind = () => watches.requestConfig();
   const peers = new PeerLink(view, log);
   const status = new StatusListener({
     [dialect.readinessPath]: () => {
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -99,6 +99,11 @@
     }, WATCH_TIMING.BEHIND_TIMEOUT_MS);
   }
 
+  /** Asks for changes that exist by what another record says. */
+  requestChanges(): void {
+    this.handlePeerRevision(this.#revision + 1);
+  }
+
   async #takeDetour(): Promise<void> {
     const watch = this.#watchAbort;
     if (watch === undefined || this.#detours.size >= WATCH_TIMING.MAX_DETOURS) {
--- a/packages/gateway/src/testing/create_item_pool.ts
+++ b/packages/gateway/src/testing/create_item_pool.ts
@@ -16,24 +16,30 @@
   readonly version?: string;
 };
 
-/** Creates a pool with a job of one item, submitted `ageMs` ago, and upstreams. */
+/**
+ * Creates a pool with a job of one item, submitted `ageMs` ago, and upstreams.
+ * The instance knows a configuration of revision 1 that has the job's route.
+ */
 export function createItemPool(
   ageMs: number,
   upstreams: readonly ItemUpstream[],
+  configRevision = 1,
 ) {
   const view = createView("run");
-  view.adoptConfig({
-    revision: 1,
-    routes: [ROUTE],
-    services: [],
-    customers: [],
-    limits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-  });
+  const adoptConfig = (revision: number, hasRoute: boolean): boolean =>
+    view.adoptConfig({
+      revision,
+      routes: hasRoute ? [ROUTE] : [],
+      services: [],
+      customers: [],
+      limits: {
+        headerBytes: 1,
+        bodyBytes: 1,
+        headerTimeoutMs: 1,
+        idleTimeoutMs: 1,
+      },
+    });
+  adoptConfig(1, true);
   const addUpstream = ({ address, version }: ItemUpstream, id: string): void =>
     view.directory.set({
       id,
@@ -61,7 +67,7 @@
   const headers = { Parts: "a x" };
   const items = [{ id: "i1", path: "/b/x", headers, body: "", tokens: 1 }];
   const submittedAtMs = Date.now() - ageMs;
-  const accepted = { id: "j1", customer: "t1", route: ROUTE };
+  const accepted = { id: "j1", customer: "t1", route: ROUTE, configRevision };
   const built = { ...accepted, items, submittedAtMs };
   const { job } = buildJob({ ...built, workers: [], writer: "w" });
   const claim = { owner: "w", incarnation: "1", dueAtMs: 0 };
@@ -82,5 +88,6 @@
       },
       { timeout: 5_000, interval: 20 },
     );
-  return { view, results, addUpstream, waitForResult };
+  const step = (): void => pool.step();
+  return { view, results, addUpstream, adoptConfig, step, waitForResult };
 }
--- a/packages/gateway/src/testing/start_job.ts
+++ b/packages/gateway/src/testing/start_job.ts
@@ -25,6 +25,7 @@
     id: "j1",
     customer: "t1",
     route: JOB_ROUTE,
+    configRevision: 1,
     items,
     submittedAtMs: 0,
     workers: [],
