Follow claims like all records, and read one before its job is loaded

Cause: the watch of the claims was not compared with what peers have seen, so a dead connection showed only when its wait ended. And a worker whose writes failed loaded the ended job again and again from its outdated claim.

Change: RecordWatches holds all watches; gateways tell the revision of claims that they change; a worker reads the claim before it loads a job, and when saved texts are refused. A peer's revision without a change is asked for once, and a watch that pauses between two calls is not behind. An unreadable claim is logged.

--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -103,6 +103,10 @@
     fields: ["key"],
     text: "An open job's token count could not be read and counts as 0",
   },
+  "claim-unreadable": {
+    fields: ["jobId"],
+    text: "A claim can't be read; the last one known stands",
+  },
   "job-claimed": {
     fields: ["jobId", "from"],
     text: "A worker takes a job over from an owner that is gone",
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -1,5 +1,8 @@
 import {
   assertNever,
+  batchKeys,
+  DUTIES,
+  type Duty,
   type EventLog,
   getEventKey,
   type MetadataEvent,
@@ -25,20 +28,28 @@
   readonly blocks: BlockKeeper;
   readonly versions: VersionKeeper;
   readonly onConfig: () => void;
+  /** Called with each change of a job's claim; undefined if none are run here. */
+  readonly onClaimEvent: ((event: MetadataEvent) => void) | undefined;
   /**
    * Called when this instance is to hand over its jobs, or no longer has to.
    */
   readonly onRetiredChange: (isRetired: boolean) => void;
 };
 
-/** Watches the records of operators, upstreams and instances in the store. */
+/**
+ * Watches all records in the store that this instance follows, those of operators,
+ * upstreams, instances and jobs' claims, and compares each watch with what peers
+ * have seen.
+ */
 export class RecordWatches {
   readonly #parts: RecordWatchesParts;
   readonly #watches: readonly PrefixWatch[];
+  /** Latest change that this instance itself made under each prefix. */
+  readonly #changed = new Map<string, number>();
 
   constructor(parts: RecordWatchesParts) {
     this.#parts = parts;
-    const { dialect } = parts;
+    const { dialect, onClaimEvent } = parts;
     this.#watches = [
       this.#watch(dialect.operatorPrefix, (event) =>
         this.#handleOperatorEvent(event),
@@ -50,8 +61,16 @@
       this.#watch(
         memberRecord.prefix,
         (event) => this.#handleMemberEvent(event),
-        WATCH_TIMING.INSTANCES_INTERVAL_MS,
+        { minIntervalMs: WATCH_TIMING.INSTANCES_INTERVAL_MS },
       ),
+      ...(onClaimEvent === undefined
+        ? []
+        : [
+            this.#watch(batchKeys.claimPrefix, onClaimEvent, {
+              minIntervalMs: WATCH_TIMING.CLAIMS_INTERVAL_MS,
+              watchers: DUTIES.run,
+            }),
+          ]),
     ];
   }
 
@@ -65,9 +84,19 @@
 
   /** Lists the latest store revision seen under each prefix, for peers. */
   listRevisions(): Readonly<Record<string, number>> {
-    return Object.fromEntries(
-      this.#watches.map(({ prefix, seen }) => [prefix, seen]),
-    );
+    return Object.fromEntries([
+      ...this.#changed,
+      ...this.#watches.map(({ prefix, seen }) => [
+        prefix,
+        Math.max(seen, this.#changed.get(prefix) ?? 0),
+      ]),
+    ]);
+  }
+
+  /** Records a change that this instance made, so that peers compare with it. */
+  recordChange(prefix: string, revision: number): void {
+    const known = this.#changed.get(prefix) ?? 0;
+    this.#changed.set(prefix, Math.max(known, revision));
   }
 
   /**
@@ -98,10 +127,11 @@
   #watch(
     prefix: string,
     onEvent: (event: MetadataEvent) => void,
-    minIntervalMs = 0,
+    options: { readonly minIntervalMs?: number; readonly watchers?: Duty } = {},
   ): PrefixWatch {
     const { store, detour, log, view } = this.#parts;
-    const getRank = () => view.getRank();
+    const { minIntervalMs = 0, watchers } = options;
+    const getRank = () => view.getRank(watchers);
     return new PrefixWatch({
       store,
       detour,
--- a/packages/gateway/src/http/caller_listener_test.ts
+++ b/packages/gateway/src/http/caller_listener_test.ts
@@ -25,6 +25,7 @@
       ...shared,
       store: createMetadata().store,
       resultCounts: new ResultCountFeed(() => view.readNowMs()),
+      onClaimsChange: () => undefined,
     }),
     onDone: () => undefined,
   });
--- a/packages/gateway/src/jobs/claim_registry.ts
+++ b/packages/gateway/src/jobs/claim_registry.ts
@@ -1,10 +1,13 @@
 import {
   type BatchClaim,
   batchKeys,
+  type EventLog,
   getEventKey,
   type MetadataEvent,
 } from "@gooseberryline/core";
+import { addRecentEntry } from "../add_recent_entry.ts";
 import { batchRecords } from "./batch_records.ts";
+import { JOB_CONSTANTS } from "./constants.ts";
 
 /** A claim as last read from the store. */
 export type ObservedClaim = {
@@ -18,9 +21,19 @@
   readonly unownedSinceMs: number | undefined;
 };
 
-/** Caches the claims of all unfinished jobs, as reported by the watch. */
+/**
+ * Caches the claims of all unfinished jobs, as reported by the watch and by reads
+ * of single claims, either of which may be behind the other.
+ */
 export class ClaimRegistry {
+  readonly #log: EventLog;
   readonly #claims = new Map<string, ObservedClaim>();
+  /** Jobs whose claims were removed, which is for good. */
+  readonly #ended = new Map<string, true>();
+
+  constructor(log: EventLog) {
+    this.#log = log;
+  }
 
   /** Applies a change of a claim; returns the job's id where it was removed. */
   applyEvent(event: MetadataEvent): string | undefined {
@@ -28,11 +41,18 @@
     const jobId = key.slice(batchKeys.claimPrefix.length);
     if (event.kind === "removed") {
       this.#claims.delete(jobId);
+      addRecentEntry(this.#ended, jobId, true, JOB_CONSTANTS.MAX_CACHED_JOBS);
       return jobId;
     }
     const claim = batchRecords.decodeClaim(event.item.value);
-    if (claim !== undefined) {
-      const { revision } = event.item;
+    if (claim === undefined) {
+      this.#log.warn("claim-unreadable", { jobId });
+      return undefined;
+    }
+    const { revision } = event.item;
+    const known = this.#claims.get(jobId);
+    const isNewer = known === undefined || revision > known.revision;
+    if (isNewer && !this.#ended.has(jobId)) {
       const unownedSinceMs = undefined;
       this.#claims.set(jobId, { jobId, claim, revision, unownedSinceMs });
     }
--- a/packages/gateway/src/jobs/job_acceptor.ts
+++ b/packages/gateway/src/jobs/job_acceptor.ts
@@ -22,6 +22,7 @@
 } from "./backlog_tracker.ts";
 import { buildJob } from "./build_job.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
+import { countEntries } from "./count_entries.ts";
 import { countTokens } from "./count_tokens.ts";
 import type { JobCache } from "./job_cache.ts";
 
@@ -30,6 +31,8 @@
   readonly store: MetadataStore;
   readonly log: EventLog;
   readonly cache: JobCache;
+  /** Called with the store revision of a change of claims made here. */
+  readonly onClaimsChange: (revision: number) => void;
 };
 
 /** A submitted job, with the commit that accepts it. */
@@ -158,6 +161,7 @@
     switch (outcome.kind) {
       case "committed":
         this.#parts.cache.add(job);
+        this.#parts.onClaimsChange(outcome.revision);
         this.#parts.log.info("job-accepted", {
           jobId: job.id,
           items: job.itemIds.length,
@@ -292,7 +296,3 @@
     }
   }
 }
-
-function countEntries({ expect, set, remove }: MetadataCommit): number {
-  return expect.length + set.length + remove.length;
-}
--- a/packages/gateway/src/jobs/job_api.ts
+++ b/packages/gateway/src/jobs/job_api.ts
@@ -29,6 +29,8 @@
   readonly dialect: CallDialect;
   readonly log: EventLog;
   readonly resultCounts: ResultCountFeed;
+  /** Called with the store revision of a change of claims made here. */
+  readonly onClaimsChange: (revision: number) => void;
 };
 
 const OK = 200;
@@ -187,7 +189,7 @@
    * Ends a job by removing its claim, without which no result can be listed.
    */
   async #answerEnd(job: BatchJob, reply: CallReply): Promise<void> {
-    const { store, log } = this.#parts;
+    const { store, log, onClaimsChange } = this.#parts;
     const end = async (attemptsLeft: number): Promise<void> => {
       const outcome = await store.commit({
         expect: [],
@@ -196,6 +198,7 @@
       });
       if (outcome.kind === "committed") {
         log.info("job-ended-by-caller", { jobId: job.id });
+        onClaimsChange(outcome.revision);
         reply.sendResponse(buildResponseHead(OK), Buffer.alloc(0));
       } else if (attemptsLeft > 0 && reply.isConnected()) {
         await waitMs(JOB_CONSTANTS.WRITE_RETRY_DELAY_MS);
--- a/packages/gateway/src/jobs/job_runner.ts
+++ b/packages/gateway/src/jobs/job_runner.ts
@@ -13,6 +13,7 @@
 import { ItemPool } from "./item_pool.ts";
 import { loadJob } from "./load_job.ts";
 import { OwnedJob } from "./owned_job.ts";
+import { readClaim } from "./read_claim.ts";
 import { TextSaver } from "./text_saver.ts";
 
 type RunnerParts = AttemptParts & { readonly store: MetadataStore };
@@ -20,7 +21,7 @@
 /** Claims unfinished jobs and runs their items. */
 export class JobRunner {
   readonly #parts: RunnerParts;
-  readonly #claims = new ClaimRegistry();
+  readonly #claims: ClaimRegistry;
   readonly #owned = new Map<string, OwnedJob>();
   /**
    * Recently dropped jobs; the result counts of complete ones are still
@@ -40,6 +41,7 @@
 
   constructor(parts: RunnerParts) {
     this.#parts = parts;
+    this.#claims = new ClaimRegistry(parts.log);
     const onResult = (jobId: string, index: number, result: BatchResult) =>
       this.#owned.get(jobId)?.addResult(index, result);
     this.#pool = new ItemPool({ ...parts, onResult });
@@ -47,6 +49,7 @@
       ...parts,
       listItemsWithText: () => this.#pool.listItemsWithText(),
       getOwned: (jobId) => this.#owned.get(jobId),
+      onConflict: (jobIds) => void this.#checkClaims(jobIds),
       countWorkers: () => parts.view.members.list(DUTIES.run).length,
     });
   }
@@ -64,7 +67,10 @@
     }, JOB_CONSTANTS.YIELD_DEBOUNCE_MS);
   }
 
-  /** Applies a change of a claim; drops a job whose claim was removed. */
+  /**
+   * Applies a change of a claim, which the watch or a read has shown; drops a job
+   * whose claim was removed.
+   */
   handleClaimEvent(event: MetadataEvent): void {
     const removedJobId = this.#claims.applyEvent(event);
     if (removedJobId !== undefined) {
@@ -195,10 +201,18 @@
   }: ObservedClaim): Promise<void> {
     const { store, log, view } = this.#parts;
     this.#pendingJobs.add(jobId);
-    const loaded = await loadJob(store, jobId, claim, revision);
+    const [loaded, present] = await Promise.all([
+      loadJob(store, jobId, claim, revision),
+      readClaim(store, jobId),
+    ]);
     this.#pendingJobs.delete(jobId);
+    // The claim as the watch showed it may be outdated.
+    if (present !== undefined) {
+      this.handleClaimEvent(present);
+    }
     const isUnchanged = this.#claims.get(jobId)?.revision === revision;
-    if (loaded === undefined || !isUnchanged || this.#isReleasing) {
+    const isKnown = loaded !== undefined && present !== undefined;
+    if (!isKnown || !isUnchanged || this.#isReleasing) {
       log.warn("job-not-loaded", { jobId, isStill: isUnchanged });
       return;
     }
@@ -210,6 +224,18 @@
     this.#pool.addJob(loaded);
   }
 
+  /** Finds out which of these jobs this instance has lost. */
+  async #checkClaims(jobIds: readonly string[]): Promise<void> {
+    await Promise.all(
+      jobIds.map(async (jobId) => {
+        const present = await readClaim(this.#parts.store, jobId);
+        if (present !== undefined) {
+          this.handleClaimEvent(present);
+        }
+      }),
+    );
+  }
+
   async #release(jobId: string): Promise<void> {
     const owned = this.#owned.get(jobId);
     const isEnded = owned?.isEnded === true;
--- /dev/null
+++ b/packages/gateway/src/jobs/job_runner_test.ts
@@ -0,0 +1,55 @@
+import { batchKeys } from "@gooseberryline/core";
+import { expect, test } from "vitest";
+import { startRunner } from "../testing/start_runner.ts";
+import { waitMs } from "../wait_ms.ts";
+import { JOB_CONSTANTS } from "./constants.ts";
+
+/** Time for several rounds of the runner, in ms. */
+const ROUNDS_MS = 8 * JOB_CONSTANTS.TICK_MS;
+
+// Guards against items of an ended job that run at a worker whose watch of the
+// claims is behind.
+test("a job that ended before it was loaded is not run", async () => {
+  const { metadata, runner, showClaims, listOwned } = await startRunner([
+    "j1",
+    "j2",
+  ]);
+  await showClaims();
+  metadata.remove(batchKeys.claim("j1"));
+  runner.start();
+  await expect.poll(listOwned).toEqual(["j2"]);
+  await waitMs(ROUNDS_MS);
+  expect(listOwned()).toEqual(["j2"]);
+  runner.stop();
+});
+
+// Guards against a job that is loaded again and again from an outdated claim.
+test("a job whose claim was taken over is left to its new owner", async () => {
+  const { runner, showClaims, listOwned, takeOver, lines } = await startRunner([
+    "j1",
+  ]);
+  await showClaims();
+  takeOver("j1");
+  runner.start();
+  await waitMs(ROUNDS_MS);
+  expect(listOwned()).toEqual([]);
+  const attempts = lines.filter(({ event }) => event === "job-not-loaded");
+  expect(attempts).toHaveLength(1);
+  runner.stop();
+});
+
+// Guards against a claim that a late watch brings back after its removal was read.
+test("a claim that was removed does not come back by a late watch", async () => {
+  const { metadata, runner, showClaims, listOwned } = await startRunner(["j1"]);
+  const read = await metadata.store.readKey(batchKeys.claim("j1"));
+  await showClaims();
+  metadata.remove(batchKeys.claim("j1"));
+  runner.start();
+  await waitMs(ROUNDS_MS);
+  if (read.kind === "read" && read.item !== undefined) {
+    runner.handleClaimEvent({ kind: "set", item: read.item });
+  }
+  await waitMs(ROUNDS_MS);
+  expect(listOwned()).toEqual([]);
+  runner.stop();
+});
--- a/packages/gateway/src/jobs/text_saver.ts
+++ b/packages/gateway/src/jobs/text_saver.ts
@@ -17,6 +17,8 @@
   readonly listItemsWithText: () => readonly WaitingItem[];
   readonly getOwned: (jobId: string) => OwnedJob | undefined;
   readonly countWorkers: () => number;
+  /** Called with the jobs of a write if the claim of one of them has changed. */
+  readonly onConflict: (jobIds: readonly string[]) => void;
 };
 
 type OwnedText = {
@@ -91,6 +93,9 @@
     });
     if (outcome.kind !== "committed") {
       this.#parts.log.info("texts-not-saved", { kind: outcome.kind });
+      if (outcome.kind === "conflict") {
+        this.#parts.onConflict([...owners].map(({ loaded }) => loaded.job.id));
+      }
       return 0;
     }
     chosen.forEach(({ key, events }) => {
--- a/packages/gateway/src/jobs/text_saver_test.ts
+++ b/packages/gateway/src/jobs/text_saver_test.ts
@@ -31,6 +31,7 @@
     listItemsWithText: () => items.list,
     getOwned: () => owned,
     countWorkers: () => 1,
+    onConflict: () => undefined,
   });
   const countTexts = async (): Promise<number> => {
     const page = await job.metadata.store.listPage(batchKeys.texts("j1"));
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -24,8 +24,6 @@
 import { createGatewayMetrics } from "./metrics/create_gateway_metrics.ts";
 import type { GatewaySettings } from "./settings/types.ts";
 import { SHUTDOWN_TIMES } from "./shutdown_times.ts";
-import { WATCH_TIMING } from "./store/constants.ts";
-import { PrefixWatch } from "./store/prefix_watch.ts";
 import { RelayClient } from "./store/relay_client.ts";
 import { RelayListener } from "./store/relay_listener.ts";
 import { RelayedStore } from "./store/relayed_store.ts";
@@ -86,7 +84,12 @@
   const shared = { view, pool, dialect: dialect.calls, log, store };
   const state = { isLoaded: false, isStopping: false };
   const resultCounts = new ResultCountFeed(() => view.readNowMs());
-  const jobs = new JobApi({ ...shared, resultCounts });
+  const jobs = new JobApi({
+    ...shared,
+    resultCounts,
+    onClaimsChange: (revision) =>
+      watches.recordChange(batchKeys.claimPrefix, revision),
+  });
   const versions = new VersionKeeper({
     store,
     log,
@@ -110,15 +113,6 @@
   });
   const runner = new JobRunner(shared);
   const sweeper = new JobSweeper(shared);
-  const claims = new PrefixWatch({
-    store,
-    detour,
-    prefix: batchKeys.claimPrefix,
-    log,
-    onEvent: (event) => runner.handleClaimEvent(event),
-    getWatchRank: () => view.getRank(DUTIES.run),
-    minIntervalMs: WATCH_TIMING.CLAIMS_INTERVAL_MS,
-  });
   const blocks = new BlockKeeper({ store, tracker: view.crashes, log });
   const crashWatch = new CrashWatch({ view, log });
   const watches = new RecordWatches({
@@ -130,6 +124,10 @@
     dialect: dialect.records,
     log,
     onConfig: () => listener.applyLimits(),
+    onClaimEvent:
+      settings.duty === DUTIES.run
+        ? (event) => runner.handleClaimEvent(event)
+        : undefined,
     onRetiredChange: (isRetired) =>
       void handleRetirement(parts, runner, isRetired),
   });
@@ -191,7 +189,6 @@
   await peers.start();
   membership.start();
   if (settings.duty === DUTIES.run) {
-    claims.start();
     runner.start();
     sweeper.start();
   }
@@ -213,7 +210,6 @@
     }
     runner.stop();
     sweeper.stop();
-    claims.stop();
     watches.stop();
     blocks.stop();
     versions.stop();
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -10,7 +10,7 @@
 import { computeWatchWaitMs } from "./compute_watch_wait_ms.ts";
 import { WATCH_TIMING } from "./constants.ts";
 import type { WatchRank } from "./types.ts";
-import { WATCH_ABORTS } from "./watch_aborts.ts";
+import { WatchCatchUp } from "./watch_catch_up.ts";
 
 type PrefixWatchParts = {
   readonly store: MetadataStore;
@@ -42,12 +42,12 @@
   #seen = 0;
   #isCurrent = false;
   #watchAbort: AbortController | undefined;
-  #behindTimer: NodeJS.Timeout | undefined;
-  /** Calls by another way, while the watch is behind. */
-  readonly #detours = new Set<AbortController>();
+  readonly #catchUp: WatchCatchUp;
   #failures = 0;
   /** When the last watch started, on the monotonic clock, in ms. */
   #startedMs = Number.NEGATIVE_INFINITY;
+  /** Whether the next watch waits for the minimum time between two. */
+  #isPausing = false;
   #isStopped = false;
   #onLoaded: () => void = () => undefined;
   /** Resolves once the prefix has been listed completely. */
@@ -55,6 +55,18 @@
 
   constructor(parts: PrefixWatchParts) {
     this.#parts = parts;
+    const { detour, prefix, log } = parts;
+    this.#catchUp = new WatchCatchUp({
+      detour,
+      prefix,
+      log,
+      getRevision: () => (this.#isCurrent ? this.#revision : undefined),
+      getWatchAbort: () => this.#watchAbort,
+      measurePauseMs: () => this.#measurePauseMs(),
+      onNews: (changes) => {
+        this.#adopt(changes);
+      },
+    });
     this.loaded = new Promise((resolve) => {
       this.#onLoaded = resolve;
     });
@@ -66,8 +78,7 @@
 
   stop(): void {
     this.#isStopped = true;
-    clearTimeout(this.#behindTimer);
-    this.#dropDetours();
+    this.#catchUp.stop();
     this.#watchAbort?.abort();
   }
 
@@ -79,59 +90,22 @@
     return this.#seen;
   }
 
-  /**
-   * Handles the latest revision that a peer has seen. A watch that stays behind it
-   * has a dead connection, or a slow one: the change is asked for by another way,
-   * and the watch is aborted once that has brought it.
-   */
+  /** Handles the latest revision that a peer has seen. */
   handlePeerRevision(revision: number): void {
-    const isBehind = this.#isCurrent && revision > this.#revision;
-    if (!isBehind || this.#behindTimer !== undefined) {
-      return;
-    }
-    this.#behindTimer = setTimeout(() => {
-      this.#behindTimer = undefined;
-      if (revision > this.#revision) {
-        const { log, prefix } = this.#parts;
-        log.warn("watch-behind", { prefix, own: this.#revision, revision });
-        void this.#takeDetour();
-      }
-    }, WATCH_TIMING.BEHIND_TIMEOUT_MS);
+    this.#catchUp.handlePeerRevision(revision);
   }
 
   /** Asks for changes that exist by what another record says. */
   requestChanges(): void {
-    this.handlePeerRevision(this.#revision + 1);
-  }
-
-  async #takeDetour(): Promise<void> {
-    const watch = this.#watchAbort;
-    if (watch === undefined || this.#detours.size >= WATCH_TIMING.MAX_DETOURS) {
-      return;
-    }
-    const abort = new AbortController();
-    this.#detours.add(abort);
-    const changes = await this.#parts.detour.watchPrefix(
-      this.#parts.prefix,
-      this.#revision,
-      WATCH_TIMING.DETOUR_WAIT_MS,
-      abort.signal,
-    );
-    this.#detours.delete(abort);
-    const isNews =
-      changes.kind === "compacted" ||
-      (changes.kind === "changes" && changes.events.length > 0);
-    if (!abort.signal.aborted && isNews) {
-      this.#adopt(changes);
-      watch.abort(WATCH_ABORTS.behind);
-    }
+    this.#catchUp.requestChanges();
   }
 
-  #dropDetours(): void {
-    this.#detours.forEach((abort) => {
-      abort.abort();
-    });
-    this.#detours.clear();
+  /** Returns how long no watch asks, since the last one was just answered. */
+  #measurePauseMs(): number {
+    const { minIntervalMs = 0 } = this.#parts;
+    return this.#isPausing
+      ? Math.max(0, this.#startedMs + minIntervalMs - performance.now())
+      : 0;
   }
 
   async #follow(): Promise<void> {
@@ -194,7 +168,9 @@
     const { minIntervalMs = 0 } = this.#parts;
     const pauseMs = this.#startedMs + minIntervalMs - performance.now();
     if (pauseMs > 0) {
+      this.#isPausing = true;
       await waitMs(pauseMs);
+      this.#isPausing = false;
     }
     this.#startedMs = performance.now();
     return this.#isStopped || this.#watch();
@@ -210,7 +186,7 @@
       this.#computeWaitMs(),
       abort.signal,
     );
-    this.#dropDetours();
+    this.#catchUp.dropDetours();
     return abort.signal.aborted || this.#adopt(changes);
   }
 
--- a/packages/gateway/src/store/prefix_watch_test.ts
+++ b/packages/gateway/src/store/prefix_watch_test.ts
@@ -15,9 +15,15 @@
   metadata.setFaults({ silentWatches });
   const records = new Map<string, string>();
   metadata.writeRecord("a/1", "one");
+  const detours = { count: 0 };
   const watch = new PrefixWatch({
     store: metadata.store,
-    detour: metadata.store,
+    detour: {
+      watchPrefix: (...args) => {
+        detours.count += 1;
+        return metadata.store.watchPrefix(...args);
+      },
+    },
     prefix: "a/",
     log: SILENT_LOG,
     getWatchRank: () => ({ rank, count: watchers }),
@@ -38,7 +44,7 @@
       await waitUntil(check);
     }
   };
-  return { metadata, records, watch, waitUntil };
+  return { metadata, records, watch, detours, waitUntil };
 }
 
 test("all records are listed, then watched", async () => {
@@ -177,3 +183,40 @@
   );
   watch.stop();
 });
+
+// Guards against calls without end after a write that changed no record.
+test("a peer's revision without a change here is not asked for again", async () => {
+  const { metadata, watch, detours } = await startWatch({ watchers: 240 });
+  metadata.writeRecord("b/1", "elsewhere");
+  const page = await metadata.store.listPage("b/");
+  const revision = page.kind === "page" ? page.storeRevision : 0;
+  const countAfter = async (rounds: number): Promise<number> => {
+    if (rounds > 0) {
+      watch.handlePeerRevision(revision);
+      await waitMs(100);
+      return countAfter(rounds - 1);
+    }
+    return detours.count;
+  };
+  const asked = await countAfter(10);
+  expect(asked).toBeGreaterThan(0);
+  expect(await countAfter(10)).toBe(asked);
+  watch.stop();
+});
+
+// Guards against a second call for each change that comes while a watch pauses
+// between two.
+test("a peer's revision is not asked for while the watch pauses", async () => {
+  const { metadata, records, watch, detours, waitUntil } = await startWatch({
+    watchers: 240,
+    minIntervalMs: 500,
+  });
+  metadata.writeRecord("a/2", "two");
+  await waitUntil(() => records.has("a/2"));
+  metadata.writeRecord("a/3", "three");
+  const page = await metadata.store.listPage("a/");
+  watch.handlePeerRevision(page.kind === "page" ? page.storeRevision : 0);
+  await waitUntil(() => records.has("a/3"));
+  expect(detours.count).toBe(0);
+  watch.stop();
+});
--- a/packages/gateway/src/testing/start_acceptors.ts
+++ b/packages/gateway/src/testing/start_acceptors.ts
@@ -33,7 +33,8 @@
     const view = createView();
     const cache = new JobCache(store);
     const log = SILENT_LOG;
-    return { view, acceptor: new JobAcceptor({ view, store, log, cache }) };
+    const parts = { view, store, log, cache, onClaimsChange: () => undefined };
+    return { view, acceptor: new JobAcceptor(parts) };
   });
   const submit = async (job: Submitted): Promise<SubmitAnswer> => {
     const { instance = 0, customer = "t1", itemTokens = [10] } = job;
--- /dev/null
+++ b/packages/gateway/src/testing/start_runner.ts
@@ -0,0 +1,73 @@
+/** Starts a worker's runner of jobs on a fake store, without upstreams. */
+import { batchKeys, type EventLog } from "@gooseberryline/core";
+import { ConnectionPool } from "@gooseberryline/daemon";
+import { createMetadata } from "@gooseberryline/fakes";
+import { batchRecords } from "../jobs/batch_records.ts";
+import { buildJob } from "../jobs/build_job.ts";
+import { JobRunner } from "../jobs/job_runner.ts";
+import { createView } from "./create_view.ts";
+import { JOB_ROUTE } from "./job_route.ts";
+import { plainDialect } from "./plain_dialect.ts";
+import { SILENT_LOG } from "./silent_log.ts";
+
+type Line = { readonly event: string; readonly jobId: unknown };
+
+/** Accepts jobs of this worker and shows their claims to its runner once. */
+export async function startRunner(jobIds: readonly string[]) {
+  const metadata = createMetadata();
+  const { store } = metadata;
+  const view = createView("run");
+  const lines: Line[] = [];
+  const record = (event: string, fields = {}): void => {
+    lines.push({ event, jobId: undefined, ...fields });
+  };
+  const log: EventLog = { ...SILENT_LOG, info: record, warn: record };
+  const runner = new JobRunner({
+    view,
+    store,
+    log,
+    dialect: plainDialect,
+    pool: new ConnectionPool(1_000),
+  });
+  const owner = {
+    id: view.settings.instanceId,
+    incarnation: view.incarnation,
+    address: "127.0.0.1",
+    port: 1,
+    relayPort: 1,
+    dataCentre: "a",
+    duty: "run",
+  } as const;
+  view.members.set(owner);
+  for (const id of jobIds) {
+    const items = [
+      { id: `${id}-0`, path: "/b/x", headers: {}, body: "", tokens: 1 },
+    ];
+    const { commit } = buildJob({
+      id,
+      customer: "t1",
+      route: JOB_ROUTE,
+      configRevision: 1,
+      items,
+      submittedAtMs: Date.now(),
+      workers: [owner],
+      writer: "w",
+    });
+    await store.commit(commit);
+  }
+  const showClaims = async (): Promise<void> => {
+    const page = await store.listPage(batchKeys.claimPrefix);
+    const items = page.kind === "page" ? page.items : [];
+    items.forEach((item) => {
+      runner.handleClaimEvent({ kind: "set", item });
+    });
+  };
+  const listOwned = (): readonly string[] =>
+    Object.keys(runner.listResultCounts());
+  const takeOver = (jobId: string): void => {
+    const claim = { owner: "w2", incarnation: "1", dueAtMs: Date.now() };
+    const value = batchRecords.encode(claim).toString();
+    metadata.writeRecord(batchKeys.claim(jobId), value);
+  };
+  return { metadata, runner, lines, showClaims, listOwned, takeOver };
+}
