Place the items of each service in a round of its own

Cause: one queue for all services, whose first item that had to wait ended the round. Its averages of run times and slots were shared as well, and workers shared starts with workers that waited for another service.

Change: rounds, order and averages by service; one look for room before a service's items are ordered; load messages name the services that items wait for.

Items of a job whose version is full no longer hold back those of others.

--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -53,6 +53,8 @@
   readonly open: Readonly<Record<string, InFlightWork>>;
   /** Items that wait at the sender for an upstream. */
   readonly waitingItems: number;
+  /** Services for which items wait there; earlier builds leave it out. */
+  readonly waitingServices?: readonly string[] | undefined;
   /** Time since the sender last received data from each upstream, in ms. */
   readonly quietMs: Readonly<Record<string, number>>;
   /** Upstreams that recently failed requests of the sender. */
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -242,6 +242,7 @@
       sequence: this.#sequence,
       open: this.load.listOwnInFlight(),
       waitingItems: this.load.waitingItems,
+      waitingServices: this.load.waitingServices,
       quietMs: this.load.listActivityAges(nowMs),
       suspects: this.load.listSuspects(nowMs),
       use: isServing
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -28,6 +28,7 @@
   sequence: z.number(),
   open: z.record(z.string(), WORK),
   waitingItems: z.number(),
+  waitingServices: z.array(z.string()).optional(),
   quietMs: z.record(z.string(), z.number()),
   suspects: z.array(z.string()),
   use: z.record(z.string(), USE),
--- a/packages/gateway/src/fleet/load_tracker.ts
+++ b/packages/gateway/src/fleet/load_tracker.ts
@@ -1,19 +1,10 @@
 import type { InFlightWork, LoadMessage } from "@gooseberryline/core";
+import { addWork } from "./add_work.ts";
 import { FLEET } from "./constants.ts";
+import type { PeerState } from "./peer_state.ts";
 
 export type Lane = "online" | "batch";
 
-type PeerState = {
-  readonly message: LoadMessage;
-  readonly receivedMs: number;
-  /**
-   * When a message last arrived from the peer itself rather than through a
-   * relay.
-   */
-  readonly lastDirectMs: number;
-  /** Instances that the peer reports to receive nothing from. */
-  readonly unheard: ReadonlySet<string>;
-};
 type SuspectState = { readonly untilMs: number; readonly failures: number };
 
 const NO_WORK: InFlightWork = { online: 0, batch: 0 };
@@ -33,6 +24,8 @@
   readonly #getAgeLimitMs: () => number;
   /** Number of this instance's batch items that wait for an upstream. */
   waitingItems = 0;
+  /** Services for which items wait here. */
+  waitingServices: readonly string[] = [];
 
   /** `getAgeLimitMs` returns the age at which a report is out of date, in ms. */
   constructor(getAgeLimitMs: () => number) {
@@ -244,10 +237,13 @@
       .reduce((latest, untilMs) => Math.max(latest, untilMs), own);
   }
 
-  /** Lists the ids of peers that last reported waiting items. */
-  listPeersWithWaitingItems(nowMs: number): readonly string[] {
+  /** Lists the peers with waiting items of a service, or of one not named. */
+  listPeersWithWaitingItems(service: string, nowMs: number): readonly string[] {
     return this.#listCurrentMessages(nowMs)
-      .filter(({ waitingItems }) => waitingItems > 0)
+      .filter(
+        ({ waitingItems, waitingServices }) =>
+          (waitingServices ?? [service]).includes(service) && waitingItems > 0,
+      )
       .map(({ from }) => from);
   }
 
@@ -292,7 +288,3 @@
     }
   }
 }
-
-function addWork(a: InFlightWork, b: InFlightWork): InFlightWork {
-  return { online: a.online + b.online, batch: a.batch + b.batch };
-}
--- a/packages/gateway/src/jobs/item_placer.ts
+++ b/packages/gateway/src/jobs/item_placer.ts
@@ -1,16 +1,26 @@
 import {
+  type BatchItem,
   type BatchJob,
   type Candidate,
   chooseService,
   findRoute,
   listCandidatesOfOrigin,
   placeItem,
+  type RouteTable,
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { StartLimiter } from "./start_limiter.ts";
 import type { ItemText, WaitingItem } from "./types.ts";
 
+/** The service that an item belongs to, as far as the configuration tells. */
+export type ItemLocation =
+  | { readonly kind: "service"; readonly service: string }
+  /** The configuration that accepted the job is not known here yet. */
+  | { readonly kind: "unknown" }
+  /** No route matches the item, or its route has no service. */
+  | { readonly kind: "no-route" };
+
 /** Outcome of placing an item. */
 export type ItemPlacement =
   | {
@@ -19,9 +29,19 @@
       /** The text that it goes on from. */
       readonly text: ItemText;
     }
-  | { readonly kind: "wait" }
-  /** No route matches the item, or its route has no service. */
-  | { readonly kind: "no-route" };
+  | {
+      readonly kind: "wait";
+      /**
+       * The version that alone may go on with the item's text; undefined if the
+       * item waits for any upstream of its service.
+       */
+      readonly version: string | undefined;
+    };
+
+type KnownLocation = {
+  readonly table: RouteTable;
+  readonly location: ItemLocation;
+};
 
 const NO_TEXT: ItemText = { texts: [], lastEventId: undefined };
 
@@ -29,50 +49,76 @@
 export class ItemPlacer {
   readonly #view: FleetView;
   readonly #startLimiter: StartLimiter;
+  /** Found under the present configuration, as rounds are frequent. */
+  readonly #locations = new WeakMap<BatchItem, KnownLocation>();
 
   constructor(view: FleetView) {
     this.#view = view;
     this.#startLimiter = new StartLimiter(view.settings.instanceId);
   }
 
-  /**
-   * Places an item of a job. It waits at an instance whose configuration is older
-   * than the one that accepted the job.
-   */
-  place(
-    { item, text, tried }: WaitingItem,
-    { host, configRevision }: BatchJob,
-  ): ItemPlacement {
+  /** Finds an item's service. */
+  locate(item: BatchItem, { host, configRevision }: BatchJob): ItemLocation {
     const { table } = this.#view;
     if (table === undefined || table.config.revision < configRevision) {
-      this.#view.onConfigBehind();
-      return { kind: "wait" };
+      return { kind: "unknown" };
+    }
+    const known = this.#locations.get(item);
+    if (known?.table === table) {
+      return known.location;
     }
     const route = findRoute(table, host, item.path);
     const service = route && chooseService(route, item.id);
-    if (service === undefined) {
-      return { kind: "no-route" };
-    }
+    const location: ItemLocation =
+      service === undefined
+        ? { kind: "no-route" }
+        : { kind: "service", service };
+    this.#locations.set(item, { table, location });
+    return location;
+  }
+
+  /** Returns whether some item could be placed at a service. */
+  hasRoom(service: string): boolean {
+    const nowMs = this.#view.readNowMs();
+    const candidates = this.#listStartable(
+      service,
+      this.#view.listCandidates(service, "batch"),
+    );
+    return placeItem(candidates, new Set(), nowMs) !== undefined;
+  }
+
+  /** Places an item on an upstream of its service. */
+  place({ text, tried }: WaitingItem, service: string): ItemPlacement {
     const nowMs = this.#view.readNowMs();
-    const workers = this.#view.load.listPeersWithWaitingItems(nowMs);
     const listed = this.#view.listCandidates(service, "batch");
     const resumable = listResumable(listed, text);
     const isAnew = resumable.length === 0;
-    const candidates = this.#startLimiter.listStartable(
+    const candidates = this.#listStartable(
+      service,
       isAnew ? listed : resumable,
-      workers,
-      nowMs,
     );
     // An upstream that failed before is better than none.
     const upstream =
       placeItem(candidates, tried, nowMs) ??
       placeItem(candidates, new Set(), nowMs);
     if (upstream === undefined) {
-      return { kind: "wait" };
+      const isBound = resumable.length < listed.length;
+      const version = isAnew || !isBound ? undefined : text.origin?.version;
+      return { kind: "wait", version };
     }
     this.#startLimiter.recordStart(upstream.id, nowMs);
     return { kind: "placed", upstream, text: isAnew ? NO_TEXT : text };
   }
+
+  #listStartable(
+    service: string,
+    candidates: readonly Candidate[],
+  ): readonly Candidate[] {
+    const nowMs = this.#view.readNowMs();
+    const { load } = this.#view;
+    const workers = load.listPeersWithWaitingItems(service, nowMs);
+    return this.#startLimiter.listStartable(candidates, workers, nowMs);
+  }
 }
 
 /**
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -1,18 +1,24 @@
 import {
   assertNever,
   type BatchResult,
-  countItemsToYield,
   decideItemStep,
   ITEM_RESULTS,
-  orderItems,
-  updateMeanSlots,
 } from "@gooseberryline/core";
 import type { AttemptParts } from "../requests/attempt.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
-import { ItemPlacer } from "./item_placer.ts";
+import {
+  type ItemLocation,
+  type ItemPlacement,
+  ItemPlacer,
+} from "./item_placer.ts";
 import { ItemRun } from "./item_run.ts";
 import { listItemParts } from "./list_item_parts.ts";
+import { listOverloads } from "./list_overloads.ts";
+import { listQueues } from "./list_queues.ts";
+import { logRunEnd } from "./log_run_end.ts";
+import { orderPoolItems, type PoolItem } from "./order_pool_items.ts";
 import type { LoadedJob } from "./owned_job.ts";
+import { ServicePace } from "./service_pace.ts";
 import type { ItemRunEnd, WaitingItem } from "./types.ts";
 
 type PoolParts = AttemptParts & {
@@ -23,12 +29,6 @@
   ) => void;
 };
 
-/** An item of an owned job; `run` is set while it is in flight. */
-type PoolItem = {
-  readonly waiting: WaitingItem;
-  readonly run: ItemRun | undefined;
-};
-
 /** Schedules the items of the owned jobs: waiting ones and those in flight. */
 export class ItemPool {
   readonly #parts: PoolParts;
@@ -36,9 +36,7 @@
   readonly #jobs = new Map<string, LoadedJob>();
   #waiting: readonly WaitingItem[] = [];
   readonly #running = new Set<ItemRun>();
-  #meanRunMs: number = JOB_CONSTANTS.INITIAL_MEAN_RUN_MS;
-  /** Moving average of slots for this worker's items; undefined at first. */
-  #slots: number | undefined;
+  readonly #pace = new ServicePace();
 
   constructor(parts: PoolParts) {
     this.#parts = parts;
@@ -91,72 +89,125 @@
     return this.#running.size;
   }
 
-  /** Yields slots needed by online requests, then starts items in free ones. */
+  /**
+   * Yields slots needed by online requests, then starts items in free ones. Each
+   * service has a round of its own, so that none waits for another's upstreams.
+   */
   step(): void {
     this.yieldItems();
+    this.#settleUnplaceable();
+    const queues = this.#listQueues();
+    const running = [...this.#running].map(({ upstream }) => upstream.service);
+    new Set([...queues.keys(), ...running]).forEach((service) => {
+      this.#stepService(service, queues.get(service) ?? []);
+    });
+    const { load } = this.#parts.view;
+    load.waitingItems = this.#waiting.length;
+    load.waitingServices = [...queues.keys()];
+  }
+
+  #stepService(service: string, queue: readonly WaitingItem[]): void {
     const nowMs = this.#parts.view.readNowMs();
-    const isReady = ({ notBeforeMs }: WaitingItem) => notBeforeMs <= nowMs;
-    // The placer treats all items alike, so the first that has to wait ends the
-    // round.
-    this.#orderAll()
+    const ready = queue.filter(({ notBeforeMs }) => notBeforeMs <= nowMs);
+    const hasRoom = ready.length > 0 && this.#placer.hasRoom(service);
+    const started = hasRoom ? this.#startItems(service, queue, ready) : 0;
+    const running = this.#listRuns(service).length;
+    this.#pace.recordRound(service, running, ready.length - started);
+  }
+
+  /** Starts ready items of a service by their priority; returns how many. */
+  #startItems(
+    service: string,
+    queue: readonly WaitingItem[],
+    ready: readonly WaitingItem[],
+  ): number {
+    const before = this.#running.size;
+    const isReady = new Set(ready);
+    /** Versions whose upstreams have no room for the texts that they wrote. */
+    const full = new Set<string>();
+    // What one item of a service waits for, the next ones wait for as well.
+    this.#order(service, queue)
       .flatMap(({ waiting, run }) => (run === undefined ? [waiting] : []))
-      .filter(isReady)
-      .every((item) => this.#startItem(item));
-    this.#slots = updateMeanSlots(this.#slots, {
-      running: this.#running.size,
-      waiting: this.#waiting.filter(isReady).length,
-    });
-    this.#parts.view.load.waitingItems = this.#waiting.length;
+      .filter((waiting) => isReady.has(waiting))
+      .every((waiting) => {
+        const { origin } = waiting.text;
+        if (origin !== undefined && full.has(origin.version)) {
+          return true;
+        }
+        const placement = this.#placer.place(waiting, service);
+        if (placement.kind === "placed") {
+          this.#startItem(waiting, placement);
+        } else if (placement.version !== undefined) {
+          full.add(placement.version);
+        }
+        return placement.kind === "placed" || placement.version !== undefined;
+      });
+    return this.#running.size - before;
   }
 
-  /** Returns all items, ordered by their priority for slots. */
-  #orderAll(): readonly PoolItem[] {
-    const items = [
-      ...this.#waiting.map((waiting) => ({ waiting, run: undefined })),
-      ...[...this.#running].map((run) => ({ waiting: run.describe(), run })),
-    ].map((item) => {
-      const { index, dueAtMs, ranMs } = item.waiting;
-      return { ...item, index, dueAtMs, ranMs };
-    });
-    return orderItems(items, {
-      nowMs: Date.now(),
-      meanRunMs: this.#meanRunMs,
-      slots: this.#slots,
-    });
+  #listQueues(): ReadonlyMap<string, readonly WaitingItem[]> {
+    return listQueues(this.#waiting, (waiting) => this.#locate(waiting));
   }
 
-  #startItem(waiting: WaitingItem): boolean {
-    const loaded = this.#jobs.get(waiting.jobId);
-    if (loaded === undefined) {
-      return true;
+  /**
+   * Lists as errored the items that no route leads to any more, and asks for the
+   * configuration that others wait for.
+   */
+  #settleUnplaceable(): void {
+    const located = this.#waiting.map((waiting) => ({
+      waiting,
+      kind: this.#locate(waiting).kind,
+    }));
+    if (located.some(({ kind }) => kind === "unknown")) {
+      this.#parts.view.onConfigBehind();
     }
-    const { host, customer } = loaded.job;
-    const placement = this.#placer.place(waiting, loaded.job);
-    switch (placement.kind) {
-      case "wait":
-        return false;
-      case "no-route":
+    located
+      .filter(({ kind }) => kind === "no-route")
+      .forEach(({ waiting }) => {
         this.#dropWaiting(waiting);
         this.#reportErrored(
           waiting,
           "no route leads to a service for the item",
         );
-        return true;
-      case "placed": {
-        this.#dropWaiting(waiting);
-        const { upstream, text } = placement;
-        const run: ItemRun = new ItemRun({ ...waiting, text }, upstream, {
-          ...this.#parts,
-          host,
-          customer,
-          onEnd: (end) => this.#handleRunEnd(run, end),
-        });
-        this.#running.add(run);
-        return true;
-      }
-      default:
-        return assertNever(placement);
+      });
+  }
+
+  #locate({ jobId, item }: WaitingItem): ItemLocation {
+    const loaded = this.#jobs.get(jobId);
+    return loaded === undefined
+      ? { kind: "unknown" }
+      : this.#placer.locate(item, loaded.job);
+  }
+
+  /** Returns the items of a service, ordered by their priority for slots. */
+  #order(service: string, queue: readonly WaitingItem[]): readonly PoolItem[] {
+    const pace = this.#pace.get(service);
+    return orderPoolItems(queue, this.#listRuns(service), pace);
+  }
+
+  #listRuns(service: string): readonly ItemRun[] {
+    return [...this.#running].filter(
+      ({ upstream }) => upstream.service === service,
+    );
+  }
+
+  #startItem(
+    waiting: WaitingItem,
+    { upstream, text }: Extract<ItemPlacement, { kind: "placed" }>,
+  ): void {
+    const loaded = this.#jobs.get(waiting.jobId);
+    if (loaded === undefined) {
+      return;
     }
+    const { host, customer } = loaded.job;
+    this.#dropWaiting(waiting);
+    const run: ItemRun = new ItemRun({ ...waiting, text }, upstream, {
+      ...this.#parts,
+      host,
+      customer,
+      onEnd: (end) => this.#handleRunEnd(run, end),
+    });
+    this.#running.add(run);
   }
 
   #dropWaiting(waiting: WaitingItem): void {
@@ -165,45 +216,23 @@
 
   /** Yields slots at overloaded upstreams, the items that rank last first. */
   yieldItems(): void {
-    const runs = [...this.#running];
-    const overloaded = [...new Set(runs.map(({ upstream }) => upstream.id))]
-      .map((id) => runs.filter(({ upstream }) => upstream.id === id))
-      .map((atUpstream) => ({
-        own: atUpstream,
-        count: this.#countYields(atUpstream),
-      }))
-      .filter(({ count }) => count > 0);
-    if (overloaded.length === 0) {
+    const { view } = this.#parts;
+    const overloads = listOverloads(view, [...this.#running]);
+    if (overloads.length === 0) {
       return;
     }
-    const ordered = this.#orderAll().flatMap(({ run }) => run ?? []);
-    overloaded.forEach(({ own: atUpstream, count }) => {
-      ordered
-        .filter((run) => atUpstream.includes(run))
-        .slice(atUpstream.length - count)
+    const queues = this.#listQueues();
+    overloads.forEach(({ service, runs, count }) => {
+      this.#order(service, queues.get(service) ?? [])
+        .flatMap(({ run }) => run ?? [])
+        .filter((run) => runs.includes(run))
+        .slice(runs.length - count)
         .forEach((run) => {
           run.yieldSlot();
         });
     });
   }
 
-  /** Returns how many of these runs, all at one upstream, have to yield. */
-  #countYields(runs: readonly ItemRun[]): number {
-    const { load, settings } = this.#parts.view;
-    const nowMs = this.#parts.view.readNowMs();
-    const [first] = runs;
-    if (first === undefined) {
-      return 0;
-    }
-    const { upstream: entry } = first;
-    const open = load.countInFlight(entry.id, nowMs);
-    const workerId = settings.instanceId;
-    return countItemsToYield({ entry, open }, workerId, [
-      { workerId, items: runs.length },
-      ...load.listPeerItems(entry.id, nowMs),
-    ]);
-  }
-
   #handleRunEnd(run: ItemRun, end: ItemRunEnd): void {
     this.#running.delete(run);
     const { waiting } = run;
@@ -213,12 +242,11 @@
     }
     const { maxAttempts } = loaded.job;
     const step = decideItemStep(end, waiting.failures, maxAttempts);
-    this.#logEnd(run, end, step.kind);
+    logRunEnd(this.#parts.log, run, end, step.kind);
     switch (step.kind) {
       case "list-completed": {
         const ranMs = waiting.ranMs + run.measureRunMs();
-        this.#meanRunMs +=
-          (ranMs - this.#meanRunMs) * JOB_CONSTANTS.MEAN_RUN_WEIGHT;
+        this.#pace.recordRun(run.upstream.service, ranMs);
         const text = end.text.texts.join("\n");
         const state = ITEM_RESULTS.completed;
         this.#list(waiting, { id: waiting.item.id, state, text });
@@ -265,18 +293,4 @@
   #list({ jobId, index }: WaitingItem, result: BatchResult): void {
     this.#parts.onResult(jobId, index, result);
   }
-
-  #logEnd(run: ItemRun, end: ItemRunEnd, step: string): void {
-    this.#parts.log.info("item-run-ended", {
-      jobId: run.waiting.jobId,
-      itemId: run.waiting.item.id,
-      upstream: run.upstream.id,
-      end: end.kind,
-      reason: "reason" in end ? end.reason : undefined,
-      status: "status" in end ? end.status : undefined,
-      events: end.text.texts.length,
-      ranMs: Math.round(run.measureRunMs()),
-      step,
-    });
-  }
 }
--- a/packages/gateway/src/testing/create_item_pool.ts
+++ b/packages/gateway/src/testing/create_item_pool.ts
@@ -1,4 +1,4 @@
-import type { BatchResult } from "@gooseberryline/core";
+import type { BatchResult, Route } from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
 import { expect, vi } from "vitest";
 import { buildJob } from "../jobs/build_job.ts";
@@ -11,6 +11,13 @@
 
 const SERVICE = "s";
 const ROUTE = { ...JOB_ROUTE, targets: [{ service: SERVICE, weight: 1 }] };
+/** A route to a service without upstreams. */
+const LOST_ROUTE = {
+  ...JOB_ROUTE,
+  name: "lost",
+  prefix: "/lost/",
+  targets: [{ service: "lost", weight: 1 }],
+};
 
 type ItemUpstream = Pick<TestUpstream, "address"> & {
   readonly version?: string;
@@ -29,7 +36,7 @@
   const adoptConfig = (revision: number, hasRoute: boolean): boolean =>
     view.adoptConfig({
       revision,
-      routes: hasRoute ? [ROUTE] : [],
+      routes: hasRoute ? [ROUTE, LOST_ROUTE] : [],
       services: [],
       customers: [],
       limits: {
@@ -64,22 +71,37 @@
       results.push(result);
     },
   });
-  const headers = { Parts: "a x" };
-  const items = [{ id: "i1", path: "/b/x", headers, body: "", tokens: 1 }];
-  const submittedAtMs = Date.now() - ageMs;
-  const accepted = { id: "j1", customer: "t1", route: ROUTE, configRevision };
-  const built = { ...accepted, items, submittedAtMs };
-  const { job } = buildJob({ ...built, workers: [], writer: "w" });
-  const claim = { owner: "w", incarnation: "1", dueAtMs: 0 };
-  pool.addJob({
-    job,
-    items,
-    claim,
-    claimRevision: 1,
-    listed: [],
-    texts: new Map(),
-    progressRevision: 1,
-  });
+  const addJob = (id: string, route: Route, itemIds: readonly string[]) => {
+    const headers = { Parts: "a x" };
+    const path = `${route.prefix}x`;
+    const items = itemIds.map((itemId) => {
+      return { id: itemId, path, headers, body: "", tokens: 1 };
+    });
+    const submittedAtMs = Date.now() - ageMs;
+    const accepted = { id, customer: "t1", route, configRevision };
+    const built = { ...accepted, items, submittedAtMs };
+    const { job } = buildJob({ ...built, workers: [], writer: "w" });
+    // Those of the lost service come first.
+    const dueAtMs = route === LOST_ROUTE ? 0 : 1;
+    const claim = { owner: "w", incarnation: "1", dueAtMs };
+    pool.addJob({
+      job,
+      items,
+      claim,
+      claimRevision: 1,
+      listed: [],
+      texts: new Map(),
+      progressRevision: 1,
+    });
+  };
+  /** Adds a job of a service without upstreams. */
+  const addLostJob = (id: string, items: number): void =>
+    addJob(
+      id,
+      LOST_ROUTE,
+      Array.from({ length: items }, (_, index) => `${id}-${index}`),
+    );
+  addJob("j1", ROUTE, ["i1"]);
   const waitForResult = () =>
     vi.waitFor(
       () => {
@@ -89,5 +111,6 @@
       { timeout: 5_000, interval: 20 },
     );
   const step = (): void => pool.step();
-  return { view, results, addUpstream, adoptConfig, step, waitForResult };
+  const parts = { view, results, addUpstream, addLostJob, adoptConfig };
+  return { ...parts, step, waitForResult };
 }
