Read results by their keys, not by their place in an answer

Cause: a reader that asked past the end waited for changes, and what was listed next was taken to stand where it had asked. The wrong position was kept for later readers. An unreadable record moved those behind it.

Change: the record's key is the position. Reads that bring results are logged.

Not played on real processes.

--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -107,6 +107,14 @@
     fields: ["jobId"],
     text: "A claim can't be read; the last one known stands",
   },
+  "results-read": {
+    fields: ["jobId", "from", "count", "way"],
+    text: "A caller got results of a job from a position on",
+  },
+  "result-unreadable": {
+    fields: ["jobId", "position"],
+    text: "A result's record can't be read; readers get none from there on",
+  },
   "job-claimed": {
     fields: ["jobId", "from"],
     text: "A worker takes a job over from an owner that is gone",
--- a/packages/gateway/src/jobs/job_api.ts
+++ b/packages/gateway/src/jobs/job_api.ts
@@ -47,7 +47,7 @@
     this.#parts = parts;
     this.#cache = new JobCache(parts.store);
     this.#acceptor = new JobAcceptor({ ...parts, cache: this.#cache });
-    this.#reader = new ResultsReader(parts.store, parts.resultCounts);
+    this.#reader = new ResultsReader(parts);
   }
 
   /** Returns how many jobs were refused for their customer's backlog. */
--- a/packages/gateway/src/jobs/results_reader.ts
+++ b/packages/gateway/src/jobs/results_reader.ts
@@ -1,9 +1,9 @@
 import {
   assertNever,
-  BATCHES,
   type BatchJob,
   type BatchResult,
   batchKeys,
+  type EventLog,
   type MetadataEvent,
   type MetadataFailure,
   type MetadataItem,
@@ -11,34 +11,41 @@
 } from "@gooseberryline/core";
 import { addRecentEntry } from "../add_recent_entry.ts";
 import { listImmutable } from "../store/list_immutable.ts";
-import { batchRecords } from "./batch_records.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
 import type { ResultCountFeed } from "./result_count_feed.ts";
+import { takeResults } from "./take_results.ts";
 
 type ResultsPage =
   | { readonly kind: "read"; readonly results: readonly BatchResult[] }
   | MetadataFailure;
 
+type ReaderParts = {
+  readonly store: MetadataStore;
+  readonly resultCounts: ResultCountFeed;
+  readonly log: EventLog;
+};
+
 /**
  * Store revision after which all results at `position` and beyond were written:
  * that of the last result before it, or of an up-to-date listing.
  */
 type ReadPosition = { readonly position: number; readonly revision: number };
 
+/** How the results of an answer were obtained, for the log. */
+type ReadWay = "listed" | "watched";
+
 /**
- * Reads results of jobs. Each result is an immutable record, so every instance
- * reads the same. A reader that has all results reported by the owner waits for
- * its next report; without recent reports, one watch from the last read
- * revision returns what was listed since.
+ * Reads results of jobs. Each result is an immutable record whose key names its
+ * position, so every instance reads the same. A reader that has all results
+ * reported by the owner waits for its next report; without recent reports, a
+ * watch from the last read revision returns what was listed since.
  */
 export class ResultsReader {
-  readonly #store: MetadataStore;
-  readonly #resultCounts: ResultCountFeed;
+  readonly #parts: ReaderParts;
   readonly #positions = new Map<string, ReadPosition>();
 
-  constructor(store: MetadataStore, resultCounts: ResultCountFeed) {
-    this.#store = store;
-    this.#resultCounts = resultCounts;
+  constructor(parts: ReaderParts) {
+    this.#parts = parts;
   }
 
   /** Reads from a position; waits up to `maxWaitMs` if none is listed yet. */
@@ -50,8 +57,9 @@
     if (from >= job.itemIds.length) {
       return { kind: "read", results: [] };
     }
+    const { resultCounts } = this.#parts;
     const startedMs = performance.now();
-    const availability = await this.#resultCounts.wait(job.id, from, maxWaitMs);
+    const availability = await resultCounts.wait(job.id, from, maxWaitMs);
     switch (availability) {
       case "none":
         return { kind: "read", results: [] };
@@ -82,27 +90,20 @@
     from: number,
     maxWaitMs: number,
   ): Promise<ResultsPage> {
+    const { store } = this.#parts;
     const prefix = batchKeys.results(job.id);
     const after = from === 0 ? undefined : batchKeys.result(job.id, from - 1);
-    const page = await listImmutable(this.#store, prefix, after);
+    const page = await listImmutable(store, prefix, after);
     if (page.kind === "failed") {
       return page;
     }
-    const results = takeResults(page.items.map(({ value }) => value));
-    const position = from + results.length;
-    const revision = page.items.at(-1)?.revision ?? page.storeRevision;
-    const reached = { position, revision };
-    if (!page.hasMore && results.length === page.items.length) {
-      addRecentEntry(
-        this.#positions,
-        job.id,
-        reached,
-        JOB_CONSTANTS.MAX_CACHED_JOBS,
-      );
+    const { items, hasMore, storeRevision } = page;
+    if (items.length === 0 && maxWaitMs > 0) {
+      const reached = { position: from, revision: storeRevision };
+      this.#recordPosition(job, reached);
+      return this.#watch(job, reached, maxWaitMs);
     }
-    return results.length > 0 || maxWaitMs <= 0
-      ? { kind: "read", results }
-      : this.#watch(job, reached, maxWaitMs);
+    return this.#take(job, from, items, hasMore, "listed");
   }
 
   async #watch(
@@ -110,8 +111,10 @@
     { position, revision }: ReadPosition,
     maxWaitMs: number,
   ): Promise<ResultsPage> {
+    const { store } = this.#parts;
     const prefix = batchKeys.results(job.id);
-    const changes = await this.#store.watchPrefix(prefix, revision, maxWaitMs);
+    const startedMs = performance.now();
+    const changes = await store.watchPrefix(prefix, revision, maxWaitMs);
     switch (changes.kind) {
       case "failed":
         return changes;
@@ -120,27 +123,60 @@
         return this.#list(job, position, 0);
       case "changes": {
         const items = listItems(changes.events);
-        const results = takeResults(items.map(({ value }) => value));
+        const key = batchKeys.result(job.id, position);
+        const ahead = items.filter((item) => item.key >= key);
+        const leftMs = maxWaitMs - (performance.now() - startedMs);
         const last = items.at(-1);
-        // The store's revision may be ahead of changes not delivered yet, so
-        // the position keeps the revision of the last result received.
-        if (last !== undefined && results.length === items.length) {
-          addRecentEntry(
-            this.#positions,
-            job.id,
-            {
-              position: position + results.length,
-              revision: last.revision,
-            },
-            JOB_CONSTANTS.MAX_CACHED_JOBS,
-          );
+        if (ahead.length > 0 || last === undefined || leftMs <= 0) {
+          return this.#take(job, position, ahead, false, "watched");
         }
-        return { kind: "read", results };
+        // A reader past the end hears of the results before its position.
+        const next = { position, revision: last.revision };
+        return this.#watch(job, next, Math.round(leftMs));
       }
       default:
         return assertNever(changes);
     }
   }
+
+  /**
+   * Answers with the results that stand at `from` and right after it. An unreadable
+   * record ends the answer, so that none takes the place of another.
+   */
+  #take(
+    job: BatchJob,
+    from: number,
+    items: readonly MetadataItem[],
+    hasMore: boolean,
+    way: ReadWay,
+  ): ResultsPage {
+    const { log } = this.#parts;
+    const { results, unreadable } = takeResults(job.id, from, items);
+    if (unreadable !== undefined) {
+      log.warn("result-unreadable", { jobId: job.id, position: unreadable });
+    }
+    if (unreadable !== undefined && results.length === 0) {
+      const reason = "the result's record can't be read";
+      return { kind: "failed", isUndone: true, step: "results", reason };
+    }
+    const last = items.at(-1);
+    if (results.length > 0) {
+      const count = results.length;
+      log.info("results-read", { jobId: job.id, from, count, way });
+    }
+    // The store's revision may be ahead of changes not delivered yet, so the
+    // position keeps the revision of the last result received.
+    if (last !== undefined && !hasMore && results.length === items.length) {
+      const position = from + results.length;
+      this.#recordPosition(job, { position, revision: last.revision });
+    }
+    return { kind: "read", results };
+  }
+
+  #recordPosition(job: BatchJob, reached: ReadPosition): void {
+    const { MAX_CACHED_JOBS } = JOB_CONSTANTS;
+    addRecentEntry(this.#positions, job.id, reached, MAX_CACHED_JOBS);
+  }
 }
 
 /** Returns the records that were set, ordered by position. */
@@ -149,18 +185,3 @@
     .flatMap((event) => (event.kind === "set" ? [event.item] : []))
     .sort((a, b) => (a.key < b.key ? -1 : 1));
 }
-
-/** Returns as many results as one response may hold, at least one if any. */
-function takeResults(values: readonly Buffer[]): readonly BatchResult[] {
-  const cumulativeBytes = values.map((_, index) =>
-    values.slice(0, index + 1).reduce((sum, { length }) => sum + length, 0),
-  );
-  return values
-    .filter(
-      (_, index) =>
-        index === 0 ||
-        (cumulativeBytes[index] ?? 0) <= BATCHES.MAX_RESULTS_RESPONSE_BYTES,
-    )
-    .map((value) => batchRecords.decodeResult(value))
-    .filter((result) => result !== undefined);
-}
--- a/packages/gateway/src/testing/start_job.ts
+++ b/packages/gateway/src/testing/start_job.ts
@@ -53,7 +53,9 @@
     return { owned, state };
   };
   const resultCounts = new ResultCountFeed(() => performance.now());
-  const reader = new ResultsReader(store, resultCounts);
+  const createReader = () =>
+    new ResultsReader({ store, resultCounts, log: SILENT_LOG });
+  const reader = createReader();
   const readIds = async (
     from = 0,
     maxWaitMs = 0,
@@ -61,5 +63,5 @@
     const read = await reader.read(job, from, maxWaitMs);
     return read.kind === "read" ? read.results.map(({ id }) => id) : [];
   };
-  return { metadata, job, own: loadOwned, readIds, resultCounts };
+  return { metadata, job, own: loadOwned, createReader, readIds, resultCounts };
 }
