--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -40,6 +40,8 @@
   readonly pool?: ConnectionPool;
   /** The view of the instance; a new one by default. */
   readonly view?: FleetView;
+  /** Where the answer goes; by default it is kept for the test. */
+  readonly reply?: CallReply;
 };
 
 /** A request of a test: its answer, and a way to cancel it. */
@@ -89,6 +91,7 @@
   requestId = "r1",
   pool: givenPool,
   view = createView(),
+  reply,
 }: RunParts): TestRun {
   addresses.forEach((address, index) => {
     view.directory.set({
@@ -137,7 +140,7 @@
   const ended = new Promise<string>((resolve) => {
     onEnded = resolve;
   });
-  const run = new RequestRun(call, buildTestReply(answer), {
+  const run = new RequestRun(call, reply ?? buildTestReply(answer), {
     view,
     pool,
     origins,
