Bound what is held and read of upstreams' answers

What callers saw (report of other operators, shown by the users): an upstream sent bytes without end, the instance kept them until its memory was gone, and the requests of all its callers ended with it.

Cause: bodies of plain answers, the event that has begun, and the texts of items were kept without a bound; the rest of a refusal, and an item's answer that is no output, were read for ever.

Change: a bound for each, one for all bodies together beneath which short answers always pass, and true endings: another upstream's whole answer, 502, or a visible cut. An item's error status counts though its body does not end. A gauge shows what is held.

--- /dev/null
+++ b/packages/gateway/src/exchange/answer_buffer.ts
@@ -0,0 +1,34 @@
+import type { HeldBytes } from "./held_bytes.ts";
+
+/** Holds the body of an answer until it is whole. */
+export class AnswerBuffer {
+  readonly #held: HeldBytes;
+  #chunks: Buffer[] = [];
+  #length = 0;
+
+  constructor(held: HeldBytes) {
+    this.#held = held;
+  }
+
+  /** Returns false if the answer has grown too long to be held. */
+  append(chunk: Buffer): boolean {
+    if (!this.#held.take(this.#length, chunk.length)) {
+      return false;
+    }
+    this.#length += chunk.length;
+    this.#chunks.push(chunk);
+    return true;
+  }
+
+  /** Returns the body so far. */
+  read(): Buffer {
+    return Buffer.concat(this.#chunks);
+  }
+
+  /** Gives up what is held. */
+  drop(): void {
+    this.#held.release(this.#length);
+    this.#chunks = [];
+    this.#length = 0;
+  }
+}
--- a/packages/gateway/src/exchange/constants.ts
+++ b/packages/gateway/src/exchange/constants.ts
@@ -1,4 +1,4 @@
-/** Timeouts of exchanges with upstreams. */
+/** Timeouts and limits of exchanges with upstreams. */
 export const EXCHANGE = {
   /**
    * Connect timeout, in ms: many round trips between data centres, yet short
@@ -10,4 +10,19 @@
    * own timeout, in ms.
    */
   IDLE_TIMEOUT_MS: 4_000,
+  /** Longest answer that is held until it is whole, in bytes. */
+  MAX_ANSWER_BYTES: 8 * 1_024 * 1_024,
+  /**
+   * All answers that are held at the same time, in bytes: well below the memory
+   * of a small machine.
+   */
+  MAX_HELD_BYTES: 32 * 1_024 * 1_024,
+  /** An answer may hold as much as this whatever others hold, in bytes. */
+  MIN_ANSWER_BYTES: 64 * 1_024,
+  /** Longest event of a stream, in bytes. */
+  MAX_EVENT_BYTES: 256 * 1_024,
+  /** Longest body of a refusal that is read to keep the connection, in bytes. */
+  MAX_REFUSAL_BYTES: 64 * 1_024,
+  /** Time in which such a body has to end, in ms. */
+  REFUSAL_TIMEOUT_MS: 1_000,
 } as const;
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -7,6 +7,7 @@
 import type { ConnectionPool } from "@gooseberryline/daemon";
 import type { CallDialect, ResponseHead } from "../dialect/types.ts";
 import { EXCHANGE } from "./constants.ts";
+import { drainRefusal } from "./drain_refusal.ts";
 import { StallTimer } from "./stall_timer.ts";
 import type {
   ExchangeEnd,
@@ -123,7 +124,7 @@
         this.#request.destroy();
         return;
       }
-      response.resume();
+      drainRefusal(response, this.#request);
       this.#end({ kind: "unexecuted", status });
       return;
     }
--- a/packages/gateway/src/http/caller_listener_test.ts
+++ b/packages/gateway/src/http/caller_listener_test.ts
@@ -2,6 +2,7 @@
 import { ConnectionPool } from "@gooseberryline/daemon";
 import { createMetadata } from "@gooseberryline/fakes";
 import { expect, test } from "vitest";
+import { HeldBytes } from "../exchange/held_bytes.ts";
 import { JobApi } from "../jobs/job_api.ts";
 import { ResultCountFeed } from "../jobs/result_count_feed.ts";
 import { createOrigins } from "../testing/create_origins.ts";
@@ -20,6 +21,7 @@
   const listener = new CallerListener({
     ...shared,
     pool: new ConnectionPool(1_000),
+    held: new HeldBytes(),
     origins: createOrigins(view).origins,
     jobs: new JobApi({
       ...shared,
--- a/packages/gateway/src/jobs/constants.ts
+++ b/packages/gateway/src/jobs/constants.ts
@@ -44,6 +44,11 @@
   MAX_LEDGER_CONFLICTS: 100,
   /** Maximum delay before a job is committed on a changed ledger, in ms. */
   LEDGER_RETRY_DELAY_MS: 10,
+  /**
+   * Longest output of an item, in bytes, so that its result fits into a record of
+   * the store.
+   */
+  MAX_TEXT_BYTES: 512 * 1_024,
   /** Jobs that each in-memory cache holds for readers. */
   MAX_CACHED_JOBS: 2_000,
 } as const;
--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -6,6 +6,7 @@
   splitEvents,
   type UpstreamEntry,
 } from "@gooseberryline/core";
+import { EXCHANGE } from "../exchange/constants.ts";
 import type { ExchangeHead } from "../exchange/types.ts";
 import {
   Attempt,
@@ -31,6 +32,10 @@
   readonly #parts: ItemRunParts;
   readonly #attempt: Attempt;
   readonly #texts: string[];
+  /** Length of the texts, in bytes. */
+  #length: number;
+  /** Length of an answer that is no output, in bytes. */
+  #passed = 0;
   #lastEventId: number | undefined;
   #head: ExchangeHead | undefined;
   #held: Buffer = NO_BYTES;
@@ -48,6 +53,7 @@
     this.#parts = parts;
     this.#startedMs = parts.view.readNowMs();
     this.#texts = [...waiting.text.texts];
+    this.#length = this.#texts.reduce((sum, { length }) => sum + length, 0);
     this.#lastEventId = waiting.text.lastEventId;
     const { customer } = parts;
     const { promptParts } = waiting;
@@ -121,14 +127,40 @@
 
   #handleChunk(chunk: Buffer): boolean {
     if (this.#head?.status !== OK || !this.#head.isEventStream) {
-      return true;
+      return this.#passOver(chunk);
     }
     const { events, rest } = splitEvents(this.#held, chunk);
     this.#held = rest;
     if (!events.every((event) => this.#appendEvent(event))) {
       this.stop("events out of order");
+      return false;
     }
-    return true;
+    return this.#checkLength();
+  }
+
+  /** Reads on in an answer that is no output, unless it does not end. */
+  #passOver({ length }: Buffer): boolean {
+    this.#passed += length;
+    const isTooLong = this.#passed > EXCHANGE.MAX_REFUSAL_BYTES;
+    if (isTooLong && !this.#isEnded) {
+      this.#attempt.cancel();
+      this.#end(this.#decideRunEnd(this.#getText()));
+    }
+    return !isTooLong;
+  }
+
+  /** Stops a run whose output does not end; returns whether it goes on. */
+  #checkLength(): boolean {
+    const isTooLong =
+      this.#length > JOB_CONSTANTS.MAX_TEXT_BYTES ||
+      this.#held.length > EXCHANGE.MAX_EVENT_BYTES;
+    if (isTooLong) {
+      // What has come so far is not the item's output.
+      this.#texts.splice(0);
+      this.#lastEventId = undefined;
+      this.stop("the output is too long");
+    }
+    return !isTooLong;
   }
 
   #appendEvent({ id, data }: StreamEvent): boolean {
@@ -141,6 +173,7 @@
     }
     if (data !== undefined) {
       this.#texts.push(data);
+      this.#length += data.length;
     }
     this.#lastEventId = id ?? last;
     return true;
--- a/packages/gateway/src/metrics/create_gateway_metrics.ts
+++ b/packages/gateway/src/metrics/create_gateway_metrics.ts
@@ -16,6 +16,7 @@
 type GaugeName =
   | "requests_open"
   | "items_running"
+  | "answer_bytes_held"
   | "upstreams_known"
   | "jobs_over_limit"
   | "prompt_blocks";
@@ -42,6 +43,10 @@
   const gauges = {
     requests_open: gauge("requests_open", "requests under way"),
     items_running: gauge("items_running", "batch items under way"),
+    answer_bytes_held: gauge(
+      "answer_bytes_held",
+      "bytes of upstreams' answers that are held until they are whole",
+    ),
     jobs_over_limit: gauge(
       "jobs_over_limit",
       "jobs refused for their customer's unfinished items, since the start",
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -8,6 +8,7 @@
 import { describeBlock } from "../crashes/describe_block.ts";
 import type { RequestKey } from "../crashes/request_key.ts";
 import type { CallDialect, ResponseHead } from "../dialect/types.ts";
+import type { HeldBytes } from "../exchange/held_bytes.ts";
 import type {
   ExchangeEnd,
   ExchangeEvents,
@@ -33,6 +34,8 @@
   readonly pool: ConnectionPool;
   readonly dialect: CallDialect;
   readonly log: EventLog;
+  /** Counts what is held of answers. */
+  readonly held: HeldBytes;
 };
 
 /** What an attempt sends, and where. */
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -5,6 +5,7 @@
   type NextStep,
   type UpstreamEntry,
 } from "@gooseberryline/core";
+import { AnswerBuffer } from "../exchange/answer_buffer.ts";
 import type { ExchangeHead } from "../exchange/types.ts";
 import type { StreamOrigins } from "../streams/stream_origins.ts";
 import { admitCustomer } from "./admit_customer.ts";
@@ -37,7 +38,7 @@
   #isAdmitted = false;
   #attempt: Attempt | undefined;
   #head: ExchangeHead | undefined;
-  #body: Buffer[] = [];
+  readonly #body: AnswerBuffer;
   #hasStarted = false;
   readonly #origin: RequestOrigin;
   #timer: NodeJS.Timeout | undefined;
@@ -47,6 +48,7 @@
     this.#call = call;
     this.#reply = reply;
     this.#parts = parts;
+    this.#body = new AnswerBuffer(parts.held);
     this.#tracker = new AttemptTracker(call, parts.view);
     this.#origin = new RequestOrigin(call, parts.origins);
     this.#ending = new RequestEnding({
@@ -56,6 +58,7 @@
       tracker: this.#tracker,
       onDone: (outcome, tookMs) => {
         clearTimeout(this.#timer);
+        this.#body.drop();
         this.#origin.recordEnd();
         parts.onDone(outcome, tookMs);
       },
@@ -136,7 +139,7 @@
 
   #send(upstream: UpstreamEntry, waitMs: number): void {
     this.#head = undefined;
-    this.#body = [];
+    this.#body.drop();
     this.#relay.restart();
     const call = this.#call;
     const tracker = this.#tracker;
@@ -157,20 +160,31 @@
 
   #handleChunk(chunk: Buffer): boolean {
     if (!this.#isStream()) {
-      this.#body.push(chunk);
-      return true;
+      return this.#body.append(chunk) || this.#drop("the answer is too long");
     }
     this.#startReply();
     const result = this.#relay.relayChunk(chunk);
     if (this.#relay.eventCount > 0 && this.#attempt !== undefined) {
       this.#origin.recordBegun(this.#attempt.upstream);
     }
-    if (result === "out-of-order") {
-      this.#cancelAttempt();
-      this.#handleFailure({ kind: "lost", reason: "events out of order" });
-      return false;
+    switch (result) {
+      case "out-of-order":
+        return this.#drop("events out of order");
+      case "too-long":
+        return this.#drop("an event is too long");
+      case "room":
+      case "full":
+        return result === "room";
+      default:
+        return assertNever(result);
     }
-    return result === "room";
+  }
+
+  /** Gives up an answer that can't be passed on; returns false, for no more. */
+  #drop(reason: string): boolean {
+    this.#cancelAttempt();
+    this.#handleFailure({ kind: "lost", reason });
+    return false;
   }
 
   #startReply(): void {
@@ -237,7 +251,7 @@
       this.#ending.breakOff(`an answer of ${status}`);
       return;
     }
-    this.#reply.sendResponse(this.#head, Buffer.concat(this.#body));
+    this.#reply.sendResponse(this.#head, this.#body.read());
     this.#ending.finish("answered", { status });
   }
 
--- a/packages/gateway/src/requests/stream_relay.ts
+++ b/packages/gateway/src/requests/stream_relay.ts
@@ -3,14 +3,16 @@
   type StreamEvent,
   splitEvents,
 } from "@gooseberryline/core";
+import { EXCHANGE } from "../exchange/constants.ts";
 import type { CallReply } from "./types.ts";
 
 const NO_BYTES: Buffer = Buffer.alloc(0);
 
 /**
- * Result of relaying a chunk; `full` means that the caller's buffer is full.
+ * Result of relaying a chunk; `full` means that the caller's buffer is full,
+ * `too-long` that the event which has begun does not end.
  */
-export type RelayResult = "room" | "full" | "out-of-order";
+export type RelayResult = "room" | "full" | "out-of-order" | "too-long";
 
 /**
  * Relays a stream's complete events as they arrive. A partial event is held
@@ -71,6 +73,9 @@
     if (firstOutOfOrder !== -1) {
       return "out-of-order";
     }
+    if (this.#held.length > EXCHANGE.MAX_EVENT_BYTES) {
+      return "too-long";
+    }
     return hasRoom ? "room" : "full";
   }
 
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -11,6 +11,7 @@
 import { listBlockFields } from "./crashes/list_block_fields.ts";
 import type { Dialect } from "./dialect/types.ts";
 import { EXCHANGE } from "./exchange/constants.ts";
+import { HeldBytes } from "./exchange/held_bytes.ts";
 import { FleetView } from "./fleet/fleet_view.ts";
 import { MembershipTask } from "./fleet/membership_task.ts";
 import { PeerLink } from "./fleet/peer_link.ts";
@@ -81,7 +82,8 @@
   const relay = new RelayListener(parts.store);
   const pool = new ConnectionPool(EXCHANGE.IDLE_TIMEOUT_MS);
   const metrics = createGatewayMetrics();
-  const shared = { view, pool, dialect: dialect.calls, log, store };
+  const held = new HeldBytes();
+  const shared = { view, pool, dialect: dialect.calls, log, store, held };
   const state = { isLoaded: false, isStopping: false };
   const resultCounts = new ResultCountFeed(() => view.readNowMs());
   const jobs = new JobApi({
@@ -168,6 +170,7 @@
     }),
     [METRICS_PATH]: async () => {
       metrics.setGauge("requests_open", listener.countInFlight());
+      metrics.setGauge("answer_bytes_held", held.total);
       metrics.setGauge("prompt_blocks", view.crashes.blocks.length);
       metrics.setGauge("jobs_over_limit", jobs.countOverLimit());
       metrics.setGauge("items_running", runner.countRunning());
--- a/packages/gateway/src/testing/create_item_pool.ts
+++ b/packages/gateway/src/testing/create_item_pool.ts
@@ -1,6 +1,7 @@
 import type { BatchResult, Route } from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
 import { expect, vi } from "vitest";
+import { HeldBytes } from "../exchange/held_bytes.ts";
 import { buildJob } from "../jobs/build_job.ts";
 import { ItemPool } from "../jobs/item_pool.ts";
 import { createView } from "./create_view.ts";
@@ -65,6 +66,7 @@
   const pool = new ItemPool({
     view,
     pool: new ConnectionPool(1_000),
+    held: new HeldBytes(),
     dialect: plainDialect,
     log: SILENT_LOG,
     onResult: (_, __, result) => {
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -1,6 +1,7 @@
 import { CALL_SHAPES, type Route } from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
 import { RequestKey } from "../crashes/request_key.ts";
+import { HeldBytes } from "../exchange/held_bytes.ts";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { RequestRun } from "../requests/request_run.ts";
 import type { CallReply } from "../requests/types.ts";
@@ -42,6 +43,8 @@
   readonly view?: FleetView;
   /** Where the answer goes; by default it is kept for the test. */
   readonly reply?: CallReply;
+  /** Counts what is held of answers. */
+  readonly held?: HeldBytes;
 };
 
 /** A request of a test: its answer, and a way to cancel it. */
@@ -92,6 +95,7 @@
   pool: givenPool,
   view = createView(),
   reply,
+  held = new HeldBytes(),
 }: RunParts): TestRun {
   addresses.forEach((address, index) => {
     view.directory.set({
@@ -144,6 +148,7 @@
     view,
     pool,
     origins,
+    held,
     dialect: plainDialect,
     log: SILENT_LOG,
     onDone: (outcome) => {
--- a/packages/gateway/src/testing/start_runner.ts
+++ b/packages/gateway/src/testing/start_runner.ts
@@ -2,6 +2,7 @@
 import { batchKeys, type EventLog } from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
 import { createMetadata } from "@gooseberryline/fakes";
+import { HeldBytes } from "../exchange/held_bytes.ts";
 import { batchRecords } from "../jobs/batch_records.ts";
 import { buildJob } from "../jobs/build_job.ts";
 import { JobRunner } from "../jobs/job_runner.ts";
@@ -26,6 +27,7 @@
     view,
     store,
     log,
+    held: new HeldBytes(),
     dialect: plainDialect,
     pool: new ConnectionPool(1_000),
   });
