--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -1,7 +1,6 @@
 import {
   type AttemptEnd,
   assertNever,
-  CALL_SHAPES,
   type NextStep,
   type UpstreamEntry,
 } from "@gooseberryline/core";
@@ -14,6 +13,7 @@
 import { callErrors } from "./call_errors.ts";
 import { chooseUpstream } from "./choose_upstream.ts";
 import { REQUESTS } from "./constants.ts";
+import { isStreamAnswer } from "./is_stream_answer.ts";
 import { RequestEnding } from "./request_ending.ts";
 import { RequestOrigin } from "./request_origin.ts";
 import { startAttempt } from "./start_attempt.ts";
@@ -25,8 +25,11 @@
   readonly onDone: (outcome: string, tookMs: number) => void;
 };
 
-const OK = 200;
 const SERVER_ERROR = 500;
+const DROP_REASONS = {
+  "out-of-order": "events out of order",
+  "too-long": "an event is too long",
+} as const;
 
 /** Runs a caller's request: chooses upstreams, relays the response, retries. */
 export class RequestRun {
@@ -70,7 +73,7 @@
 
   start(): void {
     const leftMs = this.#tracker.computeRemainingMs();
-    this.#timer = setTimeout(() => this.#expire(), leftMs);
+    this.#timer = setTimeout(() => this.expire("the time is up"), leftMs);
     void (this.#origin.isTakenUp ? this.#placeTakenUp() : this.#place());
   }
 
@@ -159,7 +162,7 @@
   }
 
   #handleChunk(chunk: Buffer): boolean {
-    if (!this.#isStream()) {
+    if (!isStreamAnswer(this.#call.route, this.#head)) {
       return this.#body.append(chunk) || this.#drop("the answer is too long");
     }
     this.#startReply();
@@ -167,17 +170,9 @@
     if (this.#relay.eventCount > 0 && this.#attempt !== undefined) {
       this.#origin.recordBegun(this.#attempt.upstream);
     }
-    switch (result) {
-      case "out-of-order":
-        return this.#drop("events out of order");
-      case "too-long":
-        return this.#drop("an event is too long");
-      case "room":
-      case "full":
-        return result === "room";
-      default:
-        return assertNever(result);
-    }
+    return result === "room" || result === "full"
+      ? result === "room"
+      : this.#drop(DROP_REASONS[result]);
   }
 
   /** Gives up an answer that can't be passed on; returns false, for no more. */
@@ -195,14 +190,6 @@
     }
   }
 
-  #isStream(): boolean {
-    return (
-      this.#call.route.shape === CALL_SHAPES.stream &&
-      this.#head?.isEventStream === true &&
-      this.#head.status === OK
-    );
-  }
-
   #handleEnd(end: AttemptResult): void {
     this.#attempt = undefined;
     if (end.kind === "whole" || end.kind === "lost") {
@@ -218,7 +205,7 @@
 
   #handleComplete(): void {
     const status = this.#head?.status ?? 0;
-    if (this.#isStream()) {
+    if (isStreamAnswer(this.#call.route, this.#head)) {
       if (this.#relay.isAtEventBoundary()) {
         // A stream resumed after its last event has a head but no events.
         this.#startReply();
@@ -285,16 +272,19 @@
       this.#ending.refuseBlocked(block, this.#hasStarted);
       return;
     }
-    const mayHaveRun = this.#tracker.runs > 0;
-    const error = mayHaveRun
-      ? callErrors.upstreamFailed(reason)
-      : callErrors.noCapacity(reason, availableInMs);
+    const error =
+      this.#tracker.runs > 0
+        ? callErrors.upstreamFailed(reason)
+        : callErrors.noCapacity(reason, availableInMs);
     this.#ending.fail(reason, error, this.#hasStarted);
   }
 
-  #expire(): void {
+  /** Ends the request with what is known of it; `reason` says why now. */
+  expire(reason: string): void {
+    if (this.#ending.isEnded) {
+      return;
+    }
     this.#cancelAttempt();
-    const reason = "the time is up";
     const error = callErrors.timedOut(reason, this.#tracker.runs > 0);
     this.#ending.fail(reason, error, this.#hasStarted);
   }
