Refuse what a planned stop can't finish, and answer what it ends

Cause: such a connection was kept after its stream; nothing compared a request's time-out with what is left of the grace; what was open at its end was cut.

Change: a connection is closed when its last answer ends during a stop; after the notice a request that may outlast the grace is refused as not run; at the end, what has no head yet gets 504.

--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -13,8 +13,11 @@
 import { buildReply } from "./build_reply.ts";
 import { closeServer } from "./close_server.ts";
 import { countHeaderBytes } from "./count_header_bytes.ts";
+import { isTooLate } from "./is_too_late.ts";
 import { listenAt } from "./listen_at.ts";
+import { OpenCalls } from "./open_calls.ts";
 import { readBody } from "./read_body.ts";
+import type { StopTimes } from "./types.ts";
 
 type CallerListenerParts = AttemptParts & {
   readonly jobs: JobApi;
@@ -34,8 +37,9 @@
 export class CallerListener {
   readonly #parts: CallerListenerParts;
   readonly #server: Server;
-  #open = 0;
-  #isStopping = false;
+  /** Requests in flight, by their connection. */
+  readonly #open = new OpenCalls();
+  #stop: StopTimes | undefined;
 
   constructor(parts: CallerListenerParts) {
     this.#parts = parts;
@@ -68,9 +72,17 @@
     }
   }
 
-  /** Closes each connection after its next response. */
-  startDraining(): void {
-    this.#isStopping = true;
+  /**
+   * Closes each connection after its next response, and refuses what can't be
+   * finished by the end of the stop.
+   */
+  startDraining(stop: StopTimes): void {
+    this.#stop = stop;
+  }
+
+  /** Ends the requests in flight with what is known of them. */
+  expireAll(): void {
+    this.#open.expireAll("this instance is stopping");
   }
 
   /**
@@ -82,7 +94,7 @@
 
   /** Returns the number of requests in flight. */
   countInFlight(): number {
-    return this.#open;
+    return this.#open.count();
   }
 
   stop(): void {
@@ -93,15 +105,20 @@
     const { req, res } = ctx;
     ctx.respond = false;
     res.statusCode = 200;
-    res.shouldKeepAlive = res.shouldKeepAlive && !this.#isStopping;
-    this.#open += 1;
+    res.shouldKeepAlive = res.shouldKeepAlive && this.#stop === undefined;
+    const call = this.#open.add(req.socket);
     res.once("close", () => {
-      this.#open -= 1;
+      call.remove();
+      // Its head was sent before the stop, so the caller means to keep it.
+      if (this.#stop !== undefined && !call.hasOthers()) {
+        req.socket.end();
+      }
     });
-    await this.#serve(req, buildReply(res), (onDisconnect) => {
+    await this.#serve(req, buildReply(res), (run) => {
+      call.setRun(run);
       res.once("close", () => {
         if (!res.writableFinished) {
-          onDisconnect();
+          run.cancel();
         }
       });
     });
@@ -110,7 +127,7 @@
   async #serve(
     req: IncomingMessage,
     reply: CallReply,
-    onDisconnect: (cancel: () => void) => void,
+    onRun: (run: RequestRun) => void,
   ): Promise<void> {
     const { view, dialect, jobs, onDone } = this.#parts;
     const receivedMs = view.readNowMs();
@@ -150,6 +167,14 @@
       await jobs.accept(route, customer, head, body.bytes, reply);
       return;
     }
+    const limitMs = Math.min(
+      route.timeoutMs,
+      head.deadlineMs ?? Number.POSITIVE_INFINITY,
+    );
+    if (isTooLate(this.#stop, receivedMs, limitMs)) {
+      reply.sendError(callErrors.notReady("this instance is stopping"));
+      return;
+    }
     const service = chooseService(route, head.requestId ?? path);
     if (service === undefined) {
       reply.sendError(callErrors.noCapacity("the route has no service", 0));
@@ -174,7 +199,7 @@
       receivedMs,
     };
     const run = new RequestRun(call, reply, { ...this.#parts, onDone });
-    onDisconnect(() => run.cancel());
+    onRun(run);
     run.start();
   }
 }
--- a/packages/gateway/src/http/caller_listener_test.ts
+++ b/packages/gateway/src/http/caller_listener_test.ts
@@ -69,7 +69,7 @@
   const { listener, port } = await startListener();
   const keptAlive = connect(port, HOST);
   expect(await sendRequest(keptAlive)).not.toContain("Connection: close");
-  listener.startDraining();
+  listener.startDraining({ noticeEndMs: 0, endMs: 0 });
   expect(await sendRequest(keptAlive)).toContain("Connection: close");
   listener.stop();
 });
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -19,4 +19,9 @@
   NO_UPSTREAM_RETRY_MS: 500,
   /** Deadline of requests whose caller sets none, in ms. */
   DEFAULT_DEADLINE_MS: 30_000,
+  /** Why a stream's upstream is given up, by what its last bytes were. */
+  DROP_REASONS: {
+    "out-of-order": "events out of order",
+    "too-long": "an event is too long",
+  },
 } as const;
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -26,10 +26,6 @@
 };
 
 const SERVER_ERROR = 500;
-const DROP_REASONS = {
-  "out-of-order": "events out of order",
-  "too-long": "an event is too long",
-} as const;
 
 /** Runs a caller's request: chooses upstreams, relays the response, retries. */
 export class RequestRun {
@@ -172,7 +168,7 @@
     }
     return result === "room" || result === "full"
       ? result === "room"
-      : this.#drop(DROP_REASONS[result]);
+      : this.#drop(REQUESTS.DROP_REASONS[result]);
   }
 
   /** Gives up an answer that can't be passed on; returns false, for no more. */
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -206,7 +206,10 @@
     const startedMs = view.readNowMs();
     state.isStopping = true;
     log.info("stopping", { open: listener.countInFlight() });
-    listener.startDraining();
+    listener.startDraining({
+      noticeEndMs: startedMs + SHUTDOWN_TIMES.NOTICE_MS,
+      endMs: startedMs + settings.graceMs - SHUTDOWN_TIMES.MARGIN_MS,
+    });
     await runner.releaseAll();
     if (settings.callers !== undefined) {
       await drainCallers(listener, startedMs, settings.graceMs, view);
@@ -253,6 +256,10 @@
   while (listener.countInFlight() > 0 && view.readNowMs() < deadlineMs) {
     await waitMs(SHUTDOWN_TIMES.POLL_MS);
   }
+  if (listener.countInFlight() > 0) {
+    listener.expireAll();
+    await waitMs(SHUTDOWN_TIMES.POLL_MS);
+  }
 }
 
 /**
--- a/packages/gateway/src/shutdown_times.ts
+++ b/packages/gateway/src/shutdown_times.ts
@@ -4,6 +4,11 @@
    * Time after the stop signal in which new requests may still arrive, in ms.
    */
   LINGER_MS: 3_300,
+  /**
+   * Time after the stop signal in which the platform may not have seen that this
+   * instance is not ready, in ms: two questions a second apart, and their answers.
+   */
+  NOTICE_MS: 2_900,
   /** Part of the grace period reserved for the final steps, in ms. */
   MARGIN_MS: 700,
   POLL_MS: 50,
