Compare with the store before one version is taken for all

Cause, found by reading and shown by tests: without a record of the stream, an instance decided by the versions that it had heard of itself.

Evidence: stream_origins_test; without the comparison three of its tests fail.

Change: the service's history and the listed upstreams are read from the store first; take-ups at the same time share a check that begins after them.

Not played on real processes.

--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -29,9 +29,7 @@
 import { RelayListener } from "./store/relay_listener.ts";
 import { RelayedStore } from "./store/relayed_store.ts";
 import { reportStoreContact } from "./store/report_store_contact.ts";
-import { OriginWriter } from "./streams/origin_writer.ts";
-import { StreamOrigins } from "./streams/stream_origins.ts";
-import { VersionKeeper } from "./streams/version_keeper.ts";
+import { createStreamOrigins } from "./streams/create_stream_origins.ts";
 import { waitMs } from "./wait_ms.ts";
 
 export type GatewayParts = {
@@ -92,21 +90,8 @@
     onClaimsChange: (revision) =>
       watches.recordChange(batchKeys.claimPrefix, revision),
   });
-  const versions = new VersionKeeper({
-    store,
-    log,
-    directory: view.directory,
-    isFirstStart: settings.isFirstStart,
-    readUnixMs: () => Date.now(),
-    onMixed: (service) => origins.recordMixed(service),
-  });
-  const originWriter = new OriginWriter({
-    store,
-    log,
-    readNowMs: () => view.readNowMs(),
-    countInstances: () => view.members.count(),
-  });
-  const origins = new StreamOrigins({ store, versions, writer: originWriter });
+  const streams = createStreamOrigins({ view, store, log }, dialect.records);
+  const { origins, versions } = streams;
   const listener = new CallerListener({
     ...shared,
     jobs,
@@ -220,7 +205,7 @@
     blocks.stop();
     versions.stop();
     crashWatch.stop();
-    await originWriter.stop();
+    await streams.writer.stop();
     await membership.stop();
     peers.stop();
     relay.stop();
--- a/packages/gateway/src/streams/stream_origins.ts
+++ b/packages/gateway/src/streams/stream_origins.ts
@@ -3,11 +3,13 @@
 import { STREAM_RECORDS } from "./constants.ts";
 import { originRecord } from "./origin_record.ts";
 import type { OriginWriter } from "./origin_writer.ts";
+import type { SoleVersionCheck } from "./sole_version_check.ts";
 import type { VersionKeeper } from "./version_keeper.ts";
 
 type StreamOriginsParts = {
   readonly store: MetadataStore;
   readonly versions: Pick<VersionKeeper, "findSoleVersion">;
+  readonly check: Pick<SoleVersionCheck, "find">;
   readonly writer: Pick<OriginWriter, "add">;
 };
 
@@ -68,7 +70,7 @@
     if (first.kind !== "missing") {
       return first.origin;
     }
-    const sole = this.#findSole(service);
+    const sole = await this.#findSole(service);
     if (sole !== undefined) {
       return sole;
     }
@@ -76,8 +78,12 @@
     return (await this.#read(key, service)).origin;
   }
 
-  #findSole(service: string): StreamOrigin | undefined {
-    const version = this.#parts.versions.findSoleVersion(service);
+  /** The caller waits, so a late answer is none. */
+  async #findSole(service: string): Promise<StreamOrigin | undefined> {
+    const version = await Promise.race([
+      this.#parts.check.find(service),
+      waitMs(STREAM_RECORDS.READ_TIMEOUT_MS),
+    ]);
     return version === undefined ? undefined : { service, version };
   }
 
--- a/packages/gateway/src/streams/stream_origins_test.ts
+++ b/packages/gateway/src/streams/stream_origins_test.ts
@@ -6,6 +6,7 @@
 import { createView } from "../testing/create_view.ts";
 import { STREAM_RECORDS } from "./constants.ts";
 import { historyRecord } from "./history_record.ts";
+import type { ListedVersions } from "./types.ts";
 
 const SERVICE = "s";
 const SETTLE_MS = 1_000;
@@ -22,9 +23,10 @@
   listed: readonly string[],
   metadata?: FakeMetadata,
   isFirstStart = metadata === undefined,
+  listVersions?: () => Promise<ListedVersions>,
 ) {
   const view = createView();
-  const parts = createOrigins(view, metadata, isFirstStart);
+  const parts = createOrigins(view, metadata, isFirstStart, listVersions);
   const list = async (versions: readonly string[]): Promise<void> => {
     const ids = [...(view.directory.listVersions().get(SERVICE) ?? [])];
     ids.forEach((id) => {
@@ -53,7 +55,7 @@
   await list(listed);
   await parts.load();
   await vi.advanceTimersByTimeAsync(SETTLE_MS);
-  return { ...parts, list, begin, takeUp };
+  return { ...parts, view, list, begin, takeUp };
 }
 
 test("a stream is taken up at its version after all instances lost power", async () => {
@@ -177,3 +179,35 @@
   await vi.advanceTimersByTimeAsync(2 * STREAM_RECORDS.GONE_DELAY_MS);
   expect(metadata.calls.commit).toBe(commits);
 });
+
+const VERSIONS: readonly (readonly [string, readonly string[]])[] = [
+  ["the new version beside the old one", ["v1", "v2"]],
+  ["the new version alone", ["v2"]],
+];
+
+// Guards against a stream that goes on at another version, at an instance that has
+// not heard of the one that began it: nothing but the store's list names it yet.
+test.each(VERSIONS)(
+  "an instance out of step takes up no stream while the store lists %s",
+  async (_, versions) => {
+    const listed = { versions: ["v1"] };
+    const instance = await startInstance(
+      ["v1"],
+      undefined,
+      true,
+      async () => new Map([[SERVICE, new Set(listed.versions)]]),
+    );
+    expect(await instance.takeUp("r1")).toMatchObject({ version: "v1" });
+    listed.versions = [...versions];
+    expect(await instance.takeUp("r1")).toBeUndefined();
+    expect(await instance.takeUp(undefined)).toBeUndefined();
+  },
+);
+
+// Guards against the same where the new version has come and gone meanwhile.
+test("an instance out of step reads the history that others have written", async () => {
+  const behind = await startInstance(["v1"]);
+  const other = await startInstance(["v1"], behind.metadata);
+  await other.list(["v1", "v2"]);
+  expect(await behind.takeUp("r1")).toBeUndefined();
+});
--- a/packages/gateway/src/testing/create_origins.ts
+++ b/packages/gateway/src/testing/create_origins.ts
@@ -2,7 +2,9 @@
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { historyRecord } from "../streams/history_record.ts";
 import { OriginWriter } from "../streams/origin_writer.ts";
+import { SoleVersionCheck } from "../streams/sole_version_check.ts";
 import { StreamOrigins } from "../streams/stream_origins.ts";
+import type { ListedVersions } from "../streams/types.ts";
 import { VersionKeeper } from "../streams/version_keeper.ts";
 import { SILENT_LOG } from "./silent_log.ts";
 
@@ -11,6 +13,8 @@
   view: FleetView,
   metadata = createMetadata(),
   isFirstStart = true,
+  listVersions = async (): Promise<ListedVersions | undefined> =>
+    view.directory.listVersions(),
 ) {
   const { store } = metadata;
   const versions = new VersionKeeper({
@@ -27,7 +31,10 @@
     readNowMs: () => performance.now(),
     countInstances: () => 1,
   });
-  const origins = new StreamOrigins({ store, versions, writer });
+  const readUnixMs = (): number => Date.now();
+  const checkParts = { store, versions, listVersions, readUnixMs };
+  const check = new SoleVersionCheck(checkParts);
+  const origins = new StreamOrigins({ store, versions, check, writer });
   /** Reads the records as a watch would report them, then starts. */
   const load = async (): Promise<void> => {
     const page = await store.listPage(historyRecord.buildKey(""));
