Take an answer for a request's own only by its id and signature

Cause: only an answer that named another request was refused; one that named none was taken for any.

Change: one function decides, for requests and items; an answer without an id is none on a connection used before, a success without a signature is none anywhere, and a connection whose answer named nothing is not used again.

--- a/packages/gateway/src/dialect/types.ts
+++ b/packages/gateway/src/dialect/types.ts
@@ -40,6 +40,8 @@
 /** An upstream's response headers, parsed. */
 export type ResponseHead = {
   readonly requestId: string | undefined;
+  /** Whether it bears an upstream's signature, as each success does. */
+  readonly isSigned: boolean;
   /** Whether the upstream reports that it did not run the request. */
   readonly isUnexecuted: boolean;
   /** Requests per second that it takes from all; undefined: it names none. */
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -8,6 +8,7 @@
 import type { CallDialect, ResponseHead } from "../dialect/types.ts";
 import { EXCHANGE } from "./constants.ts";
 import { drainRefusal } from "./drain_refusal.ts";
+import { findForeignReason } from "./find_foreign_reason.ts";
 import { StallTimer } from "./stall_timer.ts";
 import type {
   ExchangeEnd,
@@ -72,8 +73,7 @@
   }
 
   #open(): ClientRequest {
-    const { address, method, path, headers, body, isIdempotent } =
-      this.#options;
+    const { address, method, path, headers, body } = this.#options;
     const url = new URL(`http://${address}`);
     return sendRequest({
       method,
@@ -81,7 +81,9 @@
       host: url.hostname,
       port: url.port,
       headers: { ...headers, ...describeBody(method, body) },
-      agent: isIdempotent ? this.#parts.pool.find(url.origin) : false,
+      agent: canShareConnection(this.#options)
+        ? this.#parts.pool.find(url.origin)
+        : false,
     });
   }
 
@@ -109,14 +111,18 @@
     const responseHead = dialect.readResponseHead(response.headers);
     const { requestId } = this.#options;
     const status = response.statusCode ?? 0;
-    if (
-      responseHead.requestId !== undefined &&
-      responseHead.requestId !== requestId
-    ) {
-      this.#endLost("the answer names another request");
+    const isReused = this.#request.reusedSocket;
+    const asked = { requestId, isReused };
+    const reason = findForeignReason(asked, responseHead, status);
+    if (reason !== undefined) {
+      this.#endLost(reason);
       this.#request.destroy();
       return;
     }
+    if (responseHead.requestId === undefined) {
+      // Nothing could tell its next answer from what comes after this one.
+      this.#request.shouldKeepAlive = false;
+    }
     this.#parts.onAnswer?.(status, responseHead);
     if (responseHead.isUnexecuted) {
       if (this.#mayBeEarlierRefusal(responseHead, response.socket)) {
@@ -220,6 +226,14 @@
   }
 }
 
+/** A request without an id could not tell its answer from another's. */
+function canShareConnection({
+  isIdempotent,
+  requestId,
+}: ExchangeOptions): boolean {
+  return isIdempotent && requestId !== undefined;
+}
+
 function describeBody(method: string, body: Buffer): Record<string, string> {
   const hasBody = body.length > 0 || method === "POST" || method === "PUT";
   return hasBody ? { "content-length": String(body.length) } : {};
--- a/packages/gateway/src/testing/plain_dialect.ts
+++ b/packages/gateway/src/testing/plain_dialect.ts
@@ -19,6 +19,7 @@
   }),
   readResponseHead: (headers) => ({
     requestId: headers["request-id"]?.toString(),
+    isSigned: headers.unsigned === undefined,
     isUnexecuted: headers["not-run"] !== undefined,
     limitPerSecond:
       headers.limit === undefined ? undefined : Number(headers.limit),
