--- a/packages/gateway/src/http/caller_listener_test.ts
+++ b/packages/gateway/src/http/caller_listener_test.ts
@@ -1,41 +1,10 @@
 import { connect, type Socket } from "node:net";
-import { ConnectionPool } from "@gooseberryline/daemon";
-import { createMetadata } from "@gooseberryline/fakes";
 import { expect, test } from "vitest";
-import { HeldBytes } from "../exchange/held_bytes.ts";
-import { JobApi } from "../jobs/job_api.ts";
-import { ResultCountFeed } from "../jobs/result_count_feed.ts";
-import { createOrigins } from "../testing/create_origins.ts";
-import { createView } from "../testing/create_view.ts";
-import { findPort } from "../testing/find_port.ts";
-import { plainDialect } from "../testing/plain_dialect.ts";
-import { SILENT_LOG } from "../testing/silent_log.ts";
-import { CallerListener } from "./caller_listener.ts";
+import { startListener } from "../testing/start_listener.ts";
 
 const HOST = "127.0.0.1";
 const REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
-async function startListener() {
-  const view = createView();
-  const shared = { view, dialect: plainDialect, log: SILENT_LOG };
-  const listener = new CallerListener({
-    ...shared,
-    pool: new ConnectionPool(1_000),
-    held: new HeldBytes(),
-    origins: createOrigins(view).origins,
-    jobs: new JobApi({
-      ...shared,
-      store: createMetadata().store,
-      resultCounts: new ResultCountFeed(() => view.readNowMs()),
-      onClaimsChange: () => undefined,
-    }),
-    onDone: () => undefined,
-  });
-  const port = await findPort();
-  await listener.start({ host: HOST, port });
-  return { listener, port };
-}
-
 /** Sends a request and returns the first bytes of the response. */
 function sendRequest(socket: Socket): Promise<string> {
   return new Promise((resolve, reject) => {
--- a/packages/gateway/src/http/planned_stop_test.ts
+++ b/packages/gateway/src/http/planned_stop_test.ts
@@ -1,20 +1,11 @@
 import { connect, type Socket } from "node:net";
 import { CALL_SHAPES, type Route } from "@gooseberryline/core";
-import { ConnectionPool } from "@gooseberryline/daemon";
-import { createMetadata } from "@gooseberryline/fakes";
 import { expect, test } from "vitest";
-import { HeldBytes } from "../exchange/held_bytes.ts";
-import { JobApi } from "../jobs/job_api.ts";
-import { ResultCountFeed } from "../jobs/result_count_feed.ts";
 import { createEntry } from "../testing/create_entry.ts";
-import { createOrigins } from "../testing/create_origins.ts";
 import { createView } from "../testing/create_view.ts";
-import { findPort } from "../testing/find_port.ts";
 import { JOB_ROUTE } from "../testing/job_route.ts";
-import { plainDialect } from "../testing/plain_dialect.ts";
-import { SILENT_LOG } from "../testing/silent_log.ts";
+import { startListener } from "../testing/start_listener.ts";
 import { startUpstream } from "../testing/start_upstream.ts";
-import { CallerListener } from "./caller_listener.ts";
 
 const HOST = "127.0.0.1";
 const STREAM_MS = 200;
@@ -69,22 +60,7 @@
   });
   const { address } = upstream;
   view.directory.set(createEntry({ service: SERVICE, address }));
-  const shared = { view, dialect: plainDialect, log: SILENT_LOG };
-  const listener = new CallerListener({
-    ...shared,
-    pool: new ConnectionPool(1_000),
-    held: new HeldBytes(),
-    origins: createOrigins(view).origins,
-    jobs: new JobApi({
-      ...shared,
-      store: createMetadata().store,
-      resultCounts: new ResultCountFeed(() => view.readNowMs()),
-      onClaimsChange: () => undefined,
-    }),
-    onDone: () => undefined,
-  });
-  const port = await findPort();
-  await listener.start({ host: HOST, port });
+  const { listener, port } = await startListener(view);
   listener.applyLimits();
   /** Begins a stop whose notice is over, with this much time left. */
   const beginLateStop = (leftMs: number): void => {
