Read a claim anew in one place, and drop what can no longer happen

From reading the change again; no change of what it does. Loading a job and a refused write read a claim by the same function. A refusal without an id on a connection used before is told apart earlier, so its second check was dead; the version found with the own one among those listed is the own one, so comparing them was as well.

49 tests of claims, saved texts, streams, stray and repeated answers and style pass.

--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -5,7 +5,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { ConnectionPool } from "@gooseberryline/daemon";
-import type { CallDialect, ResponseHead } from "../dialect/types.ts";
+import type { CallDialect } from "../dialect/types.ts";
 import { EXCHANGE } from "./constants.ts";
 import { drainRefusal } from "./drain_refusal.ts";
 import { findForeignReason } from "./find_foreign_reason.ts";
@@ -125,7 +125,7 @@
     }
     this.#parts.onAnswer?.(status, responseHead);
     if (responseHead.isUnexecuted) {
-      if (this.#mayBeEarlierRefusal(responseHead, response.socket)) {
+      if (this.#mayBeEarlierRefusal(response.socket)) {
         this.#endLost("the refusal may be an earlier one");
         this.#request.destroy();
         return;
@@ -147,10 +147,9 @@
    * Returns whether a refusal may have been written for an earlier request on the
    * connection, so that this one may be running. Remembers what was refused.
    */
-  #mayBeEarlierRefusal(head: ResponseHead, socket: Socket): boolean {
+  #mayBeEarlierRefusal(socket: Socket): boolean {
     const { requestId } = this.#options;
-    const isSameAsBefore =
-      head.requestId === undefined || lastRefused.get(socket) === requestId;
+    const isSameAsBefore = lastRefused.get(socket) === requestId;
     lastRefused.set(socket, requestId ?? "");
     return this.#request.reusedSocket && isSameAsBefore;
   }
--- a/packages/gateway/src/jobs/job_runner.ts
+++ b/packages/gateway/src/jobs/job_runner.ts
@@ -49,7 +49,10 @@
       ...parts,
       listItemsWithText: () => this.#pool.listItemsWithText(),
       getOwned: (jobId) => this.#owned.get(jobId),
-      onConflict: (jobIds) => void this.#checkClaims(jobIds),
+      onConflict: (jobIds) =>
+        jobIds.forEach((jobId) => {
+          void this.#updateClaim(jobId);
+        }),
       countWorkers: () => parts.view.members.list(DUTIES.run).length,
     });
   }
@@ -201,18 +204,14 @@
   }: ObservedClaim): Promise<void> {
     const { store, log, view } = this.#parts;
     this.#pendingJobs.add(jobId);
-    const [loaded, present] = await Promise.all([
+    const [loaded, isRead] = await Promise.all([
       loadJob(store, jobId, claim, revision),
-      readClaim(store, jobId),
+      this.#updateClaim(jobId),
     ]);
     this.#pendingJobs.delete(jobId);
-    // The claim as the watch showed it may be outdated.
-    if (present !== undefined) {
-      this.handleClaimEvent(present);
-    }
     const isUnchanged = this.#claims.get(jobId)?.revision === revision;
-    const isKnown = loaded !== undefined && present !== undefined;
-    if (!isKnown || !isUnchanged || this.#isReleasing) {
+    const canOwn = isRead && isUnchanged && !this.#isReleasing;
+    if (loaded === undefined || !canOwn) {
       log.warn("job-not-loaded", { jobId, isStill: isUnchanged });
       return;
     }
@@ -224,16 +223,13 @@
     this.#pool.addJob(loaded);
   }
 
-  /** Finds out which of these jobs this instance has lost. */
-  async #checkClaims(jobIds: readonly string[]): Promise<void> {
-    await Promise.all(
-      jobIds.map(async (jobId) => {
-        const present = await readClaim(this.#parts.store, jobId);
-        if (present !== undefined) {
-          this.handleClaimEvent(present);
-        }
-      }),
-    );
+  /** Reads a claim, as the watch may be behind; returns whether it was read. */
+  async #updateClaim(jobId: string): Promise<boolean> {
+    const present = await readClaim(this.#parts.store, jobId);
+    if (present !== undefined) {
+      this.handleClaimEvent(present);
+    }
+    return present !== undefined;
   }
 
   async #release(jobId: string): Promise<void> {
--- a/packages/gateway/src/streams/sole_version_check.ts
+++ b/packages/gateway/src/streams/sole_version_check.ts
@@ -70,11 +70,10 @@
       return undefined;
     }
     const history = read.item && historyRecord.decode(read.item.value);
-    const sole = findSoleVersion({
+    return findSoleVersion({
       history,
       listed: new Set([own, ...(listed.get(service) ?? [])]),
       unixMs: readUnixMs(),
     });
-    return sole === own ? own : undefined;
   }
 }
