Locate waiting items once a round, and limit a request's time by one function

A round located every waiting item twice, once to settle those without a route and once to queue them. The time that a request may take was worked out by the listener beside the tracker of its attempts, which also knows the limit for callers that set none.

--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -6,6 +6,7 @@
 import type { AttemptParts } from "../requests/attempt.ts";
 import { callErrors } from "../requests/call_errors.ts";
 import { checkCall } from "../requests/check_call.ts";
+import { computeTimeLimitMs } from "../requests/compute_time_limit_ms.ts";
 import { RequestRun } from "../requests/request_run.ts";
 import type { CallReply } from "../requests/types.ts";
 import type { Endpoint } from "../settings/types.ts";
@@ -167,10 +168,7 @@
       await jobs.accept(route, customer, head, body.bytes, reply);
       return;
     }
-    const limitMs = Math.min(
-      route.timeoutMs,
-      head.deadlineMs ?? Number.POSITIVE_INFINITY,
-    );
+    const limitMs = computeTimeLimitMs(route, head);
     if (isTooLate(this.#stop, receivedMs, limitMs)) {
       reply.sendError(callErrors.notReady("this instance is stopping"));
       return;
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -14,7 +14,7 @@
 import { ItemRun } from "./item_run.ts";
 import { listItemParts } from "./list_item_parts.ts";
 import { listOverloads } from "./list_overloads.ts";
-import { listQueues } from "./list_queues.ts";
+import { type LocatedItem, listQueues } from "./list_queues.ts";
 import { logRunEnd } from "./log_run_end.ts";
 import { orderPoolItems, type PoolItem } from "./order_pool_items.ts";
 import type { LoadedJob } from "./owned_job.ts";
@@ -95,8 +95,9 @@
    */
   step(): void {
     this.yieldItems();
-    this.#settleUnplaceable();
-    const queues = this.#listQueues();
+    const located = this.#locateAll();
+    this.#settleUnplaceable(located);
+    const queues = listQueues(located);
     const running = [...this.#running].map(({ upstream }) => upstream.service);
     new Set([...queues.keys(), ...running]).forEach((service) => {
       this.#stepService(service, queues.get(service) ?? []);
@@ -145,24 +146,23 @@
     return this.#running.size - before;
   }
 
-  #listQueues(): ReadonlyMap<string, readonly WaitingItem[]> {
-    return listQueues(this.#waiting, (waiting) => this.#locate(waiting));
+  #locateAll(): readonly LocatedItem[] {
+    return this.#waiting.map((waiting) => ({
+      waiting,
+      location: this.#locate(waiting),
+    }));
   }
 
   /**
    * Lists as errored the items that no route leads to any more, and asks for the
    * configuration that others wait for.
    */
-  #settleUnplaceable(): void {
-    const located = this.#waiting.map((waiting) => ({
-      waiting,
-      kind: this.#locate(waiting).kind,
-    }));
-    if (located.some(({ kind }) => kind === "unknown")) {
+  #settleUnplaceable(located: readonly LocatedItem[]): void {
+    if (located.some(({ location }) => location.kind === "unknown")) {
       this.#parts.view.onConfigBehind();
     }
     located
-      .filter(({ kind }) => kind === "no-route")
+      .filter(({ location }) => location.kind === "no-route")
       .forEach(({ waiting }) => {
         this.#dropWaiting(waiting);
         this.#reportErrored(
@@ -221,7 +221,7 @@
     if (overloads.length === 0) {
       return;
     }
-    const queues = this.#listQueues();
+    const queues = listQueues(this.#locateAll());
     overloads.forEach(({ service, runs, count }) => {
       this.#order(service, queues.get(service) ?? [])
         .flatMap(({ run }) => run ?? [])
--- a/packages/gateway/src/requests/attempt_tracker.ts
+++ b/packages/gateway/src/requests/attempt_tracker.ts
@@ -5,7 +5,7 @@
   type NextStep,
 } from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
-import { REQUESTS } from "./constants.ts";
+import { computeTimeLimitMs } from "./compute_time_limit_ms.ts";
 import type { AdmittedCall, RequestFields } from "./types.ts";
 
 /** Tracks the attempts of a request and decides whether to retry it. */
@@ -67,8 +67,7 @@
   /** Returns the time remaining until the request's deadline, in ms. */
   computeRemainingMs(): number {
     const { head, route, receivedMs } = this.#call;
-    const requestedMs = head.deadlineMs ?? REQUESTS.DEFAULT_DEADLINE_MS;
-    const endMs = receivedMs + Math.min(route.timeoutMs, requestedMs);
+    const endMs = receivedMs + computeTimeLimitMs(route, head);
     return Math.max(0, endMs - this.#view.readNowMs());
   }
 
