Name the writes of each load of a job apart

What callers saw: in a test, one item stands at two positions of a job, and another item is never listed, though the job ends (TWICE and LOST).

Cause: an owner knows by the name in the progress record that a write of its own took effect though its answer was lost. The name held the instance, its start and a number that began anew with each load of a job. A worker that releases a job, can't write the release, and may take jobs again loads it anew under the same claim. A write of the load before, carried out late, then had the name of the new load's first write: the worker took its own results for listed. The one that it meant was never listed, and the one that stood there was listed again at the next position.

Change: each load of a job has a name of its own. The fake store carries out commits late, as the platform's may.

What it holds back: a worker whose earlier load's write took effect loads the job once more, where it went on before with a wrong count. Writes within one load are told apart as before.

--- a/packages/fakes/src/metadata/create_metadata.ts
+++ b/packages/fakes/src/metadata/create_metadata.ts
@@ -1,5 +1,6 @@
 import {
   BATCHES,
+  type MetadataCommit,
   type MetadataFailure,
   type MetadataStore,
   type ReadOptions,
@@ -15,11 +16,13 @@
 ): FakeMetadata {
   const state = new MetadataState();
   const calls: Record<string, number> = {};
+  const late: MetadataCommit[] = [];
   const control = {
     faults: {
       isDown: false,
       isRefusing: false,
       lostCommits: 0,
+      lateCommits: 0,
       isWatchSilent: false,
       silentWatches: 0,
       withheldChanges: 0,
@@ -110,6 +113,13 @@
       if (entries > BATCHES.MAX_COMMIT_ENTRIES) {
         return fail("commit", true);
       }
+      const { lateCommits } = control.faults;
+      if (lateCommits > 0) {
+        const faults = { ...control.faults, lateCommits: lateCommits - 1 };
+        control.faults = faults;
+        late.push(commit);
+        return fail("commit", false);
+      }
       const isLeased = set.every(
         ({ leaseId }) => leaseId === undefined || state.hasLease(leaseId),
       );
@@ -163,6 +173,11 @@
     remove: (key) => {
       write([], key);
     },
+    applyLateCommits: () => {
+      late.splice(0).forEach((commit) => {
+        state.commit(commit);
+      });
+    },
   };
 }
 
--- a/packages/fakes/src/metadata/types.ts
+++ b/packages/fakes/src/metadata/types.ts
@@ -9,6 +9,11 @@
   readonly isRefusing: boolean;
   /** Number of upcoming commits that are applied but not answered. */
   readonly lostCommits: number;
+  /**
+   * Number of upcoming commits that are not answered and take effect later, by
+   * `applyLateCommits`, if their conditions still hold.
+   */
+  readonly lateCommits: number;
   /** Watches receive no events. */
   readonly isWatchSilent: boolean;
   /** Number of upcoming watches that receive no events until they end. */
@@ -31,6 +36,8 @@
   /** Writes a record unconditionally, as operators and upstreams do. */
   readonly writeRecord: (key: string, value: string) => void;
   readonly remove: (key: string) => void;
+  /** Carries out the commits that were delayed, in the order of their calls. */
+  readonly applyLateCommits: () => void;
   /** Number of calls so far by kind. */
   readonly calls: Readonly<Record<string, number>>;
 };
--- a/packages/gateway/src/jobs/job_runner.ts
+++ b/packages/gateway/src/jobs/job_runner.ts
@@ -38,6 +38,7 @@
   #timer: NodeJS.Timeout | undefined;
   #yieldTimer: NodeJS.Timeout | undefined;
   #isReleasing = false;
+  #loads = 0;
 
   constructor(parts: RunnerParts) {
     this.#parts = parts;
@@ -215,7 +216,10 @@
       log.warn("job-not-loaded", { jobId, isStill: isUnchanged });
       return;
     }
-    const writerName = `${view.settings.instanceId}/${view.incarnation}`;
+    // A job that is loaded again must not take an earlier load's write for its own.
+    this.#loads += 1;
+    const { instanceId } = view.settings;
+    const writerName = `${instanceId}/${view.incarnation}/${this.#loads}`;
     const onLost = (): void => this.#drop(jobId);
     const readNowMs = (): number => view.readNowMs();
     const parts = { store, log, readNowMs, writerName, onLost };
--- a/packages/gateway/src/jobs/job_runner_test.ts
+++ b/packages/gateway/src/jobs/job_runner_test.ts
@@ -53,3 +53,40 @@
   expect(listOwned()).toEqual([]);
   runner.stop();
 });
+
+// Guards against a write of an earlier load of a job that is taken for one's own.
+test("a write that takes effect after its job was loaded anew is seen", async () => {
+  const {
+    metadata,
+    runner,
+    showClaims,
+    adoptRoutes,
+    listResultIds,
+    listOwned,
+  } = await startRunner(["j1"], 2);
+  const waitForCommits = async (count: number): Promise<void> => {
+    await expect
+      .poll(() => metadata.calls.commit, { interval: 1 })
+      .toBeGreaterThanOrEqual(count);
+  };
+  const before = metadata.calls.commit ?? 0;
+  await showClaims();
+  metadata.setFaults({ lateCommits: 1 });
+  adoptRoutes(1, [1]);
+  runner.start();
+  await waitForCommits(before + 1);
+  metadata.setFaults({ isRefusing: true });
+  await runner.releaseAll();
+  adoptRoutes(2, [0]);
+  metadata.setFaults({ isRefusing: false, lateCommits: 1 });
+  runner.resumeClaims();
+  await expect.poll(listOwned, { interval: 1 }).toEqual(["j1"]);
+  await waitForCommits(before + 3);
+  metadata.applyLateCommits();
+  await expect.poll(() => listResultIds("j1")).toContain("j1-0");
+  await waitMs(ROUNDS_MS);
+  adoptRoutes(3, []);
+  await expect.poll(() => listResultIds("j1")).toHaveLength(2);
+  expect(await listResultIds("j1")).toEqual(["j1-0", "j1-1"]);
+  runner.stop();
+});
--- a/packages/gateway/src/jobs/owned_job.ts
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -22,7 +22,7 @@
   readonly log: EventLog;
   /** Returns the time of the monotonic clock, in ms. */
   readonly readNowMs: () => number;
-  /** Distinguishes this process's writes from those of others. */
+  /** Distinguishes the writes of this load of the job from all others. */
   readonly writerName: string;
   readonly onLost: () => void;
 };
--- a/packages/gateway/src/testing/start_runner.ts
+++ b/packages/gateway/src/testing/start_runner.ts
@@ -13,8 +13,11 @@
 
 type Line = { readonly event: string; readonly jobId: unknown };
 
-/** Accepts jobs of this worker and shows their claims to its runner once. */
-export async function startRunner(jobIds: readonly string[]) {
+/**
+ * Accepts jobs of this worker, each item with a path of its own. `showClaims` shows
+ * their claims to its runner once.
+ */
+export async function startRunner(jobIds: readonly string[], itemsPerJob = 1) {
   const metadata = createMetadata();
   const { store } = metadata;
   const view = createView("run");
@@ -42,9 +45,13 @@
   } as const;
   view.members.set(owner);
   for (const id of jobIds) {
-    const items = [
-      { id: `${id}-0`, path: "/b/x", headers: {}, body: "", tokens: 1 },
-    ];
+    const items = Array.from({ length: itemsPerJob }, (_, index) => ({
+      id: `${id}-${index}`,
+      path: `${buildPrefix(index)}x`,
+      headers: {},
+      body: "",
+      tokens: 1,
+    }));
     const { commit } = buildJob({
       id,
       customer: "t1",
@@ -64,6 +71,33 @@
       runner.handleClaimEvent({ kind: "set", item });
     });
   };
+  /** Adopts a configuration with routes for these items of each job alone. */
+  const adoptRoutes = (revision: number, indexes: readonly number[]): void => {
+    const targets = [{ service: "s", weight: 1 }];
+    view.adoptConfig({
+      revision,
+      routes: indexes.map((index) => ({
+        ...JOB_ROUTE,
+        prefix: buildPrefix(index),
+        targets,
+      })),
+      services: [],
+      customers: [],
+      limits: {
+        headerBytes: 1,
+        bodyBytes: 1,
+        headerTimeoutMs: 1,
+        idleTimeoutMs: 1,
+      },
+    });
+  };
+  const listResultIds = async (jobId: string): Promise<readonly string[]> => {
+    const page = await store.listPage(batchKeys.results(jobId));
+    const items = page.kind === "page" ? page.items : [];
+    return items.map(
+      ({ value }) => batchRecords.decodeResult(value)?.id ?? "unreadable",
+    );
+  };
   const listOwned = (): readonly string[] =>
     Object.keys(runner.listResultCounts());
   const takeOver = (jobId: string): void => {
@@ -71,5 +105,10 @@
     const value = batchRecords.encode(claim).toString();
     metadata.writeRecord(batchKeys.claim(jobId), value);
   };
-  return { metadata, runner, lines, showClaims, listOwned, takeOver };
+  const reads = { showClaims, listOwned, listResultIds };
+  return { metadata, runner, lines, ...reads, adoptRoutes, takeOver };
+}
+
+function buildPrefix(index: number): string {
+  return `${JOB_ROUTE.prefix}${index}/`;
 }
