--- a/packages/fakes/src/metadata/create_metadata.ts
+++ b/packages/fakes/src/metadata/create_metadata.ts
@@ -9,6 +9,7 @@
 import type { FakeMetadata, MetadataFaults } from "./types.ts";
 
 const WATCH_POLL_INTERVAL_MS = 5;
+const PAGE_ITEMS = 500;
 
 /** Creates an in-memory fake of the platform's metadata store. */
 export function createMetadata(
@@ -27,6 +28,8 @@
       silentWatches: 0,
       withheldChanges: 0,
       isReadStale: false,
+      staleRevisions: 0,
+      pageItems: PAGE_ITEMS,
     } as MetadataFaults,
   };
   const write = (
@@ -40,13 +43,20 @@
     const { isDown, isRefusing } = control.faults;
     return isDown || isRefusing ? fail(step, isRefusing) : undefined;
   };
+  const getRevision = (options: ReadOptions | undefined): number => {
+    const { staleRevisions } = control.faults;
+    const isStale = options?.mayBeStale === true;
+    return state.revision - (isStale ? staleRevisions : 0);
+  };
   const isStaleRead = (options: ReadOptions | undefined): boolean =>
     options?.mayBeStale === true && control.faults.isReadStale;
   const store: MetadataStore = {
     readKey: async (key, options) =>
       recordCall(buildReadStep("read", options)) ?? {
         kind: "read",
-        item: isStaleRead(options) ? undefined : state.read(key),
+        item: isStaleRead(options)
+          ? undefined
+          : state.read(key, getRevision(options)),
         storeRevision: state.revision,
       },
     listPage: async (prefix, after, options) =>
@@ -54,7 +64,12 @@
         kind: "page",
         ...(isStaleRead(options)
           ? { items: [], hasMore: false }
-          : state.listPage(prefix, after)),
+          : state.listPage(
+              prefix,
+              after,
+              control.faults.pageItems,
+              getRevision(options),
+            )),
         storeRevision: state.revision,
       },
     watchPrefix: async (prefix, after, waitMs, signal) => {
--- a/packages/fakes/src/metadata/metadata_state.ts
+++ b/packages/fakes/src/metadata/metadata_state.ts
@@ -8,13 +8,16 @@
 
 type StoredItem = MetadataItem & { readonly leaseId: string | undefined };
 
-const PAGE_SIZE = 500;
+/** Size of the records of a page, in bytes, beyond which it is cut. */
+const PAGE_BYTES = 1_000_000;
 
 /** Holds the records, the history and the leases of the fake metadata store. */
 export class MetadataState {
   readonly #items = new Map<string, StoredItem>();
   readonly #leases = new Map<string, { ttlMs: number; endMs: number }>();
   #history: MetadataEvent[] = [];
+  /** All changes, those before a compaction included. */
+  readonly #changes: MetadataEvent[] = [];
   #revision = 1;
   #compactedRevision = 0;
   #leaseCount = 0;
@@ -23,19 +26,48 @@
     return this.#revision;
   }
 
-  read(key: string): MetadataItem | undefined {
-    return this.#items.get(key);
+  /** Reads a record as it stood at a revision. */
+  read(key: string, revision: number): MetadataItem | undefined {
+    return this.#listItems(revision).get(key);
   }
 
-  listPage(prefix: string, after: string | undefined) {
-    const keys = [...this.#items.keys()]
-      .filter((key) => key.startsWith(prefix))
-      .filter((key) => after === undefined || key > after)
-      .sort();
-    const items = keys
-      .slice(0, PAGE_SIZE)
-      .flatMap((key) => this.#items.get(key) ?? []);
-    return { items, hasMore: keys.length > PAGE_SIZE };
+  /** Lists records as they stood at a revision. */
+  listPage(
+    prefix: string,
+    after: string | undefined,
+    maxItems: number,
+    revision: number,
+  ) {
+    const found = [...this.#listItems(revision).values()]
+      .filter(({ key }) => key.startsWith(prefix))
+      .filter(({ key }) => after === undefined || key > after)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    const items = found
+      .slice(0, maxItems)
+      .filter((_, index) => index === 0 || hasRoom(found.slice(0, index + 1)));
+    return { items, hasMore: found.length > items.length };
+  }
+
+  #listItems(revision: number): ReadonlyMap<string, MetadataItem> {
+    if (revision >= this.#revision) {
+      return this.#items;
+    }
+    const items = new Map<string, MetadataItem>();
+    this.#changes
+      .filter((change) => getEventRevision(change) <= revision)
+      .forEach((change) => {
+        if (change.kind === "set") {
+          items.set(change.item.key, change.item);
+        } else {
+          items.delete(change.key);
+        }
+      });
+    return items;
+  }
+
+  #record(change: MetadataEvent): void {
+    this.#history.push(change);
+    this.#changes.push(change);
   }
 
   /**
@@ -67,7 +99,7 @@
     commit.set.forEach(({ key, value, leaseId }) => {
       const item = { key, value, revision: this.#revision, leaseId };
       this.#items.set(key, item);
-      this.#history.push({ kind: "set", item });
+      this.#record({ kind: "set", item });
     });
     commit.remove.forEach((key) => {
       this.#drop(key);
@@ -124,7 +156,13 @@
   #drop(key: string): void {
     if (this.#items.delete(key)) {
       const revision = this.#revision;
-      this.#history.push({ kind: "removed", key, revision });
+      this.#record({ kind: "removed", key, revision });
     }
   }
 }
+
+/** Returns whether records fit into one page. */
+function hasRoom(items: readonly MetadataItem[]): boolean {
+  const bytes = items.reduce((sum, { value }) => sum + value.length, 0);
+  return bytes <= PAGE_BYTES;
+}
--- a/packages/fakes/src/metadata/types.ts
+++ b/packages/fakes/src/metadata/types.ts
@@ -22,6 +22,10 @@
   readonly withheldChanges: number;
   /** Reads with `mayBeStale` return no records. */
   readonly isReadStale: boolean;
+  /** Number of latest revisions that reads with `mayBeStale` don't show yet. */
+  readonly staleRevisions: number;
+  /** Most records of a page. */
+  readonly pageItems: number;
 };
 
 export type FakeMetadata = {
