Take a job's items by their ids, not by their place among those read

What callers saw: in a test, one item stands at two positions of a job and another is never listed, though the job ends (TWICE and LOST). Not seen on real processes.

Cause: the items of a job are kept in several records. One that can't be read was passed over, and the items behind it moved up: they were listed as others, by whose numbers the next owner runs the rest. The records of one build are read by the next, so an unreadable one takes another build's form or a damaged record.

Change: an item's id says which it is. Those of an unreadable record stay open, for a worker that reads them, and the worker logs that it can't.

What it holds back: nothing that was right; with all records read, numbers are as before, since ids are unique in a job. A job with an unreadable record no longer ends with items missing, but stays open.

--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -123,6 +123,10 @@
     fields: ["jobId", "isStill"],
     text: "A claimed job could not be read, or is another worker's by now",
   },
+  "items-unreadable": {
+    fields: ["jobId", "readable", "total"],
+    text: "Items of a job can't be read by this worker, which runs the others",
+  },
   "job-lost-to-another": {
     fields: ["jobId"],
     text: "A write failed since the claim is another worker's",
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -46,8 +46,8 @@
   addJob(loaded: LoadedJob): void {
     const { job, items, claim, listed, texts } = loaded;
     this.#jobs.set(job.id, loaded);
-    const added = items
-      .map((item, index) => {
+    const added = [...items]
+      .map(([index, item]) => {
         const text = texts.get(index);
         return {
           jobId: job.id,
--- a/packages/gateway/src/jobs/job_runner.ts
+++ b/packages/gateway/src/jobs/job_runner.ts
@@ -216,6 +216,11 @@
       log.warn("job-not-loaded", { jobId, isStill: isUnchanged });
       return;
     }
+    const readable = loaded.items.size;
+    const total = loaded.job.itemIds.length;
+    if (readable < total) {
+      log.warn("items-unreadable", { jobId, readable, total });
+    }
     // A job that is loaded again must not take an earlier load's write for its own.
     this.#loads += 1;
     const { instanceId } = view.settings;
--- a/packages/gateway/src/jobs/job_runner_test.ts
+++ b/packages/gateway/src/jobs/job_runner_test.ts
@@ -1,4 +1,4 @@
-import { batchKeys } from "@gooseberryline/core";
+import { BATCHES, batchKeys } from "@gooseberryline/core";
 import { expect, test } from "vitest";
 import { startRunner } from "../testing/start_runner.ts";
 import { waitMs } from "../wait_ms.ts";
@@ -90,3 +90,26 @@
   expect(await listResultIds("j1")).toEqual(["j1-0", "j1-1"]);
   runner.stop();
 });
+
+// Guards against items that take the places of those before them that can't be read.
+test("an unreadable record of items moves no other item", async () => {
+  const { metadata, runner, showClaims, adoptRoutes, listResultIds, takeOver } =
+    await startRunner(["j1"], 3, BATCHES.CHUNK_BYTES);
+  const key = batchKeys.chunk("j1", 0);
+  const read = await metadata.store.readKey(key);
+  const value = read.kind === "read" ? read.item?.value.toString() : undefined;
+  metadata.writeRecord(key, "unreadable");
+  await showClaims();
+  adoptRoutes(1, []);
+  runner.start();
+  await expect.poll(() => listResultIds("j1")).toEqual(["j1-1", "j1-2"]);
+  metadata.writeRecord(key, value ?? "");
+  takeOver("j1", "");
+  await showClaims();
+  await waitMs(ROUNDS_MS);
+  await showClaims();
+  await expect
+    .poll(() => listResultIds("j1"))
+    .toEqual(["j1-1", "j1-2", "j1-0"]);
+  runner.stop();
+});
--- a/packages/gateway/src/jobs/load_job.ts
+++ b/packages/gateway/src/jobs/load_job.ts
@@ -1,6 +1,7 @@
 import {
   type BatchClaim,
   type BatchItem,
+  type BatchJob,
   batchKeys,
   type MetadataItem,
   type MetadataStore,
@@ -40,7 +41,7 @@
   }
   return {
     job: jobRecord,
-    items,
+    items: locateItems(jobRecord, items),
     claim,
     claimRevision,
     listed: progressRecord.listed,
@@ -49,6 +50,20 @@
   };
 }
 
+/** Returns a job's items by their index in it; unreadable ones are left out. */
+function locateItems(
+  { itemIds }: BatchJob,
+  items: readonly BatchItem[],
+): ReadonlyMap<number, BatchItem> {
+  const byId = new Map(items.map((item) => [item.id, item]));
+  return new Map(
+    itemIds.flatMap((id, index) => {
+      const item = byId.get(id);
+      return item === undefined ? [] : [[index, item] as const];
+    }),
+  );
+}
+
 /** Loads the partial outputs saved by an earlier owner, by item index. */
 async function loadTexts(
   store: MetadataStore,
@@ -89,6 +104,7 @@
   return rest === undefined ? undefined : [...items, ...rest];
 }
 
+/** Returns the items of a record; none if it can't be read. */
 function decodeChunk({ value }: MetadataItem): readonly BatchItem[] {
   return batchRecords.decodeChunk(value) ?? [];
 }
--- a/packages/gateway/src/jobs/owned_job.ts
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -43,7 +43,8 @@
 /** A snapshot of a job, taken when this instance claimed it. */
 export type LoadedJob = {
   readonly job: BatchJob;
-  readonly items: readonly BatchItem[];
+  /** By index; without those that this version can't read. */
+  readonly items: ReadonlyMap<number, BatchItem>;
   readonly claim: BatchClaim;
   readonly claimRevision: number;
   readonly listed: readonly number[];
@@ -191,7 +192,9 @@
 
   #encodeBacklog(listed: readonly number[]): Buffer {
     const done = new Set(listed);
-    const open = this.loaded.items.filter((_, index) => !done.has(index));
+    const open = [...this.loaded.items].flatMap(([index, item]) =>
+      done.has(index) ? [] : [item],
+    );
     return batchRecords.encode({ tokens: countTokens(open) });
   }
 
--- a/packages/gateway/src/testing/create_item_pool.ts
+++ b/packages/gateway/src/testing/create_item_pool.ts
@@ -88,7 +88,7 @@
     const claim = { owner: "w", incarnation: "1", dueAtMs };
     pool.addJob({
       job,
-      items,
+      items: new Map(items.entries()),
       claim,
       claimRevision: 1,
       listed: [],
--- a/packages/gateway/src/testing/start_runner.ts
+++ b/packages/gateway/src/testing/start_runner.ts
@@ -17,7 +17,11 @@
  * Accepts jobs of this worker, each item with a path of its own. `showClaims` shows
  * their claims to its runner once.
  */
-export async function startRunner(jobIds: readonly string[], itemsPerJob = 1) {
+export async function startRunner(
+  jobIds: readonly string[],
+  itemsPerJob = 1,
+  bodyBytes = 0,
+) {
   const metadata = createMetadata();
   const { store } = metadata;
   const view = createView("run");
@@ -49,7 +53,7 @@
       id: `${id}-${index}`,
       path: `${buildPrefix(index)}x`,
       headers: {},
-      body: "",
+      body: "A".repeat(bodyBytes),
       tokens: 1,
     }));
     const { commit } = buildJob({
@@ -100,8 +104,8 @@
   };
   const listOwned = (): readonly string[] =>
     Object.keys(runner.listResultCounts());
-  const takeOver = (jobId: string): void => {
-    const claim = { owner: "w2", incarnation: "1", dueAtMs: Date.now() };
+  const takeOver = (jobId: string, by = "w2"): void => {
+    const claim = { owner: by, incarnation: "1", dueAtMs: Date.now() };
     const value = batchRecords.encode(claim).toString();
     metadata.writeRecord(batchKeys.claim(jobId), value);
   };
