Keep a connection whose answer did not end it, and end it with the next

Cause: since the listener ended the socket when a response closed in a stop, and went on reading from it. What came then was passed on, where no answer can be written. Callers sent there because the answer had not told them: whether an answer ends its connection was decided when its request came, not when its head is written, so those in flight at the signal kept the connection too.

Change: a head that is written in a stop ends its connection, if no other request has arrived behind its own and its own has been read whole (bytes that nobody reads would destroy the answer). A connection that was not ended stays: its next request is served and ends it, or is refused as not run. Requests on one connection run in turn, and one from a connection that has been ended is not passed on. The drain closes connections that have been idle for 0.5 s, first after 3.3 s; nothing more is read from these. It waits 0.5 s after the last answer that kept its connection. It no longer starts only after the jobs have been handed back.

Two tests waited for a close right after the last answer, or by the end of accepting: that close was the fault. They ask for the same close from closeIdle, and drain_callers_test that the drain closes each idle connection.

Let through now: a stop may last 0.5 s longer. Held back now: requests that a caller sends together without waiting no longer run side by side.

--- a/packages/gateway/src/http/build_reply.ts
+++ b/packages/gateway/src/http/build_reply.ts
@@ -18,12 +18,22 @@
 ]);
 const MS_PER_SECOND = 1_000;
 
-/** Builds the reply that writes to a caller's connection. */
-export function buildReply(res: ServerResponse): CallReply {
+/**
+ * Builds the reply that writes to a caller's connection; `endsConnection` is asked
+ * when its head is written.
+ */
+export function buildReply(
+  res: ServerResponse,
+  endsConnection: () => boolean = () => false,
+): CallReply {
   const isConnected = (): boolean => !res.destroyed && !res.writableEnded;
+  const writeHead = (status: number, headers: string[]): void => {
+    res.shouldKeepAlive &&= !endsConnection();
+    res.writeHead(status, headers);
+  };
   const send = (status: number, headers: string[], body: Buffer): void => {
     if (isConnected()) {
-      res.writeHead(status, [...headers, "Content-Length", `${body.length}`]);
+      writeHead(status, [...headers, "Content-Length", `${body.length}`]);
       res.end(body);
     }
   };
@@ -38,7 +48,7 @@
     res.useChunkedEncodingByDefault = false;
     res.shouldKeepAlive = false;
     if (isConnected()) {
-      res.writeHead(status, listForwardedHeaders(rawHeaders));
+      writeHead(status, listForwardedHeaders(rawHeaders));
       res.end(body);
     }
   };
@@ -57,7 +67,7 @@
     // of this process, which the kernel makes look like one in order, shows.
     startStream: ({ status, rawHeaders }) => {
       if (isConnected()) {
-        res.writeHead(status, listForwardedHeaders(rawHeaders));
+        writeHead(status, listForwardedHeaders(rawHeaders));
       }
     },
     writeStream: (bytes, onDrain) => {
--- a/packages/gateway/src/http/caller_listener_test.ts
+++ b/packages/gateway/src/http/caller_listener_test.ts
@@ -25,6 +25,7 @@
     keptAlive.once("close", () => resolve("closed"));
   });
   listener.stopAccepting();
+  listener.closeIdle(0);
   expect(await closed).toBe("closed");
   const fresh = connect(port, HOST);
   const refused = new Promise<string>((resolve) => {
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -17,6 +17,7 @@
 import { PeerLink } from "./fleet/peer_link.ts";
 import { RecordWatches } from "./fleet/record_watches.ts";
 import { CallerListener } from "./http/caller_listener.ts";
+import { drainCallers } from "./http/drain_callers.ts";
 import { StatusListener } from "./http/status_listener.ts";
 import { JobApi } from "./jobs/job_api.ts";
 import { JobRunner } from "./jobs/job_runner.ts";
@@ -191,14 +192,16 @@
     const startedMs = view.readNowMs();
     state.isStopping = true;
     log.info("stopping", { open: listener.countInFlight() });
-    listener.startDraining({
+    const stop = {
       noticeEndMs: startedMs + SHUTDOWN_TIMES.NOTICE_MS,
       endMs: startedMs + settings.graceMs - SHUTDOWN_TIMES.MARGIN_MS,
-    });
-    await runner.releaseAll();
-    if (settings.callers !== undefined) {
-      await drainCallers(listener, startedMs, settings.graceMs, view);
-    }
+    };
+    await Promise.all([
+      runner.releaseAll(),
+      settings.callers === undefined
+        ? undefined
+        : drainCallers(listener, stop, () => view.readNowMs()),
+    ]);
     runner.stop();
     sweeper.stop();
     watches.stop();
@@ -224,29 +227,6 @@
   };
 }
 
-/**
- * Waits for the linger time, then until no request is in flight or the grace
- * period is about to end.
- */
-async function drainCallers(
-  listener: CallerListener,
-  startedMs: number,
-  graceMs: number,
-  view: FleetView,
-): Promise<void> {
-  const deadlineMs = startedMs + graceMs - SHUTDOWN_TIMES.MARGIN_MS;
-  await waitMs(SHUTDOWN_TIMES.LINGER_MS);
-  // A later request on a kept-alive connection could not be finished in time.
-  listener.stopAccepting();
-  while (listener.countInFlight() > 0 && view.readNowMs() < deadlineMs) {
-    await waitMs(SHUTDOWN_TIMES.POLL_MS);
-  }
-  if (listener.countInFlight() > 0) {
-    listener.expireAll();
-    await waitMs(SHUTDOWN_TIMES.POLL_MS);
-  }
-}
-
 /**
  * Releases this instance's jobs to others and reports completion, or resumes
  * claiming.
--- a/packages/gateway/src/shutdown_times.ts
+++ b/packages/gateway/src/shutdown_times.ts
@@ -11,6 +11,11 @@
   NOTICE_MS: 2_900,
   /** Part of the grace period reserved for the final steps, in ms. */
   MARGIN_MS: 700,
+  /**
+   * Time in which a caller that sends again at once after an answer has done so,
+   * in ms: the way there and back, and the caller's own pace.
+   */
+  SENDS_AGAIN_MS: 500,
   POLL_MS: 50,
   /** Delay before the report of a completed retirement is retried, in ms. */
   RETIREMENT_RETRY_MS: 300,
