Refuse what comes after a stop has been drained

What callers could see: a request that came after the drain, on a connection opened in time but not used before, or whose body was whole only then, was passed on (or a job accepted) while the instance ended its other parts, and cut when the listener closed.

Cause: the drain looked once whether requests were in flight. From then until the listener closes, up to the rest of the grace if the store answers late, a short enough request was still let in; jobs were not asked about the stop at all.

Evidence: planned_stop_test; without the refusal (trial) the new test fails. Not seen on real processes.

Change: when the drain is over all requests and job calls are refused as not run, before their body is read and again when it has come.

Held back now: job calls on connections from before the end of accepting, once the drain or the time of the stop is over; they would have been cut.

--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -87,6 +87,12 @@
     this.#stop = stop;
   }
 
+  /** Refuses all requests from now on. */
+  refuseAll(): void {
+    const { NEGATIVE_INFINITY: past } = Number;
+    this.#stop = { noticeEndMs: past, endMs: past };
+  }
+
   /** Ends the requests in flight with what is known of them. */
   expireAll(): void {
     this.#open.expireAll(STOPPING);
@@ -157,6 +163,10 @@
     const { view, dialect, jobs, onDone } = this.#parts;
     const receivedMs = view.readNowMs();
     const { table } = view;
+    if (isTooLate(this.#stop, receivedMs, 0)) {
+      reply.sendError(callErrors.notReady(STOPPING));
+      return;
+    }
     if (table === undefined) {
       reply.sendError(callErrors.notReady("no configuration is known yet"));
       return;
@@ -188,15 +198,16 @@
       return;
     }
     const { route, customer } = check;
-    if (route.shape === CALL_SHAPES.job) {
-      await jobs.accept(route, customer, head, body.bytes, reply);
-      return;
-    }
-    const limitMs = computeTimeLimitMs(route, head);
+    const isJob = route.shape === CALL_SHAPES.job;
+    const limitMs = isJob ? 0 : computeTimeLimitMs(route, head);
     if (isTooLate(this.#stop, receivedMs, limitMs)) {
       reply.sendError(callErrors.notReady(STOPPING));
       return;
     }
+    if (isJob) {
+      await jobs.accept(route, customer, head, body.bytes, reply);
+      return;
+    }
     const service = chooseService(route, head.requestId ?? path);
     if (service === undefined) {
       reply.sendError(callErrors.noCapacity("the route has no service", 0));
--- a/packages/gateway/src/http/drain_callers.ts
+++ b/packages/gateway/src/http/drain_callers.ts
@@ -6,6 +6,7 @@
 /**
  * Ends the callers' connections in a planned stop: waits for the linger time, then
  * until no request is in flight or follows at once, or the stop's time is over.
+ * From then on all are refused.
  */
 export async function drainCallers(
   listener: CallerListener,
@@ -21,6 +22,7 @@
     await waitMs(POLL_MS);
     listener.closeIdle(SENDS_AGAIN_MS);
   }
+  listener.refuseAll();
   if (listener.countInFlight() > 0) {
     listener.expireAll();
     await waitMs(POLL_MS);
--- a/packages/gateway/src/http/planned_stop_test.ts
+++ b/packages/gateway/src/http/planned_stop_test.ts
@@ -198,3 +198,20 @@
   expect(got.text).toMatch(/HTTP\/1.1 200 [\s\S]*Connection: close/);
   await close();
 });
+
+// Guards against requests that are taken in the last steps of a stop, and cut.
+test("when a stop is over all requests are refused", async () => {
+  const { port, upstream, listener, close } = await startServing();
+  const [late, whole] = [connect(port, HOST), connect(port, HOST)];
+  const [gotLate, gotWhole] = [collectBytes(late), collectBytes(whole)];
+  late.write("POST /short/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx");
+  await expect.poll(() => listener.countInFlight()).toBe(1);
+  listener.refuseAll();
+  late.write("x");
+  writeRequest(whole, "/short/x");
+  await expect.poll(() => gotLate.isClosed && gotWhole.isClosed).toBe(true);
+  expect(gotLate.text).toMatch(/^HTTP\/1.1 503 /);
+  expect(gotWhole.text).toMatch(/^HTTP\/1.1 503 /);
+  expect(upstream.seen).toHaveLength(0);
+  await close();
+});
