Count a request's time while it waits behind another on its connection

Since requests on one connection run in turn, one that waited got its whole time once more when its turn came, and an upstream was told more than its caller would wait.

Change: its time is taken when it arrives. The new test of planned_stop_test failed before (passed on after its time was up, answered 200) and passes now.

--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -129,6 +129,7 @@
     const { req, res } = ctx;
     ctx.respond = false;
     res.statusCode = 200;
+    const receivedMs = this.#parts.view.readNowMs();
     const { socket } = req;
     const call = this.#open.add();
     const place = this.#connections.placeCall(socket);
@@ -145,23 +146,25 @@
     }
     const endsConnection = (): boolean =>
       this.#stop !== undefined && place.isLast() && req.complete;
-    await this.#serve(req, buildReply(res, endsConnection), (run) => {
+    const onRun = (run: RequestRun): void => {
       call.setRun(run);
       res.once("close", () => {
         if (!res.writableFinished) {
           run.cancel();
         }
       });
-    });
+    };
+    const reply = buildReply(res, endsConnection);
+    await this.#serve(req, receivedMs, reply, onRun);
   }
 
   async #serve(
     req: IncomingMessage,
+    receivedMs: number,
     reply: CallReply,
     onRun: (run: RequestRun) => void,
   ): Promise<void> {
     const { view, dialect, jobs, onDone } = this.#parts;
-    const receivedMs = view.readNowMs();
     const { table } = view;
     if (isTooLate(this.#stop, receivedMs, 0)) {
       reply.sendError(callErrors.notReady(STOPPING));
--- a/packages/gateway/src/http/planned_stop_test.ts
+++ b/packages/gateway/src/http/planned_stop_test.ts
@@ -149,6 +149,20 @@
   await close();
 });
 
+// Guards against a request that gets its whole time once more when its turn comes.
+test("a request's time runs while it waits behind another", async () => {
+  const { port, upstream, close } = await startServing();
+  const socket = connect(port, HOST);
+  const got = collectBytes(socket);
+  writeRequest(socket, "/slow/x");
+  writeRequest(socket, "/short/x");
+  await expect.poll(() => got.countAnswers()).toBe(2);
+  expect(got.text).toMatch(/200 OK[\s\S]*HTTP\/1.1 50[34] /);
+  expect(upstream.seen).toHaveLength(1);
+  socket.destroy();
+  await close();
+});
+
 // Guards against a request that stays in the count when its caller is gone, so
 // that a stop waits for it until the end.
 test("requests that were sent together are dropped with their caller", async () => {
