Read on after a body that is too large

What callers could see: after a 413 on a kept connection, the next request on it got no answer until the connection was closed as idle.

Cause: the reading of the body is paused when it grows too large, and nothing resumed it; Node only drops the rest of a body that nobody began to read.

Evidence: the new test of planned_stop_test failed before (no answer within a second) and passes now. Not seen on real processes.

Let through now: the rest of such a body is read and dropped, as after the refusals that read none of it.

--- a/packages/gateway/src/http/planned_stop_test.ts
+++ b/packages/gateway/src/http/planned_stop_test.ts
@@ -229,3 +229,19 @@
   expect(upstream.seen).toHaveLength(0);
   await close();
 });
+
+// Guards against a kept connection on which nothing more is heard.
+test("a connection goes on after a body that is too large", async () => {
+  const { port, close } = await startServing();
+  const socket = connect(port, HOST);
+  const got = collectBytes(socket);
+  const body = "x".repeat(200_000);
+  socket.write(
+    `POST /short/x HTTP/1.1\r\nHost: h\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+  );
+  await expect.poll(() => got.text).toMatch(/^HTTP\/1.1 413 /);
+  writeRequest(socket, "/short/x");
+  await expect.poll(() => got.text).toMatch(/HTTP\/1.1 200 /);
+  socket.destroy();
+  await close();
+});
--- a/packages/gateway/src/http/read_body.ts
+++ b/packages/gateway/src/http/read_body.ts
@@ -20,6 +20,8 @@
       error instanceof Error && "type" in error
         ? error.type === "entity.too.large"
         : false;
+    // The rest is dropped, so that the next request on the connection is read.
+    req.resume();
     return { kind: isTooLarge ? "too-large" : "aborted" };
   }
 }
