Believe no upstream whose id no message can carry

An upstream registered under an id with a character that a header can't hold was used like any other, its entry being sound. A caller whose stream was sent there heard 500; an item placed there threw outside of any handler and was lost with its slot: it was never listed.

Each odd entry was known by its value; its key was not looked at. An id now names an upstream only if a header carries it unchanged (one byte a character, no control characters, no blanks at its ends, not empty) and its key is one that the store can hold (200 bytes, PROTOCOL.md). The rule of headers is the exchange's, the bound of the key the platform's. Such an entry is refused where the others are, `upstream-unreadable` with the reason.

Held back that was right before: nothing that an upstream could answer. An id with blanks at its ends reaches the upstream without them, so that it is another one's; ids up to the store's bound, with spaces, slashes or bytes over 127 are used as before (the next test but one plays them).

--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -1,5 +1,6 @@
 /** The gateway: serves callers and runs batch jobs on discovered upstreams. */
 export type * from "./dialect/types.ts";
+export { isHeaderValue } from "./exchange/is_header_value.ts";
 export { computeGossipIntervalMs } from "./fleet/compute_gossip_interval_ms.ts";
 export { FleetView } from "./fleet/fleet_view.ts";
 export { loadCodec } from "./fleet/load_codec.ts";
