End a send that can't be built as an attempt like any other

A request whose message could not be built (a header that Node refuses, an exception where headers are built) threw out of the attempt's constructor. The caller heard 500, and the attempt stayed counted at its upstream for good. An item had left the waiting ones and was not yet among the running: it was never run again nor listed, and its slot stayed taken at its upstream.

The exchange now builds its headers itself, catches what building and sending throw, and ends after its constructor, as "unsent" with the reason, in the log like any other end (`request-retry`, `item-run-ended`). All that was counted is released by the way that each attempt ends. No upstream is suspected for it. An item waits two seconds between such tries and is listed as errored only when it may be given up (`retention-s`). What a receiver of an answer throws ends that exchange as lost, at once. An item whose run can't be started waits on, and the others start (`item-not-started`). A look at a broken upstream that fails ends the attempt nevertheless (`step-failed`).

An item's headers are taken with their names in lower case, each once: "host" and "Host" both given, the second replaced the route's host.

Held back that was right before: nothing. Let through: an attempt that can't be built at one upstream goes on to the next, as one that was refused a connection. In repeated_refusal_test the exchange's option is given as a function.

--- a/packages/core/src/batches/decide_item_step.ts
+++ b/packages/core/src/batches/decide_item_step.ts
@@ -4,7 +4,13 @@
   /** The upstream responded with an error status instead of a result. */
   | { readonly kind: "status"; readonly status: number }
   /** The run was aborted, refused, or preempted by online work. */
-  | { readonly kind: "interrupted" };
+  | { readonly kind: "interrupted" }
+  /** No message could be built; `isExpired`: the item may be given up. */
+  | {
+      readonly kind: "unbuilt";
+      readonly reason: string;
+      readonly isExpired: boolean;
+    };
 
 export type ItemStep =
   | { readonly kind: "list-completed" }
@@ -28,6 +34,11 @@
   if (end.kind === "interrupted") {
     return { kind: "run-again", failures };
   }
+  if (end.kind === "unbuilt") {
+    return end.isExpired
+      ? { kind: "list-errored", reason: `it can't be sent: ${end.reason}` }
+      : { kind: "run-again", failures };
+  }
   if (end.status === UNPROCESSABLE) {
     return { kind: "list-errored", reason: "it can't be processed" };
   }
--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -272,6 +272,14 @@
     text: "The settings file is wrong; the process ends",
   },
   "start-failed": { fields: ["reason"], text: "A listener could not start" },
+  "item-not-started": {
+    fields: ["jobId", "itemId", "upstream", "reason"],
+    text: "A fault of the program kept a run of an item from its start; the item waits on",
+  },
+  "step-failed": {
+    fields: ["step", "key", "reason"],
+    text: "A fault of the program ended one step of a task, which goes on; key names the record or upstream, if known",
+  },
   uncaught: { fields: ["reason"], text: "A fault of the program" },
   "log-dropped": {
     fields: ["lines"],
--- /dev/null
+++ b/packages/gateway/src/describe_error.ts
@@ -0,0 +1,4 @@
+/** Describes what was thrown, which may be anything. */
+export function describeError(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -8,7 +8,8 @@
   readonly method: string;
   /** Path and query as the caller sent them. */
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  /** Builds the headers; what it throws ends the exchange as unsent. */
+  readonly buildHeaders: () => Readonly<Record<string, string>>;
   readonly body: Buffer;
   /** Request id that the response has to repeat; undefined if none was sent. */
   readonly requestId: string | undefined;
@@ -38,7 +39,12 @@
 };
 
 export type ExchangeEnd =
-  | { readonly kind: "unsent"; readonly reason: string }
+  | {
+      readonly kind: "unsent";
+      readonly reason: string;
+      /** Whether no message could be built, so that no upstream failed. */
+      readonly isUnbuilt?: boolean;
+    }
   | { readonly kind: "unexecuted"; readonly status: number }
   /** The head and the complete body arrived. */
   | { readonly kind: "whole" }
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -5,6 +5,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { ConnectionPool } from "@gooseberryline/daemon";
+import { describeError } from "../describe_error.ts";
 import type { CallDialect } from "../dialect/types.ts";
 import { EXCHANGE } from "./constants.ts";
 import { drainRefusal } from "./drain_refusal.ts";
@@ -33,7 +34,8 @@
 export class UpstreamExchange {
   readonly #options: ExchangeOptions;
   readonly #parts: UpstreamExchangeParts;
-  readonly #request: ClientRequest;
+  /** Undefined if it could not be built. */
+  readonly #request: ClientRequest | undefined;
   readonly #stallTimer: StallTimer;
   #answer: IncomingMessage | undefined;
   #connectTimer: NodeJS.Timeout | undefined;
@@ -46,12 +48,12 @@
     this.#options = options;
     this.#parts = parts;
     this.#stallTimer = new StallTimer(() => this.#handleStall());
-    this.#request = this.#open();
-    this.#request.on("socket", (socket) => this.#watchConnect(socket));
-    this.#request.on("response", (response) => this.#handleHead(response));
-    this.#request.on("error", (error) => this.#endLost(error.message));
-    this.#request.end(options.body);
-    this.#stallTimer.start(options.headTimeoutMs);
+    try {
+      this.#request = this.#open();
+      this.#send(this.#request);
+    } catch (error) {
+      this.#endUnbuilt(describeError(error));
+    }
   }
 
   /**
@@ -61,7 +63,7 @@
   cancel(): void {
     this.#isEnded = true;
     this.#release();
-    this.#request.destroy();
+    this.#request?.destroy();
   }
 
   /** Resumes a response that was paused because `onChunk` returned false. */
@@ -73,7 +75,8 @@
   }
 
   #open(): ClientRequest {
-    const { address, method, path, headers, body } = this.#options;
+    const { address, method, path, body } = this.#options;
+    const headers = this.#options.buildHeaders();
     const url = new URL(`http://${address}`);
     return sendRequest({
       method,
@@ -87,14 +90,45 @@
     });
   }
 
-  #watchConnect(socket: Socket): void {
+  #send(request: ClientRequest): void {
+    request.on("socket", (socket) => this.#watchConnect(socket, request));
+    request.on("response", (response) =>
+      this.#handleEvent(() => this.#handleHead(response, request)),
+    );
+    request.on("error", (error) => this.#endLost(error.message));
+    request.end(this.#options.body);
+    this.#stallTimer.start(this.#options.headTimeoutMs);
+  }
+
+  /** Ends after the constructor, as callers can't be told before it returns. */
+  #endUnbuilt(reason: string): void {
+    this.#request?.destroy();
+    setImmediate(() => {
+      this.#end({ kind: "unsent", reason, isUnbuilt: true });
+    });
+  }
+
+  /** An exception of a receiver ends this exchange and nothing else. */
+  #handleEvent(handle: () => void): void {
+    try {
+      handle();
+    } catch (error) {
+      if (this.#isEnded) {
+        throw error;
+      }
+      this.#endLost(describeError(error));
+      this.#request?.destroy();
+    }
+  }
+
+  #watchConnect(socket: Socket, request: ClientRequest): void {
     socket.setNoDelay(true);
     if (!socket.connecting) {
       this.#mayHaveBeenSent = true;
       return;
     }
     this.#connectTimer = setTimeout(
-      () => this.#request.destroy(new Error("connect timeout")),
+      () => request.destroy(new Error("connect timeout")),
       EXCHANGE.CONNECT_TIMEOUT_MS,
     );
     socket.once("connect", () => {
@@ -103,7 +137,7 @@
     });
   }
 
-  #handleHead(response: IncomingMessage): void {
+  #handleHead(response: IncomingMessage, request: ClientRequest): void {
     if (this.#isEnded) {
       return;
     }
@@ -111,31 +145,33 @@
     const responseHead = dialect.readResponseHead(response.headers);
     const { requestId } = this.#options;
     const status = response.statusCode ?? 0;
-    const isReused = this.#request.reusedSocket;
+    const isReused = request.reusedSocket;
     const asked = { requestId, isReused };
     const reason = findForeignReason(asked, responseHead, status);
     if (reason !== undefined) {
       this.#endLost(reason);
-      this.#request.destroy();
+      request.destroy();
       return;
     }
     if (responseHead.requestId === undefined) {
       // Nothing could tell its next answer from what comes after this one.
-      this.#request.shouldKeepAlive = false;
+      request.shouldKeepAlive = false;
     }
     this.#parts.onAnswer?.(status, responseHead);
     if (responseHead.isUnexecuted) {
-      if (this.#mayBeEarlierRefusal(response.socket)) {
+      if (this.#mayBeEarlierRefusal(response.socket, request)) {
         this.#endLost("the refusal may be an earlier one");
-        this.#request.destroy();
+        request.destroy();
         return;
       }
-      drainRefusal(response, this.#request);
+      drainRefusal(response, request);
       this.#end({ kind: "unexecuted", status });
       return;
     }
     this.#answer = response;
-    response.on("data", (chunk: Buffer) => this.#handleChunk(response, chunk));
+    response.on("data", (chunk: Buffer) =>
+      this.#handleEvent(() => this.#handleChunk(response, chunk)),
+    );
     response.on("end", () => this.#handleEnd(response));
     response.on("error", (error) => this.#endLost(error.message));
     response.on("close", () => this.#endLost("the answer broke off"));
@@ -147,11 +183,11 @@
    * Returns whether a refusal may have been written for an earlier request on the
    * connection, so that this one may be running. Remembers what was refused.
    */
-  #mayBeEarlierRefusal(socket: Socket): boolean {
+  #mayBeEarlierRefusal(socket: Socket, request: ClientRequest): boolean {
     const { requestId } = this.#options;
     const isSameAsBefore = lastRefused.get(socket) === requestId;
     lastRefused.set(socket, requestId ?? "");
-    return this.#request.reusedSocket && isSameAsBefore;
+    return request.reusedSocket && isSameAsBefore;
   }
 
   #handleChunk(response: IncomingMessage, chunk: Buffer): void {
@@ -187,7 +223,7 @@
         ? { kind: "lost", reason, isSilent: true }
         : { kind: "unsent", reason },
     );
-    this.#request.destroy();
+    this.#request?.destroy();
   }
 
   /**
--- a/packages/gateway/src/jobs/constants.ts
+++ b/packages/gateway/src/jobs/constants.ts
@@ -25,6 +25,8 @@
   SWEEP_INTERVAL_MS: 60_000,
   /** Delay before a failed item is retried, in ms. */
   ITEM_RETRY_DELAY_MS: 250,
+  /** Delay before an item that could not be sent is tried again, in ms. */
+  UNBUILT_RETRY_DELAY_MS: 2_000,
   /** Delay before a failed or unanswered write is retried, in ms. */
   WRITE_RETRY_DELAY_MS: 200,
   /** Age after which readers may have seen an unanswered write, in ms. */
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -5,6 +5,7 @@
   ITEM_RESULTS,
 } from "@gooseberryline/core";
 import type { AttemptParts } from "../requests/attempt.ts";
+import { buildNextRun } from "./build_next_run.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
 import {
   type ItemLocation,
@@ -16,6 +17,7 @@
 import { listOverloads } from "./list_overloads.ts";
 import { type LocatedItem, listQueues } from "./list_queues.ts";
 import { logRunEnd } from "./log_run_end.ts";
+import { logUnstarted } from "./log_unstarted.ts";
 import { orderPoolItems, type PoolItem } from "./order_pool_items.ts";
 import type { LoadedJob } from "./owned_job.ts";
 import { ServicePace } from "./service_pace.ts";
@@ -201,13 +203,20 @@
     }
     const { host, customer } = loaded.job;
     this.#dropWaiting(waiting);
-    const run: ItemRun = new ItemRun({ ...waiting, text }, upstream, {
-      ...this.#parts,
-      host,
-      customer,
-      onEnd: (end) => this.#handleRunEnd(run, end),
-    });
-    this.#running.add(run);
+    try {
+      const run: ItemRun = new ItemRun({ ...waiting, text }, upstream, {
+        ...this.#parts,
+        host,
+        customer,
+        onEnd: (end) => this.#handleRunEnd(run, end),
+      });
+      this.#running.add(run);
+    } catch (error) {
+      logUnstarted(this.#parts.log, waiting, upstream.id, error);
+      const delayMs = JOB_CONSTANTS.UNBUILT_RETRY_DELAY_MS;
+      const notBeforeMs = this.#parts.view.readNowMs() + delayMs;
+      this.#waiting = [...this.#waiting, { ...waiting, notBeforeMs }];
+    }
   }
 
   #dropWaiting(waiting: WaitingItem): void {
@@ -240,8 +249,10 @@
     if (loaded === undefined) {
       return;
     }
-    const { maxAttempts } = loaded.job;
-    const step = decideItemStep(end, waiting.failures, maxAttempts);
+    const { maxAttempts, submittedAtMs, retentionMs } = loaded.job;
+    const isExpired = Date.now() >= submittedAtMs + retentionMs;
+    const outcome = end.kind === "unbuilt" ? { ...end, isExpired } : end;
+    const step = decideItemStep(outcome, waiting.failures, maxAttempts);
     logRunEnd(this.#parts.log, run, end, step.kind);
     switch (step.kind) {
       case "list-completed": {
@@ -256,30 +267,16 @@
         this.#reportErrored(waiting, step.reason);
         return;
       case "run-again":
-        this.#requeue(run, end, step.failures);
+        this.#waiting = [
+          ...this.#waiting,
+          buildNextRun(run, end, step.failures, this.#parts.view.readNowMs()),
+        ];
         return;
       default:
         assertNever(step);
     }
   }
 
-  #requeue(run: ItemRun, end: ItemRunEnd, failures: number): void {
-    const { waiting, upstream } = run;
-    const nowMs = this.#parts.view.readNowMs();
-    const next = {
-      ...waiting,
-      text: end.text,
-      ranMs: waiting.ranMs + run.measureRunMs(),
-      failures,
-      tried: run.isYielded ? waiting.tried : new Set([upstream.id]),
-      // A yielded run did not fail, so it may restart at once and anywhere.
-      notBeforeMs: run.isYielded
-        ? 0
-        : nowMs + JOB_CONSTANTS.ITEM_RETRY_DELAY_MS,
-    };
-    this.#waiting = [...this.#waiting, next];
-  }
-
   #reportErrored(waiting: WaitingItem, reason: string): void {
     this.#parts.log.info("item-errored", {
       jobId: waiting.jobId,
--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -13,6 +13,7 @@
   type AttemptParts,
   type AttemptResult,
 } from "../requests/attempt.ts";
+import { buildItemHeaders } from "./build_item_headers.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
 import type { ItemRunEnd, ItemText, WaitingItem } from "./types.ts";
 
@@ -105,18 +106,19 @@
   #buildRequest() {
     const { dialect, host, customer } = this.#parts;
     const { item } = this.waiting;
-    const headers = { ...item.headers, host };
+    const lastEventId = this.#lastEventId;
     return {
       address: this.upstream.address,
       method: "POST",
       path: item.path,
-      headers: dialect.buildHeaders(headers, {
-        requestId: item.id,
-        upstreamId: this.upstream.id,
-        customer: customer === "" ? undefined : customer,
-        remainingMs: JOB_CONSTANTS.RUN_TIMEOUT_MS,
-        lastEventId: this.#lastEventId,
-      }),
+      buildHeaders: () =>
+        buildItemHeaders(item, dialect, {
+          host,
+          customer,
+          upstreamId: this.upstream.id,
+          remainingMs: JOB_CONSTANTS.RUN_TIMEOUT_MS,
+          lastEventId,
+        }),
       body: Buffer.from(item.body, "base64"),
       requestId: item.id,
       isIdempotent: true,
@@ -185,7 +187,11 @@
       case "whole":
         this.#end(this.#decideRunEnd(text));
         return;
-      case "unsent":
+      case "unsent": {
+        const kind = end.isUnbuilt === true ? "unbuilt" : "interrupted";
+        this.#end({ kind, reason: end.reason, text });
+        return;
+      }
       case "lost":
         this.#end({ kind: "interrupted", reason: end.reason, text });
         return;
--- a/packages/gateway/src/jobs/list_item_parts.ts
+++ b/packages/gateway/src/jobs/list_item_parts.ts
@@ -1,13 +1,11 @@
 import type { BatchItem } from "@gooseberryline/core";
 import type { CallDialect } from "../dialect/types.ts";
+import { convertItemHeaders } from "./convert_item_headers.ts";
 
 /** Lists the ids of an item's prompt parts that other requests may share. */
 export function listItemParts(
-  { headers }: BatchItem,
+  item: BatchItem,
   dialect: CallDialect,
 ): readonly string[] {
-  const lowerCase = Object.entries(headers).map(
-    ([name, value]) => [name.toLowerCase(), value] as const,
-  );
-  return dialect.parseCallHead(Object.fromEntries(lowerCase)).promptParts;
+  return dialect.parseCallHead(convertItemHeaders(item)).promptParts;
 }
--- a/packages/gateway/src/jobs/types.ts
+++ b/packages/gateway/src/jobs/types.ts
@@ -40,4 +40,10 @@
       readonly kind: "interrupted";
       readonly reason: string;
       readonly text: ItemText;
+    }
+  /** No message could be built for it. */
+  | {
+      readonly kind: "unbuilt";
+      readonly reason: string;
+      readonly text: ItemText;
     };
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -7,6 +7,7 @@
 import type { PendingAttempt } from "../crashes/crash_tracker.ts";
 import { describeBlock } from "../crashes/describe_block.ts";
 import type { RequestKey } from "../crashes/request_key.ts";
+import { describeError } from "../describe_error.ts";
 import type { CallDialect, ResponseHead } from "../dialect/types.ts";
 import type { HeldBytes } from "../exchange/held_bytes.ts";
 import type {
@@ -163,7 +164,16 @@
       this.#events.onEnd(end);
       return;
     }
-    void checked.then((isSuspect) => {
+    // An upstream that could not be looked at is not known to have crashed.
+    const verdict = checked.catch((error: unknown) => {
+      this.#parts.log.error("step-failed", {
+        step: "check-upstream",
+        key: this.upstream.id,
+        reason: describeError(error),
+      });
+      return false;
+    });
+    void verdict.then((isSuspect) => {
       if (!this.#isCancelled) {
         this.#events.onEnd({ ...end, isSuspect });
       }
@@ -255,8 +265,12 @@
           load.recordServiceTime(this.upstream.service, serviceMs);
         }
         return;
-      case "lost":
       case "unsent":
+        if (end.isUnbuilt !== true) {
+          load.recordFailure(this.upstream.id, nowMs);
+        }
+        return;
+      case "lost":
       case "unexecuted":
         load.recordFailure(this.upstream.id, nowMs);
         return;
--- a/packages/gateway/src/requests/build_exchange_options.ts
+++ b/packages/gateway/src/requests/build_exchange_options.ts
@@ -36,13 +36,14 @@
     method,
     path,
     body,
-    headers: dialect.buildHeaders(headers, {
-      requestId: head.requestId,
-      upstreamId: upstream.id,
-      customer: call.customer?.name,
-      remainingMs: Math.round(leftMs),
-      lastEventId,
-    }),
+    buildHeaders: () =>
+      dialect.buildHeaders(headers, {
+        requestId: head.requestId,
+        upstreamId: upstream.id,
+        customer: call.customer?.name,
+        remainingMs: Math.round(leftMs),
+        lastEventId,
+      }),
     requestId: head.requestId,
     isIdempotent: route.isIdempotent,
     headTimeoutMs: canRetry ? Math.min(leftMs, retryTimeoutMs) : leftMs,
--- a/packages/gateway/src/requests/repeated_refusal_test.ts
+++ b/packages/gateway/src/requests/repeated_refusal_test.ts
@@ -131,7 +131,7 @@
       address,
       method: "POST",
       path: "/x",
-      headers: {},
+      buildHeaders: () => ({}),
       body: Buffer.from("prompt"),
       requestId: "r1",
       isIdempotent: true,
--- a/packages/gateway/src/testing/create_item_pool.ts
+++ b/packages/gateway/src/testing/create_item_pool.ts
@@ -1,6 +1,7 @@
 import type { BatchResult, Route } from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
 import { expect, vi } from "vitest";
+import type { CallDialect } from "../dialect/types.ts";
 import { HeldBytes } from "../exchange/held_bytes.ts";
 import { buildJob } from "../jobs/build_job.ts";
 import { ItemPool } from "../jobs/item_pool.ts";
@@ -32,6 +33,7 @@
   ageMs: number,
   upstreams: readonly ItemUpstream[],
   configRevision = 1,
+  dialect: CallDialect = plainDialect,
 ) {
   const view = createView("run");
   const adoptConfig = (revision: number, hasRoute: boolean): boolean =>
@@ -67,7 +69,7 @@
     view,
     pool: new ConnectionPool(1_000),
     held: new HeldBytes(),
-    dialect: plainDialect,
+    dialect,
     log: SILENT_LOG,
     onResult: (_, __, result) => {
       results.push(result);
@@ -113,6 +115,14 @@
       { timeout: 5_000, interval: 20 },
     );
   const step = (): void => pool.step();
-  const parts = { view, results, addUpstream, addLostJob, adoptConfig };
+  const countRunning = (): number => pool.countRunning();
+  const parts = {
+    view,
+    results,
+    countRunning,
+    addUpstream,
+    addLostJob,
+    adoptConfig,
+  };
   return { ...parts, step, waitForResult };
 }
--- a/packages/gateway/src/testing/run_request.ts
+++ b/packages/gateway/src/testing/run_request.ts
@@ -1,6 +1,7 @@
 import { CALL_SHAPES, type Route } from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
 import { RequestKey } from "../crashes/request_key.ts";
+import type { CallDialect } from "../dialect/types.ts";
 import { HeldBytes } from "../exchange/held_bytes.ts";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import { RequestRun } from "../requests/request_run.ts";
@@ -45,6 +46,7 @@
   readonly reply?: CallReply;
   /** Counts what is held of answers. */
   readonly held?: HeldBytes;
+  readonly dialect?: CallDialect;
 };
 
 /** A request of a test: its answer, and a way to cancel it. */
@@ -96,6 +98,7 @@
   view = createView(),
   reply,
   held = new HeldBytes(),
+  dialect = plainDialect,
 }: RunParts): TestRun {
   addresses.forEach((address, index) => {
     view.directory.set({
@@ -149,7 +152,7 @@
     pool,
     origins,
     held,
-    dialect: plainDialect,
+    dialect,
     log: SILENT_LOG,
     onDone: (outcome) => {
       if (givenPool === undefined) {
