Refuse a job whose items no request can carry, before it is accepted

A job was accepted (202) though a header, path or id of an item could never be sent. Its sender is now told at once: 400 with the item's place and the reason, or 431 for headers over the configured `header-bytes`, which bounds requests already. The check builds the message that a run would send, with the same function, so it can't differ from it; the customer's name and the route's host are part of it.

Held back that was right before: a job with an item that can be sent is not refused. Empty values, blanks around values, bytes over 127, names of prototypes, escaped paths and odd ids are accepted and run, by test. A job that an older build accepted with such an item hears 400 if it is sent again; the item itself waits until `retention-s`.

--- a/packages/gateway/src/jobs/job_api.ts
+++ b/packages/gateway/src/jobs/job_api.ts
@@ -17,6 +17,7 @@
 import { waitMs } from "../wait_ms.ts";
 import { authenticateReader } from "./authenticate_reader.ts";
 import { batchRecords } from "./batch_records.ts";
+import { checkItems } from "./check_items.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
 import { JobAcceptor } from "./job_acceptor.ts";
 import { JobCache } from "./job_cache.ts";
@@ -80,6 +81,18 @@
       return;
     }
     const { value } = items;
+    const { dialect, view } = this.#parts;
+    const error = checkItems(value, {
+      dialect,
+      host: route.host,
+      customer: customer?.name ?? "",
+      headerBytes:
+        view.table?.config.limits.headerBytes ?? Number.POSITIVE_INFINITY,
+    });
+    if (error !== undefined) {
+      reply.sendError(error);
+      return;
+    }
     await this.#acceptor.submit(requestId, route, customer, value, reply);
   }
 
