Take the address of a silent member from the platform's newest list

Cause: an instance's address was learnt once from the list, and from then on only from its own heartbeats. One that is started anew at another address in another data centre sends its heartbeats to one instance there, the one that it heard of. To the other, which owned the slots, it stayed where it had been: its reports were answered to the old address, so it never had a slot.

Why it is enough: the platform's list is read each 5 s at most, and names the new address; a member that is heard keeps what it says itself, so an older list takes nothing back. A list of a peer, which may be partial and old, changes no address.

--- a/packages/core/src/membership/merge_instance_list.ts
+++ b/packages/core/src/membership/merge_instance_list.ts
@@ -6,8 +6,9 @@
 /**
  * Adds listed instances that are not members yet. A complete list, as the
  * platform returns it, also removes members that it lacks and that have sent
- * no heartbeat for `REMOVAL_MS`. Members that still send heartbeats are kept
- * even if they are not listed.
+ * no heartbeat for `REMOVAL_MS`, and names the address of a silent member, which
+ * may have been started anew elsewhere. Members that still send heartbeats are
+ * kept even if they are not listed, at the address that they name.
  */
 export function mergeInstanceList(
   state: InstanceState,
@@ -44,7 +45,10 @@
         isListed: true,
       },
     ]);
-  const listedIds = new Set(instances.map(({ instanceId }) => instanceId));
+  const addresses = new Map(
+    instances.map(({ instanceId, address }) => [instanceId, address]),
+  );
+  const listedIds = new Set(addresses.keys());
   const retained = Object.entries(state.membership.members).filter(
     ([id, { lastSeenMs }]) =>
       isComplete !== true ||
@@ -56,7 +60,11 @@
   const updated = retained.map(([id, member]): readonly [string, Member] => {
     const isListed =
       listedIds.has(id) || (isComplete !== true && member.isListed);
-    return [id, { ...member, isListed }];
+    const isSilent =
+      nowMs - member.lastSeenMs >= MEMBERSHIP.LIVENESS_TIMEOUT_MS;
+    const listed =
+      isComplete === true && isSilent ? addresses.get(id) : undefined;
+    return [id, { ...member, isListed, address: listed ?? member.address }];
   });
   const members = Object.fromEntries([...updated, ...added]);
   const membership: MembershipState = {
