Count no slots for a process that a later one of its instance has followed

Cause: at an upstream whose ramp is at one slot, silent holders count until their longest run is over. A killed process was left out only while its next incarnation reported; as soon as that was silent too, it counted again, and took the only slot.

Change: a holder is left out for good once a later incarnation of its instance has reported. One that was cut off only, with no later one, counts as before.

--- a/packages/core/src/slots/count_held_slots.ts
+++ b/packages/core/src/slots/count_held_slots.ts
@@ -1,6 +1,7 @@
 import type { InstanceState } from "../instance/types.ts";
 import type { Upstream } from "../upstreams/types.ts";
 import { countAllowance } from "./count_allowance.ts";
+import { isSuperseded } from "./is_superseded.ts";
 import { listDataCentreInstances } from "./list_data_centre_instances.ts";
 import { measureLongestRun } from "./measure_longest_run.ts";
 import { SLOT_TIMES } from "./slot_times.ts";
@@ -41,8 +42,10 @@
     };
   }
   const maxUseMs = SLOT_TIMES.GRANT_MS + measureLongestRun(state);
-  const mayHaveRuns = ({ lastSeenMs, instanceId }: SlotHolder): boolean =>
-    nowMs - lastSeenMs < maxUseMs && !reporting.has(instanceId);
+  const mayHaveRuns = (holder: SlotHolder): boolean =>
+    nowMs - holder.lastSeenMs < maxUseMs &&
+    !reporting.has(holder.instanceId) &&
+    !isSuperseded(holder, holders);
   const silent = countPossibleSlots(holders.filter(mayHaveRuns));
   const knownIds = new Set(holders.map(({ instanceId }) => instanceId));
   const isUncertain =
