Bound an item's output by the record that it becomes

What callers saw: nothing yet. In a trial on a store that refuses values beyond value-bytes, one result of 1.2 MB kept all results of its job from the list: nothing was listed after 3 s, and the write was repeated all the time (LOST in the end).

Cause: the bound of an output counted characters and was taken for bytes. One of 400,000 characters of three bytes each, or of as many quotes as the bound allows, makes a record and an answer of more than 1 MB.

Change: the output's size as encoded in its result is bound as well, below the size of a record and of an answer. The characters' bound stays: it bounds what a run holds. The fake store refuses values beyond value-bytes.

What it holds back: outputs between 960,000 bytes and 1 MiB as encoded, whose answer would be larger than the 1 MB that one may have. It lets nothing through that was held back before. An output too large is run again elsewhere, as one too long was before.

--- a/packages/fakes/src/metadata/create_metadata.ts
+++ b/packages/fakes/src/metadata/create_metadata.ts
@@ -10,6 +10,8 @@
 
 const WATCH_POLL_INTERVAL_MS = 5;
 const PAGE_ITEMS = 500;
+/** Largest value of a record, in bytes. */
+const VALUE_BYTES = 1_048_576;
 
 /** Creates an in-memory fake of the platform's metadata store. */
 export function createMetadata(
@@ -125,7 +127,8 @@
       }
       const { expect, set, remove } = commit;
       const entries = expect.length + set.length + remove.length;
-      if (entries > BATCHES.MAX_COMMIT_ENTRIES) {
+      const isTooLarge = set.some(({ value }) => value.length > VALUE_BYTES);
+      if (entries > BATCHES.MAX_COMMIT_ENTRIES || isTooLarge) {
         return fail("commit", true);
       }
       const { lateCommits } = control.faults;
--- a/packages/gateway/src/jobs/constants.ts
+++ b/packages/gateway/src/jobs/constants.ts
@@ -46,11 +46,13 @@
   MAX_LEDGER_CONFLICTS: 100,
   /** Maximum delay before a job is committed on a changed ledger, in ms. */
   LEDGER_RETRY_DELAY_MS: 10,
+  /** Longest output of an item, in characters, which bounds what a run holds. */
+  MAX_TEXT_LENGTH: 512 * 1_024,
   /**
-   * Longest output of an item, in bytes, so that its result fits into a record of
-   * the store.
+   * Largest output of an item as encoded in its result, in bytes: the result fits
+   * into a record of the store and into one response.
    */
-  MAX_TEXT_BYTES: 512 * 1_024,
+  MAX_TEXT_BYTES: 960_000,
   /** Jobs that each in-memory cache holds for readers. */
   MAX_CACHED_JOBS: 2_000,
 } as const;
--- a/packages/gateway/src/jobs/endless_item_test.ts
+++ b/packages/gateway/src/jobs/endless_item_test.ts
@@ -50,3 +50,28 @@
   expect(results).toMatchObject([{ state: ITEM_RESULTS.errored }]);
   await endless.close();
 });
+
+// Guards against a result that no record holds, which keeps all others from the list.
+test("an output too large for a record is not listed", async () => {
+  const data = "\u20ac".repeat(1_000);
+  const large = await startUpstream((_, res) => {
+    res.writeHead(200, { "content-type": "text/event-stream" });
+    const events = Array.from(
+      { length: 400 },
+      (__, index) => `id: ${index + 1}\ndata: ${data}\n\n`,
+    );
+    res.end(events.join(""));
+  });
+  const sound = await startUpstream((_, res) => {
+    res.writeHead(200, { "content-type": "text/event-stream" });
+    res.end("id: 1\ndata: a\n\n");
+  });
+  const { results, addUpstream, step, waitForResult } = createItemPool(1_000, [
+    large,
+  ]);
+  step();
+  addUpstream(sound, "u1");
+  await waitForResult();
+  expect(results).toMatchObject([{ state: ITEM_RESULTS.completed, text: "a" }]);
+  await Promise.all([large.close(), sound.close()]);
+});
--- a/packages/gateway/src/jobs/item_run.ts
+++ b/packages/gateway/src/jobs/item_run.ts
@@ -23,6 +23,9 @@
   readonly onEnd: (end: ItemRunEnd) => void;
 };
 
+/** Size of an output: its characters, and its bytes as encoded in a result. */
+type TextSize = { readonly length: number; readonly bytes: number };
+
 const NO_BYTES: Buffer = Buffer.alloc(0);
 const OK = 200;
 
@@ -33,8 +36,8 @@
   readonly #parts: ItemRunParts;
   readonly #attempt: Attempt;
   readonly #texts: string[];
-  /** Length of the texts, in bytes. */
-  #length: number;
+  /** Size of the texts. */
+  #size: TextSize;
   /** Length of an answer that is no output, in bytes. */
   #passed = 0;
   #lastEventId: number | undefined;
@@ -54,7 +57,7 @@
     this.#parts = parts;
     this.#startedMs = parts.view.readNowMs();
     this.#texts = [...waiting.text.texts];
-    this.#length = this.#texts.reduce((sum, { length }) => sum + length, 0);
+    this.#size = this.#texts.reduce(addText, { length: 0, bytes: 0 });
     this.#lastEventId = waiting.text.lastEventId;
     const { customer } = parts;
     const { promptParts } = waiting;
@@ -154,7 +157,8 @@
   /** Stops a run whose output does not end; returns whether it goes on. */
   #checkLength(): boolean {
     const isTooLong =
-      this.#length > JOB_CONSTANTS.MAX_TEXT_BYTES ||
+      this.#size.length > JOB_CONSTANTS.MAX_TEXT_LENGTH ||
+      this.#size.bytes > JOB_CONSTANTS.MAX_TEXT_BYTES ||
       this.#held.length > EXCHANGE.MAX_EVENT_BYTES;
     if (isTooLong) {
       // What has come so far is not the item's output.
@@ -175,7 +179,7 @@
     }
     if (data !== undefined) {
       this.#texts.push(data);
-      this.#length += data.length;
+      this.#size = addText(this.#size, data);
     }
     this.#lastEventId = id ?? last;
     return true;
@@ -235,3 +239,10 @@
     }
   }
 }
+
+function addText({ length, bytes }: TextSize, text: string): TextSize {
+  return {
+    length: length + text.length,
+    bytes: bytes + Buffer.byteLength(JSON.stringify(text)),
+  };
+}
