Read peers' tables by the names that they hold, and by no others

An upstream with the id "constructor", "toString" or "__proto__" was never used: where no peer had told of work at it, the table of a peer's message gave what each object inherits, and the work in flight was no number. "__proto__" was left out of what peers told. Where such an upstream named a limit, no peer could read any message of the instances that heard it. A version "__proto__" was left out of a service's stored history, which was then written again and again.

Tables with names from elsewhere are decoded into objects without a prototype, keep each name, and what is told of limits is looked up in a map.

Held back that was right before: nothing; messages look the same on the wire, so that instances of both builds hear each other. Let through: the name "__proto__".

--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -1,5 +1,6 @@
 import { DUTIES, type LoadMessage } from "@gooseberryline/core";
 import { z } from "zod";
+import { buildRecordSchema } from "../build_record_schema.ts";
 import { CRASH_NEWS_SCHEMA } from "../crashes/crash_news_schema.ts";
 import { decodeJson } from "../decode_json.ts";
 
@@ -26,16 +27,16 @@
   ageMs: z.number(),
   hasStore: z.boolean(),
   sequence: z.number(),
-  open: z.record(z.string(), WORK),
+  open: buildRecordSchema(WORK),
   waitingItems: z.number(),
   waitingServices: z.array(z.string()).optional(),
-  quietMs: z.record(z.string(), z.number()),
+  quietMs: buildRecordSchema(z.number()),
   suspects: z.array(z.string()),
-  use: z.record(z.string(), USE),
+  use: buildRecordSchema(USE),
   unheard: z.array(z.string()),
-  seen: z.record(z.string(), z.number()),
-  listed: z.record(z.string(), z.number()),
-  limits: z.record(z.string(), LIMIT).optional(),
+  seen: buildRecordSchema(z.number()),
+  listed: buildRecordSchema(z.number()),
+  limits: buildRecordSchema(LIMIT).optional(),
   leaving: z.array(LEAVING).optional(),
   crashes: CRASH_NEWS_SCHEMA.optional(),
   isLeaving: z.boolean(),
--- /dev/null
+++ b/packages/gateway/src/fleet/load_codec_test.ts
@@ -0,0 +1,64 @@
+import { expect, test } from "vitest";
+import { historyRecord } from "../streams/history_record.ts";
+import { createView } from "../testing/create_view.ts";
+import { loadCodec } from "./load_codec.ts";
+
+const NAMES = ["__proto__", "constructor", "toString", "", "a b", "\u4e2d"];
+
+function buildTable<Value>(value: Value): Readonly<Record<string, Value>> {
+  return Object.fromEntries(NAMES.map((name) => [name, value]));
+}
+
+function createMessage() {
+  return {
+    ...createView().buildMessage(false),
+    open: buildTable({ online: 1, batch: 2 }),
+    quietMs: buildTable(3),
+    use: buildTable({ admitted: 4, tokens: 5 }),
+    listed: buildTable(6),
+    limits: buildTable({ perSecond: 7, ageMs: 8, admitted: 9, tokens: 10 }),
+  };
+}
+
+// Guards against upstreams that nobody used, as their load could not be told.
+test("a peer hears of work under any name, and of none that was not told", () => {
+  const message = createMessage();
+  const heard = loadCodec.decode(loadCodec.encode(message));
+  NAMES.forEach((name) => {
+    expect(heard?.open[name]).toEqual({ online: 1, batch: 2 });
+    expect(heard?.quietMs[name]).toBe(3);
+    expect(heard?.use[name]).toEqual({ admitted: 4, tokens: 5 });
+    expect(heard?.listed[name]).toBe(6);
+    expect(heard?.limits?.[name]?.perSecond).toBe(7);
+  });
+  const empty = loadCodec.decode(
+    loadCodec.encode({ ...message, open: {}, quietMs: {} }),
+  );
+  NAMES.forEach((name) => {
+    expect(empty?.open[name]).toBeUndefined();
+    expect(empty?.quietMs[name]).toBeUndefined();
+  });
+});
+
+test("a message with a table that is no object is not heard", () => {
+  const bytes = Buffer.from(JSON.stringify({ ...createMessage(), open: [] }));
+  expect(loadCodec.decode(bytes)).toBeUndefined();
+});
+
+// Guards against a history that was written again and again, as names were lost.
+test("versions of any name stay in a service's history", () => {
+  const versions = buildTable(null);
+  const history = { service: "s", sinceMs: 1, versions };
+  const read = historyRecord.decode(historyRecord.encode(history));
+  expect(Object.keys(read?.versions ?? {})).toEqual(Object.keys(versions));
+});
+
+// Guards against news of limits that no peer could read, so that it was deaf.
+test("an instance is heard that knows limits of upstreams of any name", () => {
+  const view = createView();
+  NAMES.forEach((name) => {
+    view.limits.recordAnswer(name, 10, view.readNowMs());
+  });
+  const heard = loadCodec.decode(loadCodec.encode(view.buildMessage(false)));
+  expect(heard?.limits?.constructor).toMatchObject({ perSecond: 10 });
+});
--- a/packages/gateway/src/fleet/upstream_limit_tracker.ts
+++ b/packages/gateway/src/fleet/upstream_limit_tracker.ts
@@ -116,11 +116,16 @@
   buildNews(): Readonly<Record<string, LimitNews>> | undefined {
     const nowMs = this.#parts.readNowMs();
     const getLimit = (id: string) => this.#getLimit(id);
-    const usage = this.#quotas.listUsage(getLimit, nowMs);
+    const usage = new Map(
+      Object.entries(this.#quotas.listUsage(getLimit, nowMs)),
+    );
     const entries = [...this.#ownWords]
       .filter(([, { atMs }]) => nowMs - atMs < UPSTREAM_LIMITS.REPORT_MS)
       .map(([id, { perSecond = 0, atMs }]) => {
-        const { admitted, tokens } = usage[id] ?? { admitted: 0, tokens: 0 };
+        const { admitted, tokens } = usage.get(id) ?? {
+          admitted: 0,
+          tokens: 0,
+        };
         const ageMs = Math.round(nowMs - atMs);
         return [id, { perSecond, ageMs, admitted, tokens }] as const;
       });
--- a/packages/gateway/src/streams/history_record.ts
+++ b/packages/gateway/src/streams/history_record.ts
@@ -1,5 +1,6 @@
 import type { VersionHistory } from "@gooseberryline/core";
 import { z } from "zod";
+import { buildRecordSchema } from "../build_record_schema.ts";
 import { decodeJson } from "../decode_json.ts";
 import { memberRecord } from "../fleet/member_record.ts";
 
@@ -9,7 +10,7 @@
 const SCHEMA: z.ZodType<VersionHistory> = z.object({
   service: z.string(),
   sinceMs: z.number(),
-  versions: z.record(z.string(), z.number().nullable()),
+  versions: buildRecordSchema(z.number().nullable()),
 });
 
 /** Keys and encoding of the store records of a service's versions. */
