Go on with a watch when the handling of one record fails

What callers could see: an instance that follows no upstreams, configurations, members or claims any more, while it serves on; its log has one `uncaught`. Not seen on real processes: no record is known whose handling throws.

Cause: a watch hands each record to its receiver inside its own loop. What a receiver throws ended the loop for good, or the first listing, so that the instance was never ready.

Change: such an exception is logged (`step-failed`, with the prefix and the key), and the watch goes on with the next record.

Let through now: a record that could not be handled counts as reported; it is handled again when it is written again. Held back: nothing.

Evidence: two tests of prefix_watch_test, for a listed and a watched record; both fail on the code before (1 of 1 runs: "three" never reported, the loop's rejection unhandled) and pass now, with the 11 others of the file.

--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -6,6 +6,7 @@
   type MetadataEvent,
   type MetadataStore,
 } from "@gooseberryline/core";
+import { describeError } from "../describe_error.ts";
 import { waitMs } from "../wait_ms.ts";
 import { computeWatchWaitMs } from "./compute_watch_wait_ms.ts";
 import { WATCH_TIMING } from "./constants.ts";
@@ -243,7 +244,21 @@
     } else {
       this.#knownRevisions.delete(key);
     }
-    this.#parts.onEvent(event);
+    this.#report(event);
+  }
+
+  /** A fault in the handling of one record ends neither the listing nor the watch. */
+  #report(event: MetadataEvent): void {
+    const { log, prefix, onEvent } = this.#parts;
+    try {
+      onEvent(event);
+    } catch (error) {
+      log.error("step-failed", {
+        step: `watch ${prefix}`,
+        key: getEventKey(event),
+        reason: describeError(error),
+      });
+    }
   }
 
   #recordSuccess(): void {
--- a/packages/gateway/src/store/prefix_watch_test.ts
+++ b/packages/gateway/src/store/prefix_watch_test.ts
@@ -10,6 +10,7 @@
   rank = 0,
   watchers = 1,
   minIntervalMs = 0,
+  failingKeys = [] as readonly string[],
 } = {}) {
   const metadata = createMetadata();
   metadata.setFaults({ silentWatches });
@@ -29,6 +30,9 @@
     getWatchRank: () => ({ rank, count: watchers }),
     minIntervalMs,
     onEvent: (event) => {
+      if (event.kind === "set" && failingKeys.includes(event.item.key)) {
+        throw new Error("this record can't be handled");
+      }
       if (event.kind === "set") {
         records.set(event.item.key, event.item.value.toString());
       } else {
@@ -220,3 +224,19 @@
   expect(detours.count).toBe(0);
   watch.stop();
 });
+
+// Guards against a watch that ends for good with the handling of one record.
+test.each([
+  ["listed", ["a/1"]],
+  ["watched", ["a/2"]],
+])(
+  "a record that can't be handled, %s, ends no watch",
+  async (_, failingKeys) => {
+    const { metadata, records, watch } = await startWatch({ failingKeys });
+    metadata.writeRecord("a/2", "two");
+    await waitMs(50);
+    metadata.writeRecord("a/3", "three");
+    await expect.poll(() => records.get("a/3")).toBe("three");
+    watch.stop();
+  },
+);
