Accept a repeat of a job that stands, whatever its items are now taken for

What callers could see: a job that an older build had accepted (202), or that was accepted under a larger `header-bytes`, was answered 400 or 431 when it was sent again. PROTOCOL.md: a job is accepted once, and each repeat receives a 202 again.

Change: a job that fails the check is refused only if none of that customer stands under its id.

Let through: a refusal of such a job costs one or two reads.

--- a/packages/gateway/src/jobs/job_acceptor.ts
+++ b/packages/gateway/src/jobs/job_acceptor.ts
@@ -15,6 +15,7 @@
 import { callErrors } from "../requests/call_errors.ts";
 import type { CallReply } from "../requests/types.ts";
 import { waitMs } from "../wait_ms.ts";
+import { ACCEPTED_HEAD } from "./accepted_head.ts";
 import {
   type BacklogReservation,
   BacklogTracker,
@@ -51,14 +52,6 @@
   readonly conflict: readonly MetadataItem[] | undefined;
 };
 
-const ACCEPTED_HEAD = {
-  status: 202,
-  headers: {},
-  rawHeaders: [],
-  isEventStream: false,
-  isCloseDelimited: false,
-};
-
 /**
  * Accepts jobs, each in one commit; repeated submissions of the same id are
  * idempotent. On a route with a limit the commit also replaces the ledger of
--- a/packages/gateway/src/jobs/job_api.ts
+++ b/packages/gateway/src/jobs/job_api.ts
@@ -21,6 +21,7 @@
 import { JOB_CONSTANTS } from "./constants.ts";
 import { JobAcceptor } from "./job_acceptor.ts";
 import { JobCache } from "./job_cache.ts";
+import { refuseNewJob } from "./refuse_new_job.ts";
 import type { ResultCountFeed } from "./result_count_feed.ts";
 import { ResultsReader } from "./results_reader.ts";
 
@@ -90,7 +91,8 @@
         view.table?.config.limits.headerBytes ?? Number.POSITIVE_INFINITY,
     });
     if (error !== undefined) {
-      reply.sendError(error);
+      const job = { id: requestId, customer: customer?.name ?? "" };
+      await refuseNewJob(job, this.#cache, error, reply);
       return;
     }
     await this.#acceptor.submit(requestId, route, customer, value, reply);
