Give the test of a stream without a whole event time for the head

Seen once, beside a load of 35 on 8 cores: the caller got only the second event. The first upstream's head came later than half of the route's objective of 300 ms, so the request went to the second from its beginning, whose stand-in answers with event 2.

Shown: with a pause of 400 ms put into the process (trial) the test fails with the same answer; with the longer objective and the same pause it passes. The assertions are the same, and now it is sure that the stream begins at the first upstream.

--- a/packages/gateway/src/requests/endless_answer_test.ts
+++ b/packages/gateway/src/requests/endless_answer_test.ts
@@ -76,7 +76,9 @@
     res.end("id: 2\ndata: b\n\n");
   });
   const addresses = [endless.address, sound.address];
-  const { answer, ended } = runRequest({ addresses });
+  // Time for the head, so that the stream surely begins at the first upstream.
+  const route = { objectiveMs: 2_500 };
+  const { answer, ended } = runRequest({ addresses, route });
   await ended;
   expect(answer).toMatchObject({
     end: "whole",
