Bound the bytes of one write of results

What callers saw: in a trial with real processes, no results for as long as the trouble lasted: a third of the results 500 KB, and 1 MB/s (0.6 MB/s) from a worker to the store.

Cause: up to 13 results go into one write, of whatever size. One of 2.7 MB needs more than the 1.5 s that a call may take; it is given up and repeated as it is, and what finishes meanwhile waits behind it.

Change: one write takes the results that fit into the bytes that a save of texts may have, and at least one.

What it holds back: results above 23 KB that finish at once take more writes than before; smaller ones none. A single result that needs more than 1.5 s is still stuck.

--- a/packages/gateway/src/jobs/owned_job.ts
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -124,8 +124,8 @@
     }
     this.#isWriting = true;
     this.#writeStartedMs = this.#parts.readNowMs();
-    const batch = this.#finished.slice(0, MAX_RESULTS);
-    this.#finished = this.#finished.slice(MAX_RESULTS);
+    const batch = this.#finished.slice(0, countWritable(this.#finished));
+    this.#finished = this.#finished.slice(batch.length);
     await this.#writeWithRetry(batch);
     this.#isWriting = false;
     this.#writeStartedMs = undefined;
@@ -235,3 +235,15 @@
     this.#parts.onLost();
   }
 }
+
+/** Returns how many results, from the first on, one commit takes; at least one. */
+function countWritable(finished: readonly FinishedItem[]): number {
+  const first = finished.slice(0, MAX_RESULTS);
+  const sizes = first.map(({ result }) => Buffer.byteLength(result.text));
+  const isOver = sizes.map((_, index) => {
+    const bytes = sizes.slice(0, index + 1).reduce((sum, size) => sum + size);
+    return index > 0 && bytes > BATCHES.MAX_SAVE_BYTES;
+  });
+  const count = isOver.indexOf(true);
+  return count === -1 ? first.length : count;
+}
--- a/packages/gateway/src/jobs/owned_job_test.ts
+++ b/packages/gateway/src/jobs/owned_job_test.ts
@@ -1,4 +1,4 @@
-import { batchKeys, ITEM_RESULTS } from "@gooseberryline/core";
+import { BATCHES, batchKeys, ITEM_RESULTS } from "@gooseberryline/core";
 import { expect, test } from "vitest";
 import { startJob } from "../testing/start_job.ts";
 import { waitMs } from "../wait_ms.ts";
@@ -204,3 +204,19 @@
   metadata.setFaults({ isDown: false });
   await waitUntil(() => owned.countListed() === 1);
 });
+
+// Guards against a write of so many bytes that it never ends in time, and is repeated.
+test("large results finished at once are listed in writes of a bounded size", async () => {
+  const ids = Array.from({ length: 12 }, (_, index) => `i${index}`);
+  const { own, readIds, metadata } = await startJob(ids);
+  const { owned } = await own("w1");
+  const before = metadata.calls.commit ?? 0;
+  ids.forEach((id, index) => {
+    const text = "x".repeat(BATCHES.MAX_SAVE_BYTES / 3);
+    owned.addResult(index, { id, state: ITEM_RESULTS.completed, text });
+  });
+  await waitUntil(() => owned.isEnded);
+  expect((metadata.calls.commit ?? 0) - before).toBeGreaterThanOrEqual(4);
+  const first = await readIds(0);
+  expect([...first, ...(await readIds(first.length))]).toEqual(ids);
+});
