Take the claim away with an expired job that is still open

What callers saw: nothing.

An open job (no upstream until ten minutes past its due time and retention) kept its owner without records.

Not played on real processes.

What it holds back: an owner can't list results of a job that is being swept; before, they were written beside records that were removed.

--- a/packages/gateway/src/jobs/job_sweeper.ts
+++ b/packages/gateway/src/jobs/job_sweeper.ts
@@ -87,7 +87,8 @@
       batchKeys.progress(job.id),
       backlogKeys.openJob(job, job.id),
     ];
-    const keys = [...results, ...otherKeys];
+    // Without its claim, the owner of a job that is still open drops it.
+    const keys = [batchKeys.claim(job.id), ...results, ...otherKeys];
     const size = BATCHES.MAX_COMMIT_ENTRIES;
     const groups = Array.from(
       { length: Math.ceil(keys.length / size) },
--- a/packages/gateway/src/jobs/job_sweeper_test.ts
+++ b/packages/gateway/src/jobs/job_sweeper_test.ts
@@ -41,7 +41,7 @@
     return page.kind === "page" ? page.items.length : -1;
   };
   const sweeper = new JobSweeper({ view, store, log: SILENT_LOG });
-  return { sweeper, endMs, countRecords };
+  return { metadata, sweeper, endMs, countRecords };
 }
 
 test("a job is kept until it expires", async () => {
@@ -55,3 +55,13 @@
   await sweeper.sweep(endMs + 1);
   expect(await countRecords()).toBe(0);
 });
+
+// Guards against a worker that loads a job again and again whose records are gone.
+test("an expired job that is still open leaves no claim", async () => {
+  const { metadata, sweeper, endMs, countRecords } = await startSweeper();
+  const claim = { owner: "w1", incarnation: "1", dueAtMs: 0 };
+  const value = batchRecords.encode(claim).toString();
+  metadata.writeRecord(batchKeys.claim("j1"), value);
+  await sweeper.sweep(endMs + 1);
+  expect(await countRecords()).toBe(0);
+});
