--- a/packages/gateway/src/testing/start_serving.ts
+++ b/packages/gateway/src/testing/start_serving.ts
@@ -34,7 +34,7 @@
  * Starts a callers' listener and its upstream, with routes for a stream, for a slow,
  * a short and a large answer.
  */
-export async function startServing() {
+export async function startServing(idleTimeoutMs = 5_000) {
   const upstream = await startUpstream((req, res) => {
     if (req.url?.startsWith("/stream/") === true) {
       res.writeHead(200, { "content-type": "text/event-stream" });
@@ -53,7 +53,7 @@
     headerBytes: 10_000,
     bodyBytes: 10_000,
     headerTimeoutMs: 1_000,
-    idleTimeoutMs: 5_000,
+    idleTimeoutMs,
   };
   view.adoptConfig({
     revision: 1,
