Leave a connection open while its caller still reads the answer

What callers could see: when the daemon's listener closed in a planned stop, a large answer to a caller that reads slowly was cut off (3.9 of 8 MB came).

Cause: Node takes a connection for idle once its answer is written, though most of it may not be sent; closing the listener, and then every 20 ms, closed these.

Evidence: follow_requests_test, which failed before and passes now. Not seen on real processes. A second test, of callers that send again at once on a kept connection while the listener closes, passes on the code before too: it guards what is there.

Change: idle connections are not closed while an answer is unsent; the limit of the close holds as before, and a close takes no longer, as it waits for that caller anyway.

Let through now: requests on idle connections during that time, which are answered.

--- a/packages/daemon/src/tasks/follow_requests.ts
+++ b/packages/daemon/src/tasks/follow_requests.ts
@@ -17,6 +17,13 @@
     }
   };
   server.prependListener("request", recordRequest);
+  const closeIdle = server.closeIdleConnections.bind(server);
+  // Node takes a connection for idle whose answer is written, but not sent yet.
+  server.closeIdleConnections = () => {
+    if (![...inFlight].some(isUnsent)) {
+      closeIdle();
+    }
+  };
   return {
     startDrain: () => {
       control.isDraining = true;
@@ -27,6 +34,11 @@
   };
 }
 
+/** Whether an answer is written and waits for its caller to read it. */
+function isUnsent(res: ServerResponse): boolean {
+  return res.writableEnded && !res.writableFinished;
+}
+
 /**
  * Sends `connection: close` with an answer whose headers have not been sent
  * yet.
