Let an exception end one step of a task, not the task

What threw inside a task that goes on for good ended it, or what it had counted: a watch (of the configuration, of upstreams, of claims) stopped at the first record whose handling threw; load messages stopped, also for one peer registered with port 0; the lease of an instance was not renewed; a job being claimed or loaded stayed "pending" and was never run here; a result being written was lost with all later ones of its job; the writers of versions and of streams' origins never wrote again. Promises of timers had no handler.

Each step runs by itself now: what it throws is logged (`step-failed`, with the step and the record, peer or job) and the task goes on. A write of results that threw is repeated like one without an answer. Versions of a service whose key the store can't hold are not written again and again.

Held back that was right before: nothing; the steps and their order are the same. Let through: a record whose handling threw is not handled until it changes, as before, but the next ones are.

--- a/packages/gateway/src/crashes/block_keeper.ts
+++ b/packages/gateway/src/crashes/block_keeper.ts
@@ -4,6 +4,7 @@
   MetadataEvent,
   MetadataStore,
 } from "@gooseberryline/core";
+import { runSlowStep } from "../steps/run_slow_step.ts";
 import { blockRecord } from "./block_record.ts";
 import { buildBlockId } from "./build_block_id.ts";
 import { CRASH_TIMES } from "./constants.ts";
@@ -86,7 +87,9 @@
     const delayMs = Math.random() * CRASH_TIMES.MAX_WRITE_DELAY_MS;
     const timer = setTimeout(() => {
       this.#timers.delete(blockId);
-      void this.#write(block);
+      void runSlowStep(this.#parts.log, { step: "block", key: blockId }, () =>
+        this.#write(block),
+      );
     }, delayMs);
     this.#timers.set(blockId, timer);
   }
--- a/packages/gateway/src/crashes/crash_watch.ts
+++ b/packages/gateway/src/crashes/crash_watch.ts
@@ -6,6 +6,8 @@
 } from "@gooseberryline/core";
 import { checkPort } from "../exchange/check_port.ts";
 import type { FleetView } from "../fleet/fleet_view.ts";
+import { runSlowStep } from "../steps/run_slow_step.ts";
+import { runStep } from "../steps/run_step.ts";
 import { CRASH_TIMES } from "./constants.ts";
 
 type CrashWatchParts = { readonly view: FleetView; readonly log: EventLog };
@@ -45,7 +47,8 @@
     this.#reviewLater();
     const witnesses = chooseCrashWitnesses(crash, view.members.list());
     if (witnesses.includes(view.settings.instanceId)) {
-      void this.#look(crash);
+      const about = { step: "check-upstream", key: crash.upstreamId };
+      void runSlowStep(this.#parts.log, about, () => this.#look(crash));
     }
   }
 
@@ -71,8 +74,8 @@
       return;
     }
     this.#timer = setTimeout(() => {
-      const { view } = this.#parts;
-      view.crashes.review();
+      const { view, log } = this.#parts;
+      runStep(log, { step: "crash-review" }, () => view.crashes.review());
       if (view.readNowMs() < this.#untilMs) {
         this.#reviewLater();
       }
--- a/packages/gateway/src/fleet/membership_task.ts
+++ b/packages/gateway/src/fleet/membership_task.ts
@@ -3,6 +3,7 @@
   FleetMember,
   MetadataStore,
 } from "@gooseberryline/core";
+import { runSlowStep } from "../steps/run_slow_step.ts";
 import { FLEET } from "./constants.ts";
 import { memberRecord } from "./member_record.ts";
 
@@ -37,9 +38,10 @@
   }
 
   async #step(): Promise<void> {
-    await (this.#leaseId === undefined
-      ? this.#register()
-      : this.#renewLease(this.#leaseId));
+    const leaseId = this.#leaseId;
+    await runSlowStep(this.#parts.log, { step: "membership" }, () =>
+      leaseId === undefined ? this.#register() : this.#renewLease(leaseId),
+    );
     if (!this.#isStopped) {
       this.#timer = setTimeout(
         () => void this.#step(),
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -1,5 +1,6 @@
 import { createSocket, type Socket } from "node:dgram";
 import type { EventLog, FleetMember, LoadMessage } from "@gooseberryline/core";
+import { runStep } from "../steps/run_step.ts";
 import { computeGossipIntervalMs } from "./compute_gossip_interval_ms.ts";
 import { FLEET } from "./constants.ts";
 import type { FleetView } from "./fleet_view.ts";
@@ -26,7 +27,9 @@
     };
     this.#socket = createSocket("udp4");
     this.#socket.on("message", (bytes, { address }) =>
-      this.#handleDatagram(bytes, address),
+      runStep(log, { step: "peer-message", key: address }, () =>
+        this.#handleDatagram(bytes, address),
+      ),
     );
     this.#socket.on("error", (error) => {
       log.error("peer-socket", { reason: error.message });
@@ -80,8 +83,10 @@
 
   /** Each message carries the full state, so the next replaces a lost one. */
   #sendTo(peers: readonly FleetMember[], bytes: Buffer): void {
-    peers.forEach(({ address, port }) => {
-      this.#socket.send(bytes, port, address, () => undefined);
+    peers.forEach(({ id, address, port }) => {
+      runStep(this.#log, { step: "send-to-peer", key: id }, () =>
+        this.#socket.send(bytes, port, address, () => undefined),
+      );
     });
   }
 
@@ -107,7 +112,7 @@
 
   #step(): void {
     this.#isUrgentScheduled = false;
-    this.#send(false);
+    runStep(this.#log, { step: "peer-message" }, () => this.#send(false));
     this.#sendLater();
   }
 
--- a/packages/gateway/src/jobs/job_runner.ts
+++ b/packages/gateway/src/jobs/job_runner.ts
@@ -7,6 +7,8 @@
   shouldClaimJob,
 } from "@gooseberryline/core";
 import type { AttemptParts } from "../requests/attempt.ts";
+import { runSlowStep } from "../steps/run_slow_step.ts";
+import { runStep } from "../steps/run_step.ts";
 import { batchRecords } from "./batch_records.ts";
 import { ClaimRegistry, type ObservedClaim } from "./claim_registry.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
@@ -52,7 +54,9 @@
       getOwned: (jobId) => this.#owned.get(jobId),
       onConflict: (jobIds) =>
         jobIds.forEach((jobId) => {
-          void this.#updateClaim(jobId);
+          void this.#runSlowStep("read-claim", jobId, () =>
+            this.#updateClaim(jobId),
+          );
         }),
       countWorkers: () => parts.view.members.list(DUTIES.run).length,
     });
@@ -129,10 +133,32 @@
   }
 
   #step(): void {
+    const { log } = this.#parts;
     this.#claims.list().forEach((observed) => {
-      this.#updateOwnership(observed);
+      runStep(log, { step: "claim", key: observed.jobId }, () =>
+        this.#updateOwnership(observed),
+      );
     });
-    this.#pool.step();
+    runStep(log, { step: "place-items" }, () => this.#pool.step());
+  }
+
+  #runSlowStep(
+    step: string,
+    key: string,
+    run: () => Promise<unknown>,
+  ): Promise<unknown> {
+    return runSlowStep(this.#parts.log, { step, key }, run);
+  }
+
+  /** Runs a step on a job that no other step may touch meanwhile. */
+  async #runAlone(
+    step: string,
+    { jobId }: ObservedClaim,
+    run: () => Promise<void>,
+  ): Promise<void> {
+    this.#pendingJobs.add(jobId);
+    await this.#runSlowStep(step, jobId, run);
+    this.#pendingJobs.delete(jobId);
   }
 
   #updateOwnership(observed: ObservedClaim): void {
@@ -148,9 +174,11 @@
         this.#drop(jobId);
       }
     } else if (isOwn) {
-      void this.#loadOwnedJob(observed);
+      void this.#runAlone("load-job", observed, () =>
+        this.#loadOwnedJob(observed),
+      );
     } else if (this.#shouldClaim(observed)) {
-      void this.#claim(observed);
+      void this.#runAlone("claim", observed, () => this.#claim(observed));
     }
   }
 
@@ -185,14 +213,12 @@
       owner: view.settings.instanceId,
       incarnation: view.incarnation,
     };
-    this.#pendingJobs.add(jobId);
     // If the answer is lost, the watch shows the claim as this instance's.
     const outcome = await store.commit({
       expect: [{ key, revision }],
       set: [{ key, value: batchRecords.encode(ownClaim) }],
       remove: [],
     });
-    this.#pendingJobs.delete(jobId);
     if (outcome.kind === "committed") {
       log.info("job-claimed", { jobId, from: claim.owner });
     }
@@ -204,12 +230,10 @@
     revision,
   }: ObservedClaim): Promise<void> {
     const { store, log, view } = this.#parts;
-    this.#pendingJobs.add(jobId);
     const [loaded, isRead] = await Promise.all([
       loadJob(store, jobId, claim, revision),
       this.#updateClaim(jobId),
     ]);
-    this.#pendingJobs.delete(jobId);
     const isUnchanged = this.#claims.get(jobId)?.revision === revision;
     const canOwn = isRead && isUnchanged && !this.#isReleasing;
     if (loaded === undefined || !canOwn) {
--- a/packages/gateway/src/jobs/job_sweeper.ts
+++ b/packages/gateway/src/jobs/job_sweeper.ts
@@ -9,6 +9,7 @@
   rankByRendezvous,
 } from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
+import { runSlowStep } from "../steps/run_slow_step.ts";
 import { batchRecords } from "./batch_records.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
 
@@ -32,7 +33,9 @@
   start(): void {
     this.#timer = setInterval(() => {
       if (this.#isSweeper()) {
-        void this.sweep(Date.now());
+        void runSlowStep(this.#parts.log, { step: "sweep-jobs" }, () =>
+          this.sweep(Date.now()),
+        );
       }
     }, JOB_CONSTANTS.SWEEP_INTERVAL_MS);
   }
--- a/packages/gateway/src/jobs/owned_job.ts
+++ b/packages/gateway/src/jobs/owned_job.ts
@@ -8,10 +8,12 @@
   batchKeys,
   type EventLog,
   type MetadataCommit,
+  type MetadataFailure,
   type MetadataItem,
   type MetadataStore,
   type PartialItemText,
 } from "@gooseberryline/core";
+import { runSlowStep } from "../steps/run_slow_step.ts";
 import { waitMs } from "../wait_ms.ts";
 import { batchRecords } from "./batch_records.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
@@ -38,6 +40,14 @@
   (BATCHES.MAX_COMMIT_ENTRIES - BASE_ENTRIES) / RESULT_ENTRIES,
 );
 
+/** A write that an exception ended may have taken effect. */
+const NO_OUTCOME: MetadataFailure = {
+  kind: "failed",
+  isUndone: false,
+  step: "commit",
+  reason: "a fault of the program",
+};
+
 type FinishedItem = { readonly index: number; readonly result: BatchResult };
 
 /** A snapshot of a job, taken when this instance claimed it. */
@@ -140,7 +150,10 @@
     const listed = [...this.#listed, ...batch.map(({ index }) => index)];
     const commit = this.#buildCommit(batch, listed, writer);
     while (!this.#isEnded) {
-      const outcome = await store.commit(commit);
+      const outcome =
+        (await runSlowStep(log, { step: "write-results", key: job.id }, () =>
+          store.commit(commit),
+        )) ?? NO_OUTCOME;
       if (outcome.kind === "committed") {
         this.#recordListed(listed, outcome.revision);
         return;
--- a/packages/gateway/src/jobs/text_saver.ts
+++ b/packages/gateway/src/jobs/text_saver.ts
@@ -6,6 +6,7 @@
   type MetadataStore,
   type PartialItemText,
 } from "@gooseberryline/core";
+import { runSlowStep } from "../steps/run_slow_step.ts";
 import { waitMs } from "../wait_ms.ts";
 import { batchRecords } from "./batch_records.ts";
 import type { OwnedJob } from "./owned_job.ts";
@@ -67,7 +68,9 @@
       const workersMs =
         this.#parts.countWorkers() * BATCHES.SAVE_INTERVAL_PER_WORKER_MS;
       await waitMs(Math.max(BATCHES.SAVE_INTERVAL_MS, workersMs));
-      await this.#persist(BATCHES.MIN_UNSAVED_EVENTS);
+      await runSlowStep(this.#parts.log, { step: "save-texts" }, () =>
+        this.#persist(BATCHES.MIN_UNSAVED_EVENTS),
+      );
     }
   }
 
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -7,7 +7,6 @@
 import type { PendingAttempt } from "../crashes/crash_tracker.ts";
 import { describeBlock } from "../crashes/describe_block.ts";
 import type { RequestKey } from "../crashes/request_key.ts";
-import { describeError } from "../describe_error.ts";
 import type { CallDialect, ResponseHead } from "../dialect/types.ts";
 import type { HeldBytes } from "../exchange/held_bytes.ts";
 import type {
@@ -19,6 +18,7 @@
 import { UpstreamExchange } from "../exchange/upstream_exchange.ts";
 import type { FleetView } from "../fleet/fleet_view.ts";
 import type { Lane } from "../fleet/load_tracker.ts";
+import { runSlowStep } from "../steps/run_slow_step.ts";
 import { checkBrokenAttempt } from "./check_broken_attempt.ts";
 
 /** Status of an upstream that is not the one that was meant. */
@@ -159,23 +159,17 @@
       this.#events.onEnd(end);
       return;
     }
-    const checked = this.#checkBreak(end.reason);
+    const about = { step: "check-upstream", key: this.upstream.id };
+    const checked = runSlowStep(this.#parts.log, about, () =>
+      this.#checkBreak(end.reason),
+    );
     if (this.#hasBegun && !this.#hasCrashedBefore()) {
       this.#events.onEnd(end);
       return;
     }
-    // An upstream that could not be looked at is not known to have crashed.
-    const verdict = checked.catch((error: unknown) => {
-      this.#parts.log.error("step-failed", {
-        step: "check-upstream",
-        key: this.upstream.id,
-        reason: describeError(error),
-      });
-      return false;
-    });
-    void verdict.then((isSuspect) => {
+    void checked.then((isSuspect) => {
       if (!this.#isCancelled) {
-        this.#events.onEnd({ ...end, isSuspect });
+        this.#events.onEnd({ ...end, isSuspect: isSuspect === true });
       }
     });
   }
--- a/packages/gateway/src/store/prefix_watch.ts
+++ b/packages/gateway/src/store/prefix_watch.ts
@@ -6,7 +6,8 @@
   type MetadataEvent,
   type MetadataStore,
 } from "@gooseberryline/core";
-import { describeError } from "../describe_error.ts";
+import { runSlowStep } from "../steps/run_slow_step.ts";
+import { runStep } from "../steps/run_step.ts";
 import { waitMs } from "../wait_ms.ts";
 import { computeWatchWaitMs } from "./compute_watch_wait_ms.ts";
 import { WATCH_TIMING } from "./constants.ts";
@@ -111,17 +112,27 @@
 
   async #follow(): Promise<void> {
     while (!this.#isStopped) {
-      const isReached = this.#isCurrent
-        ? await this.#waitForChanges()
-        : await this.#load();
-      if (isReached) {
-        this.#recordSuccess();
-      } else {
-        await this.#waitBeforeRetry();
-      }
+      await this.#followOnce();
     }
   }
 
+  async #followOnce(): Promise<void> {
+    const { log, prefix } = this.#parts;
+    const isReached = await runSlowStep(
+      log,
+      { step: "watch", key: prefix },
+      () => (this.#isCurrent ? this.#waitForChanges() : this.#load()),
+    );
+    if (isReached === true) {
+      this.#recordSuccess();
+      return;
+    }
+    if (isReached === undefined) {
+      this.#recordFailure("a fault of the program");
+    }
+    await this.#waitBeforeRetry();
+  }
+
   async #load(after?: string, seen = new Set<string>()): Promise<boolean> {
     const { store, prefix } = this.#parts;
     const page = await store.listPage(prefix, after);
@@ -244,21 +255,8 @@
     } else {
       this.#knownRevisions.delete(key);
     }
-    this.#report(event);
-  }
-
-  /** A fault in the handling of one record ends neither the listing nor the watch. */
-  #report(event: MetadataEvent): void {
-    const { log, prefix, onEvent } = this.#parts;
-    try {
-      onEvent(event);
-    } catch (error) {
-      log.error("step-failed", {
-        step: `watch ${prefix}`,
-        key: getEventKey(event),
-        reason: describeError(error),
-      });
-    }
+    const { log, onEvent } = this.#parts;
+    runStep(log, { step: "watch-event", key }, () => onEvent(event));
   }
 
   #recordSuccess(): void {
--- a/packages/gateway/src/store/watch_catch_up.ts
+++ b/packages/gateway/src/store/watch_catch_up.ts
@@ -3,6 +3,7 @@
   MetadataChanges,
   MetadataStore,
 } from "@gooseberryline/core";
+import { runSlowStep } from "../steps/run_slow_step.ts";
 import { WATCH_TIMING } from "./constants.ts";
 import { WATCH_ABORTS } from "./watch_aborts.ts";
 
@@ -69,7 +70,10 @@
     this.#timer = setTimeout(() => {
       this.#timer = undefined;
       if (this.#isBehind(revision) && isOpen()) {
-        void this.#takeDetour(revision);
+        const { log, prefix } = this.#parts;
+        void runSlowStep(log, { step: "detour", key: prefix }, () =>
+          this.#takeDetour(revision),
+        );
       }
     }, measurePauseMs() + WATCH_TIMING.BEHIND_TIMEOUT_MS);
   }
@@ -89,13 +93,9 @@
     }
     const abort = new AbortController();
     this.#detours.add(abort);
-    const changes = await detour.watchPrefix(
-      prefix,
-      own,
-      WATCH_TIMING.DETOUR_WAIT_MS,
-      abort.signal,
-    );
-    this.#detours.delete(abort);
+    const changes = await detour
+      .watchPrefix(prefix, own, WATCH_TIMING.DETOUR_WAIT_MS, abort.signal)
+      .finally(() => this.#detours.delete(abort));
     if (abort.signal.aborted || changes.kind === "failed") {
       return;
     }
--- a/packages/gateway/src/streams/history_record.ts
+++ b/packages/gateway/src/streams/history_record.ts
@@ -7,6 +7,9 @@
 /** Within the prefix of the instances, so that one watch follows both. */
 const PREFIX = `${memberRecord.prefix}versions/`;
 
+/** Longest key that the store holds, in bytes. */
+const MAX_KEY_BYTES = 200;
+
 const SCHEMA: z.ZodType<VersionHistory> = z.object({
   service: z.string(),
   sinceMs: z.number(),
@@ -16,6 +19,9 @@
 /** Keys and encoding of the store records of a service's versions. */
 export const historyRecord = {
   buildKey: (service: string): string => `${PREFIX}${service}`,
+  /** Whether the store can hold the record of a service of this name. */
+  canHold: (service: string): boolean =>
+    Buffer.byteLength(PREFIX + service) <= MAX_KEY_BYTES,
   /** Returns the service; undefined if the key is of another record. */
   parseKey: (key: string): string | undefined =>
     key.startsWith(PREFIX) ? key.slice(PREFIX.length) : undefined,
--- a/packages/gateway/src/streams/origin_writer.ts
+++ b/packages/gateway/src/streams/origin_writer.ts
@@ -3,6 +3,7 @@
   MetadataStore,
   StreamOrigin,
 } from "@gooseberryline/core";
+import { runSlowStep } from "../steps/run_slow_step.ts";
 import { STREAM_RECORDS } from "./constants.ts";
 import { originRecord } from "./origin_record.ts";
 
@@ -60,7 +61,10 @@
       return;
     }
     this.#timer ??= setTimeout(async () => {
-      const isWritten = await this.#write();
+      const { log } = this.#parts;
+      const isWritten = await runSlowStep(log, { step: "stream-origins" }, () =>
+        this.#write(),
+      );
       this.#timer = undefined;
       if (this.#waiting.size > 0) {
         const intervalMs = this.#computeIntervalMs();
--- a/packages/gateway/src/streams/version_keeper.ts
+++ b/packages/gateway/src/streams/version_keeper.ts
@@ -8,6 +8,7 @@
   type VersionHistory,
 } from "@gooseberryline/core";
 import type { UpstreamDirectory } from "../fleet/upstream_directory.ts";
+import { runSlowStep } from "../steps/run_slow_step.ts";
 import { STREAM_RECORDS } from "./constants.ts";
 import { historyRecord } from "./history_record.ts";
 
@@ -135,7 +136,7 @@
     const delayMs =
       (isUrgent ? 0 : STREAM_RECORDS.GONE_DELAY_MS) +
       Math.random() * STREAM_RECORDS.HISTORY_DELAY_MS;
-    const timer = setTimeout(() => void this.#write(service), delayMs);
+    const timer = setTimeout(() => void this.#writeOnce(service), delayMs);
     this.#planned.set(service, { timer, isUrgent });
   }
 
@@ -154,13 +155,21 @@
     const isComplete = this.#parts.isFirstStart && !this.#removed.has(service);
     const sinceMs = isComplete ? 0 : facts.unixMs;
     const updated = updateHistory(service, facts, sinceMs);
-    return updated === facts.history ? undefined : updated;
+    const isKept = updated === facts.history || !historyRecord.canHold(service);
+    return isKept ? undefined : updated;
+  }
+
+  async #writeOnce(service: string): Promise<void> {
+    const about = { step: "version-history", key: service };
+    await runSlowStep(this.#parts.log, about, () => this.#write(service));
+    this.#planned.delete(service);
+    // A conflict brings the other's record by the watch; a failure is retried.
+    this.#reviewService(service);
   }
 
   async #write(service: string): Promise<void> {
     const history = this.#findUpdate(service);
     if (history === undefined) {
-      this.#planned.delete(service);
       return;
     }
     const key = historyRecord.buildKey(service);
@@ -170,7 +179,6 @@
       set: [{ key, value: historyRecord.encode(history) }],
       remove: [],
     });
-    this.#planned.delete(service);
     if (written.kind === "committed") {
       this.#parts.log.info("version-history", {
         service,
@@ -178,7 +186,5 @@
       });
       this.#stored.set(service, { history, revision: written.revision });
     }
-    // A conflict brings the other's record by the watch; a failure is retried.
-    this.#reviewService(service);
   }
 }
--- a/packages/gateway/src/testing/start_runner.ts
+++ b/packages/gateway/src/testing/start_runner.ts
@@ -1,5 +1,9 @@
 /** Starts a worker's runner of jobs on a fake store, without upstreams. */
-import { batchKeys, type EventLog } from "@gooseberryline/core";
+import {
+  batchKeys,
+  type EventLog,
+  type MetadataStore,
+} from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
 import { createMetadata } from "@gooseberryline/fakes";
 import { HeldBytes } from "../exchange/held_bytes.ts";
@@ -21,6 +25,7 @@
   jobIds: readonly string[],
   itemsPerJob = 1,
   bodyBytes = 0,
+  wrapStore = (store: MetadataStore): MetadataStore => store,
 ) {
   const metadata = createMetadata();
   const { store } = metadata;
@@ -32,7 +37,7 @@
   const log: EventLog = { ...SILENT_LOG, info: record, warn: record };
   const runner = new JobRunner({
     view,
-    store,
+    store: wrapStore(store),
     log,
     held: new HeldBytes(),
     dialect: plainDialect,
