Count the faults of the program, and say where an uncaught one came from

A process went on after an exception that nothing had caught, and one line in the log was all that told of it. It still goes on (docs/design/names.md weighs it), but each fault (`uncaught`, `step-failed`, `item-not-started`) is counted in `gooseberryline_program_faults`, and `uncaught` says whether it was an exception or a rejected promise. What is thrown may be anything: the handler itself threw for `undefined`, which ended the process.

That the handler of throws for `undefined` follows from its text (`error.stack`) and was not played.

--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -280,7 +280,10 @@
     fields: ["step", "key", "reason"],
     text: "A fault of the program ended one step of a task, which goes on; key names the record or upstream, if known",
   },
-  uncaught: { fields: ["reason"], text: "A fault of the program" },
+  uncaught: {
+    fields: ["origin", "reason"],
+    text: "A fault of the program that nothing caught; the process goes on; origin tells an exception from a rejected promise",
+  },
   "log-dropped": {
     fields: ["lines"],
     text: "The log's reader was slow; so many lines are missing here",
--- a/packages/gateway/src/metrics/create_gateway_metrics.ts
+++ b/packages/gateway/src/metrics/create_gateway_metrics.ts
@@ -19,6 +19,7 @@
   | "answer_bytes_held"
   | "upstreams_known"
   | "jobs_over_limit"
+  | "program_faults"
   | "prompt_blocks";
 
 /** Creates the counters, histograms and gauges of an instance. */
@@ -55,6 +56,10 @@
       "prompt_blocks",
       "blocks of requests and prompt parts that crash upstreams",
     ),
+    program_faults: gauge(
+      "program_faults",
+      "faults of the program since the start; anything but 0 is to be looked at",
+    ),
     upstreams_known: gauge("upstreams_known", "upstreams in the directory"),
   };
   return {
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -4,6 +4,7 @@
 export { computeGossipIntervalMs } from "./fleet/compute_gossip_interval_ms.ts";
 export { FleetView } from "./fleet/fleet_view.ts";
 export { loadCodec } from "./fleet/load_codec.ts";
+export { FaultCounter } from "./logs/fault_counter.ts";
 export { LineSink } from "./logs/line_sink.ts";
 export { type Gateway, runGateway } from "./run_gateway.ts";
 export type * from "./settings/types.ts";
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -38,6 +38,8 @@
   readonly store: MetadataStore;
   readonly dialect: Dialect;
   readonly log: EventLog;
+  /** Returns the faults of the program since its start, for the metrics. */
+  readonly countFaults: () => number;
 };
 
 /** A running gateway. */
@@ -159,6 +161,7 @@
       metrics.setGauge("answer_bytes_held", held.total);
       metrics.setGauge("prompt_blocks", view.crashes.blocks.length);
       metrics.setGauge("jobs_over_limit", jobs.countOverLimit());
+      metrics.setGauge("program_faults", parts.countFaults());
       metrics.setGauge("items_running", runner.countRunning());
       metrics.setGauge("upstreams_known", view.directory.count());
       return { status: OK, text: await metrics.render() };
