Pass no answer on whose status no caller could get

An upstream that answers with a status below 100 was heard like any other. Node refuses to write such a status, so that passing the answer on threw outside of any handler and the caller waited for its time to end. It is no answer to the request now: the attempt is lost, and repeated where the request may be.

Held back that was right before: nothing; no status below 200 ends an exchange.

Evidence: both new tests fail on (the status was taken for an answer) and pass now. That a caller waited there was read in the code and not played.

--- a/packages/gateway/src/exchange/find_foreign_reason.ts
+++ b/packages/gateway/src/exchange/find_foreign_reason.ts
@@ -20,6 +20,9 @@
   head: Pick<ResponseHead, "requestId" | "isSigned">,
   status: number,
 ): string | undefined {
+  if (status < SUCCESS) {
+    return "the answer has no status of an answer";
+  }
   if (head.requestId !== undefined && head.requestId !== requestId) {
     return "the answer names another request";
   }
--- a/packages/gateway/src/requests/stray_answer_test.ts
+++ b/packages/gateway/src/requests/stray_answer_test.ts
@@ -78,3 +78,21 @@
   expect(upstream.countRequests()).toBe(2);
   await upstream.close();
 });
+
+// Guards against a status that threw where it was passed on: callers waited on.
+test.each(["000 Odd", "099 Odd"])(
+  "a status of %s is not passed on",
+  async (status) => {
+    const odd = await startRawUpstream((socket) => {
+      socket.write(buildAnswer(status, "Request-Id: r1\r\n", ""));
+    });
+    const sound = await startRawUpstream((socket) => {
+      socket.write(buildSound("r1"));
+    });
+    const addresses = [odd.address, sound.address];
+    const { answer, ended } = runRequest({ addresses, route: PLAIN });
+    await ended;
+    expect(answer).toMatchObject({ status: 200, body: "r1" });
+    await Promise.all([odd.close(), sound.close()]);
+  },
+);
