End a start that has no port for its peers' messages

What the operator saw (real process, one run each, the port taken by another): the process logged `peer-socket` and lived on, never ready, with its callers' listener open; SIGTERM, sent twice, did not end it, and after 14 s only SIGKILL did.

Cause: the start waited for the port to be bound and did not look whether that failed.

Change: the start is rejected.

Let through, held back: nothing else; errors of the socket after the start are logged as before.

--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -36,10 +36,13 @@
     });
   }
 
+  /** Rejects if the port can't be bound. */
   start(): Promise<void> {
     const { peerPort, host } = this.#view.settings;
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
+      this.#socket.once("error", reject);
       this.#socket.bind(peerPort, host, () => {
+        this.#socket.off("error", reject);
         this.#sendLater();
         resolve();
       });
