Take an answer without a status of HTTP for none, in the daemon

What callers could see: a faulty upstream answers a plain request with "HTTP/1.1 000" or "099". Node reads it and refuses to write it: the caller's answer threw in the handler of the upstream's answer. The daemon handles no exception outside of its handlers, so that Node would end the process with all its requests; that end is by reading, not shown on a real process.

Held back that was right before: nothing that a caller could hear.

Evidence: two tests of attempt_answer_test fail before ("completed" with 0 and 99, passed on to the caller's side) and pass now, with the 19 others of tasks.

--- a/packages/daemon/src/tasks/attempt_answer_test.ts
+++ b/packages/daemon/src/tasks/attempt_answer_test.ts
@@ -129,3 +129,21 @@
   expect(unsent()).toBeGreaterThan(1_000_000);
   expect(received.text.length).toBeLessThan(300_000);
 });
+
+// Guards against a status that Node reads but refuses to write to a caller.
+test.each(["000", "099"])(
+  "a status of %s is an upstream's error",
+  async (status) => {
+    const raw = await fixture.startRawUpstream((socket) =>
+      socket.end(`HTTP/1.1 ${status} Odd\r\ncontent-length: 0\r\n\r\n`),
+    );
+    const call = { isPlain: true, isIdempotent: false };
+    const { attemptId, taken: received } = fixture.start(raw.url, call);
+    expect(await fixture.end(attemptId)).toMatchObject({
+      kind: "failed",
+      isRelayed: false,
+      fault: { code: "upstream_error" },
+    });
+    expect(received.head).toBe(0);
+  },
+);
--- a/packages/daemon/src/tasks/upstream_attempt.ts
+++ b/packages/daemon/src/tasks/upstream_attempt.ts
@@ -12,6 +12,8 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_BUFFERED_BYTES = 262_144;
+/** Lowest status that HTTP has, and that can be passed on. */
+const INFORMATION = 100;
 const TOO_MANY_REQUESTS = 429;
 const SERVER_ERROR = 500;
 const EMPTY_BUFFER: Buffer = Buffer.alloc(0);
@@ -113,6 +115,10 @@
       this.#fail("answer_mismatch", "the answer names another request");
       return;
     }
+    if (status < INFORMATION) {
+      this.#fail("upstream_error", `the answer has no status but ${status}`);
+      return;
+    }
     if (isUpstreamError(status) && !shouldRelayError(order)) {
       this.#handleErrorStatus(status, answer.headers["x-run"] === "not run");
       return;
