Show that a reset read beside the last bytes looks like an end in order

Cause: the answers had neither length nor chunks. A process that reads late gets bytes and reset at once; the runtime then reports an end in order and no error (plain node, without the project: 3 of 3 while the reader is busy, 0 of 3 else). The test of a reset waited 20 ms between bytes and reset, which hid it.

--- a/packages/gateway/src/requests/close_delimited_test.ts
+++ b/packages/gateway/src/requests/close_delimited_test.ts
@@ -77,6 +77,19 @@
   expect(answer.body).toBe([1, 2, 3].map(buildEvent).join(""));
 });
 
+// Guards against a cut answer that looks whole to a process that reads late.
+test("a reset that is read together with the last bytes is no end in order", async () => {
+  const begin = (socket: Socket): void => {
+    socket.write(`${STREAM_HEAD}${buildEvent(1)}`);
+    setTimeout(() => {
+      socket.write(buildEvent(2));
+      socket.resetAndDestroy();
+    }, 50);
+  };
+  const { answer } = await runClosed(begin, REST, NOT_RESUMABLE);
+  expect(answer.end).toBe("broken-off");
+});
+
 test("a stream that stays open without data goes on elsewhere", async () => {
   const bytes = `${STREAM_HEAD}${buildEvent(1)}`;
   const { answer } = await runClosed((socket) => socket.write(bytes), REST);
