End a daemon's attempt whose request can't be built as not started

What callers could see: a request whose attempt can't be built (a header or a path that Node refuses) threw out of the core's step: the other effects of that step were lost, and the attempt stayed counted at its upstream for good. Not seen on real processes: a caller's own headers and path pass Node's parser first, so it takes headers of the configuration or of a batch.

Change: such an attempt ends as not started, with the reason, like one whose upstream is gone from the configuration.

Let through: it is tried again as the policy allows for what was not started. Held back: nothing.

Evidence: two tests of attempt_connection_test fail before (the exception leaves start()) and pass now, with the 22 others of tasks.

--- a/packages/daemon/src/tasks/attempt_connection_test.ts
+++ b/packages/daemon/src/tasks/attempt_connection_test.ts
@@ -117,3 +117,20 @@
   await fixture.end(next.attemptId);
   expect(next.taken.text).toBe("{}");
 });
+
+// Guards against an exception of a send, after which its attempt never ended.
+test.each([
+  ["a header", { headers: { "x-a": "\u4e2d" } }],
+  ["a path", { path: "/a b" }],
+])(
+  "an attempt with %s that no request carries has not started",
+  async (_, call) => {
+    const raw = await fixture.startRawUpstream(() => undefined);
+    const { attemptId } = fixture.start(raw.url, call);
+    expect(await fixture.end(attemptId)).toMatchObject({
+      kind: "not-started",
+      fault: { code: "upstream_error", peer: "engine" },
+    });
+    expect(raw.sockets).toHaveLength(0);
+  },
+);
--- a/packages/daemon/src/tasks/attempt_task.ts
+++ b/packages/daemon/src/tasks/attempt_task.ts
@@ -13,9 +13,21 @@
     this.#post = post;
   }
 
+  /** Starts an attempt; one whose request can't be built ends as not started. */
   start(order: AttemptOrder): void {
+    const { attemptId, upstreamId } = order;
+    try {
+      this.#running.set(attemptId, this.#open(order));
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      const fault = { code: "upstream_error", step: "connect" } as const;
+      this.refuse(attemptId, { ...fault, peer: upstreamId, message });
+    }
+  }
+
+  #open(order: AttemptOrder): UpstreamAttempt {
     const { attemptId } = order;
-    const attempt = new UpstreamAttempt(order, {
+    return new UpstreamAttempt(order, {
       pool: this.#pool,
       onFirstToken: (upstreamInfo) => {
         this.#post({ kind: "attempt-first-token", attemptId, ...upstreamInfo });
@@ -30,7 +42,6 @@
         });
       },
     });
-    this.#running.set(attemptId, attempt);
   }
 
   /**
