Answer all requests that were sent together when a drain begins

What callers could see: of requests sent together on one connection of the daemon, those behind the first were run and cut when a drain began.

Cause: each answer in flight was told to end its connection, the first one too.

Evidence: follow_requests_test, which failed before (one of two answered) and passes now. Not seen on real processes.

Change: only the last answer of a connection ends it; one that was to end it no longer does when another request arrives behind it.

--- a/packages/daemon/src/tasks/follow_requests.ts
+++ b/packages/daemon/src/tasks/follow_requests.ts
@@ -9,12 +9,29 @@
 ): Pick<Listener, "startDrain" | "countInFlight" | "close"> {
   const inFlight = new Set<ServerResponse>();
   const control = { isDraining: false };
-  const recordRequest = (_req: IncomingMessage, res: ServerResponse): void => {
+  const lastOf = new WeakMap<object, ServerResponse>();
+  /** Answers that would keep their connection if there were no drain. */
+  const endedHere = new WeakSet<ServerResponse>();
+  const endConnection = (res: ServerResponse): void => {
+    const isLast = lastOf.get(res.req.socket) === res;
+    if (isLast && !res.headersSent && res.shouldKeepAlive) {
+      endedHere.add(res);
+      res.shouldKeepAlive = false;
+    }
+  };
+  const recordRequest = (req: IncomingMessage, res: ServerResponse): void => {
+    const previous = lastOf.get(req.socket);
+    lastOf.set(req.socket, res);
     inFlight.add(res);
     res.once("close", () => inFlight.delete(res));
-    if (control.isDraining) {
-      endConnection(res);
+    if (!control.isDraining) {
+      return;
+    }
+    // Its end of the connection would cut off the one behind it.
+    if (previous !== undefined && endedHere.has(previous)) {
+      previous.shouldKeepAlive ||= !previous.headersSent;
     }
+    endConnection(res);
   };
   server.prependListener("request", recordRequest);
   const closeIdle = server.closeIdleConnections.bind(server);
@@ -38,13 +55,3 @@
 function isUnsent(res: ServerResponse): boolean {
   return res.writableEnded && !res.writableFinished;
 }
-
-/**
- * Sends `connection: close` with an answer whose headers have not been sent
- * yet.
- */
-function endConnection(res: ServerResponse): void {
-  if (!res.headersSent) {
-    res.shouldKeepAlive = false;
-  }
-}
--- a/packages/daemon/src/tasks/follow_requests_test.ts
+++ b/packages/daemon/src/tasks/follow_requests_test.ts
@@ -62,6 +62,22 @@
   await closed;
 }, 10_000);
 
+// Guards against a request behind another that is run and then cut by the end of the
+// connection.
+test("requests that were sent together are all answered in a drain", async () => {
+  const { port, seen, startDrain, close } = await startServer();
+  const socket = connect(port, HOST);
+  const got = collectBytes(socket);
+  writeRequest(socket, "/a");
+  writeRequest(socket, "/b");
+  await expect.poll(() => seen.length).toBe(2);
+  startDrain();
+  writeRequest(socket, "/c");
+  await expect.poll(() => got.isClosed, { timeout: 2_000 }).toBe(true);
+  expect(got.text.match(/HTTP\/1.1 200 /g)).toHaveLength(3);
+  await close(LIMIT_MS);
+});
+
 // Guards against a request sent at once after an answer that kept the connection, and
 // cut by the close of the listener.
 test("what is run on a kept connection while a listener closes is answered", async () => {
