Drop requests that were sent together from the count with their caller

Cause: Node closes only the answer that is being written when a connection closes. Those behind it stayed in the count of the daemon's listener, and a drain waited for them until its limit.

Evidence: follow_requests_test, which failed before (1 left) and passes now.

--- a/packages/daemon/src/tasks/follow_requests.ts
+++ b/packages/daemon/src/tasks/follow_requests.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Server as TlsServer } from "node:https";
+import type { Socket } from "node:net";
 import { closeListener } from "./close_listener.ts";
 import type { Listener } from "./types.ts";
 
@@ -9,7 +10,7 @@
 ): Pick<Listener, "startDrain" | "countInFlight" | "close"> {
   const inFlight = new Set<ServerResponse>();
   const control = { isDraining: false };
-  const lastOf = new WeakMap<object, ServerResponse>();
+  const lastOf = new WeakMap<Socket, ServerResponse>();
   /** Answers that would keep their connection if there were no drain. */
   const endedHere = new WeakSet<ServerResponse>();
   const endConnection = (res: ServerResponse): void => {
@@ -19,9 +20,22 @@
       res.shouldKeepAlive = false;
     }
   };
+  // Node closes only the answer that is being written on a connection.
+  const followClose = (socket: Socket): void => {
+    socket.once("close", () =>
+      [...inFlight]
+        .filter(({ req }) => req.socket === socket)
+        .forEach((res) => {
+          inFlight.delete(res);
+        }),
+    );
+  };
   const recordRequest = (req: IncomingMessage, res: ServerResponse): void => {
     const previous = lastOf.get(req.socket);
     lastOf.set(req.socket, res);
+    if (previous === undefined) {
+      followClose(req.socket);
+    }
     inFlight.add(res);
     res.once("close", () => inFlight.delete(res));
     if (!control.isDraining) {
--- a/packages/daemon/src/tasks/follow_requests_test.ts
+++ b/packages/daemon/src/tasks/follow_requests_test.ts
@@ -104,3 +104,16 @@
   const answers = got.flatMap(({ text }) => text.match(/text/g) ?? []);
   expect(answers).toHaveLength(seen.length);
 }, 10_000);
+
+// Guards against requests that stay in the count when their caller is gone, so that a
+// drain waits for them until its end.
+test("requests that were sent together are dropped with their caller", async () => {
+  const { port, seen, countInFlight, close } = await startServer();
+  const socket = connect(port, HOST);
+  writeRequest(socket, "/a");
+  writeRequest(socket, "/b");
+  await expect.poll(() => seen.length).toBe(2);
+  socket.destroy();
+  await expect.poll(countInFlight).toBe(0);
+  await close(LIMIT_MS);
+});
