--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -7,6 +7,7 @@
 } from "./engine/types.ts";
 export { createMetadata } from "./metadata/create_metadata.ts";
 export type * from "./metadata/types.ts";
+export { WatchTap } from "./metadata/watch_tap.ts";
 export { startStore } from "./platform/start_store.ts";
 export { StoreState } from "./platform/store_state.ts";
 export type * from "./platform/types.ts";
