Give the callers of the drain test no time-out that a busy machine reaches

Once, in the whole run beside other load, 146 of 148 requests that were passed on got 200. None was cut: the check for cut connections before it had passed. Likely, not traced: a route of 300 ms answered 504 when its time was up.

--- a/packages/gateway/src/testing/start_serving.ts
+++ b/packages/gateway/src/testing/start_serving.ts
@@ -27,6 +27,7 @@
   buildRoute("/stream/", { shape: CALL_SHAPES.stream }),
   buildRoute("/slow/"),
   buildRoute("/short/", { timeoutMs: 300 }),
+  buildRoute("/quick/"),
   buildRoute("/large/"),
 ];
 
