--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -71,6 +71,7 @@
 export { LOG_EVENTS } from "./logs/log_events.ts";
 export type * from "./logs/types.ts";
 export type * from "./membership/types.ts";
+export { METADATA } from "./metadata/constants.ts";
 export { getEventKey } from "./metadata/get_event_key.ts";
 export { getEventRevision } from "./metadata/get_event_revision.ts";
 export type * from "./metadata/types.ts";
--- a/packages/gateway/src/streams/history_record.ts
+++ b/packages/gateway/src/streams/history_record.ts
@@ -1,4 +1,4 @@
-import type { VersionHistory } from "@gooseberryline/core";
+import { METADATA, type VersionHistory } from "@gooseberryline/core";
 import { z } from "zod";
 import { buildRecordSchema } from "../build_record_schema.ts";
 import { decodeJson } from "../decode_json.ts";
@@ -7,9 +7,6 @@
 /** Within the prefix of the instances, so that one watch follows both. */
 const PREFIX = `${memberRecord.prefix}versions/`;
 
-/** Longest key that the store holds, in bytes. */
-const MAX_KEY_BYTES = 200;
-
 const SCHEMA: z.ZodType<VersionHistory> = z.object({
   service: z.string(),
   sinceMs: z.number(),
@@ -21,7 +18,7 @@
   buildKey: (service: string): string => `${PREFIX}${service}`,
   /** Whether the store can hold the record of a service of this name. */
   canHold: (service: string): boolean =>
-    Buffer.byteLength(PREFIX + service) <= MAX_KEY_BYTES,
+    Buffer.byteLength(PREFIX + service) <= METADATA.MAX_KEY_BYTES,
   /** Returns the service; undefined if the key is of another record. */
   parseKey: (key: string): string | undefined =>
     key.startsWith(PREFIX) ? key.slice(PREFIX.length) : undefined,
--- a/packages/gateway/src/testing/create_item_pool.ts
+++ b/packages/gateway/src/testing/create_item_pool.ts
@@ -9,6 +9,7 @@
 import { JOB_ROUTE } from "./job_route.ts";
 import { plainDialect } from "./plain_dialect.ts";
 import { SILENT_LOG } from "./silent_log.ts";
+import { SMALL_LIMITS } from "./small_limits.ts";
 import type { TestUpstream } from "./start_upstream.ts";
 
 const SERVICE = "s";
@@ -42,12 +43,7 @@
       routes: hasRoute ? [ROUTE, LOST_ROUTE] : [],
       services: [],
       customers: [],
-      limits: {
-        headerBytes: 1,
-        bodyBytes: 1,
-        headerTimeoutMs: 1,
-        idleTimeoutMs: 1,
-      },
+      limits: SMALL_LIMITS,
     });
   adoptConfig(1, true);
   const addUpstream = ({ address, version }: ItemUpstream, id: string): void =>
--- a/packages/gateway/src/testing/start_runner.ts
+++ b/packages/gateway/src/testing/start_runner.ts
@@ -14,6 +14,7 @@
 import { JOB_ROUTE } from "./job_route.ts";
 import { plainDialect } from "./plain_dialect.ts";
 import { SILENT_LOG } from "./silent_log.ts";
+import { SMALL_LIMITS } from "./small_limits.ts";
 
 type Line = { readonly event: string; readonly jobId: unknown };
 
@@ -92,12 +93,7 @@
       })),
       services: [],
       customers: [],
-      limits: {
-        headerBytes: 1,
-        bodyBytes: 1,
-        headerTimeoutMs: 1,
-        idleTimeoutMs: 1,
-      },
+      limits: SMALL_LIMITS,
     });
   };
   const listResultIds = async (jobId: string): Promise<readonly string[]> => {
