Look up peers' reports by upstream, not message by message

In a large fleet, instances spent their processor time on control and too little was served. Each placement searched the last message of every peer for every upstream: three passes of 194 x 69 at 195 instances, and a worker does so for each item that it places.

What a peer says of upstreams is now held by upstream and replaced as its next message comes, so a look costs what is said of that upstream. Ages are still checked at the look, so nothing is kept longer or shorter.

The property test compares with the plain sum over whole messages; it holds before and after. The other test failed before: one placement read 66,930 fields of peers' messages, now none.

--- a/packages/gateway/src/fleet/load_tracker.ts
+++ b/packages/gateway/src/fleet/load_tracker.ts
@@ -1,6 +1,7 @@
 import type { InFlightWork, LoadMessage } from "@gooseberryline/core";
 import { addWork } from "./add_work.ts";
 import { FLEET } from "./constants.ts";
+import { PeerReports } from "./peer_reports.ts";
 import type { PeerState } from "./peer_state.ts";
 
 export type Lane = "online" | "batch";
@@ -16,6 +17,7 @@
 export class LoadTracker {
   readonly #own = new Map<string, InFlightWork>();
   readonly #peers = new Map<string, PeerState>();
+  readonly #reports = new PeerReports();
   readonly #suspects = new Map<string, SuspectState>();
   readonly #lastActivityMs = new Map<string, number>();
   readonly #meanServiceTimesMs = new Map<string, number>();
@@ -66,15 +68,10 @@
    * Returns whether an upstream has sent data to any instance since `sinceMs`.
    */
   hasActivitySince(upstreamId: string, sinceMs: number): boolean {
-    const lastMs =
+    const ownMs =
       this.#lastActivityMs.get(upstreamId) ?? Number.NEGATIVE_INFINITY;
-    return (
-      lastMs > sinceMs ||
-      [...this.#peers.values()].some(({ message, receivedMs }) => {
-        const quietMs = message.quietMs[upstreamId];
-        return quietMs !== undefined && receivedMs - quietMs > sinceMs;
-      })
-    );
+    const peersMs = this.#reports.getLastActivityMs(upstreamId);
+    return Math.max(ownMs, peersMs) > sinceMs;
   }
 
   /**
@@ -139,7 +136,9 @@
     this.#updateUnheard(message.from, lastMessage?.unheard, message.unheard);
     if (message.isLeaving) {
       this.#peers.delete(message.from);
+      this.#reports.drop(message.from);
     } else {
+      this.#reports.record(message, receivedMs);
       this.#peers.set(message.from, {
         message,
         receivedMs,
@@ -215,9 +214,12 @@
 
   /** Counts the work in flight at an upstream over all instances. */
   countInFlight(upstreamId: string, nowMs: number): InFlightWork {
-    return this.#listCurrentMessages(nowMs)
-      .map(({ open }) => open[upstreamId] ?? NO_WORK)
-      .reduce(addWork, this.countOwnInFlight(upstreamId));
+    const maxAgeMs = this.#getMaxAgeMs();
+    const reported = this.#reports.countInFlight(upstreamId, {
+      nowMs,
+      maxAgeMs,
+    });
+    return addWork(this.countOwnInFlight(upstreamId), reported);
   }
 
   countOwnInFlight(upstreamId: string): InFlightWork {
@@ -230,11 +232,9 @@
    */
   getSuspectUntilMs(upstreamId: string, nowMs: number): number {
     const own = this.#suspects.get(upstreamId)?.untilMs ?? 0;
-    return [...this.#peers.values()]
-      .filter(({ message }) => message.suspects.includes(upstreamId))
-      .map(({ receivedMs }) => receivedMs + FLEET.PEER_SUSPECT_MS)
-      .filter((untilMs) => untilMs > nowMs)
-      .reduce((latest, untilMs) => Math.max(latest, untilMs), own);
+    const peersUntilMs =
+      this.#reports.getLastSuspectMs(upstreamId) + FLEET.PEER_SUSPECT_MS;
+    return peersUntilMs > nowMs ? Math.max(own, peersUntilMs) : own;
   }
 
   /** Lists the peers with waiting items of a service, or of one not named. */
@@ -247,15 +247,10 @@
       .map(({ from }) => from);
   }
 
-  /**
-   * Lists the number of batch items in flight at an upstream, as last reported
-   * by each peer.
-   */
+  /** Lists the peers that report batch items in flight at an upstream. */
   listPeerItems(upstreamId: string, nowMs: number) {
-    return this.#listCurrentMessages(nowMs).map(({ from, open }) => ({
-      workerId: from,
-      items: open[upstreamId]?.batch ?? 0,
-    }));
+    const maxAgeMs = this.#getMaxAgeMs();
+    return this.#reports.listItems(upstreamId, { nowMs, maxAgeMs });
   }
 
   listOwnInFlight(): Readonly<Record<string, InFlightWork>> {
@@ -270,12 +265,16 @@
 
   /** Lists the peers' messages that are recent enough to be used. */
   #listCurrentMessages(nowMs: number): readonly LoadMessage[] {
-    const maxAgeMs = Math.max(FLEET.MAX_LOAD_AGE_MS, this.#getAgeLimitMs());
+    const maxAgeMs = this.#getMaxAgeMs();
     return [...this.#peers.values()]
       .filter(({ receivedMs }) => nowMs - receivedMs <= maxAgeMs)
       .map(({ message }) => message);
   }
 
+  #getMaxAgeMs(): number {
+    return Math.max(FLEET.MAX_LOAD_AGE_MS, this.#getAgeLimitMs());
+  }
+
   #changeInFlight(upstreamId: string, lane: Lane, delta: number): void {
     const next = addWork(this.countOwnInFlight(upstreamId), {
       ...NO_WORK,
