List the members anew only when they change

Every message, placement and admission asked for the members of the fleet, and each time a list of all was made; admission did so once more for each peer, to compute one and the same timeout, so it grew as the square of the fleet.

Lists are kept until a member changes or a fence ends. The property test compares with plain lists over random changes; it holds before and after. The other test, which expects the same list, failed before.

--- a/packages/gateway/src/fleet/member_registry.ts
+++ b/packages/gateway/src/fleet/member_registry.ts
@@ -5,14 +5,28 @@
   readonly unlistedMs?: number;
 };
 
-/** Tracks the instances of the fleet by their records in the store. */
+/** Members that may be running, as long as none changes and time has not come. */
+type PossiblyRunning = {
+  readonly members: readonly FleetMember[];
+  /** When the first of them no longer counts, in ms. */
+  readonly untilMs: number;
+};
+
+/**
+ * Tracks the instances of the fleet by their records in the store. Lists are made
+ * anew only when they differ, as every message and placement asks for them.
+ */
 export class MemberRegistry {
   readonly #members = new Map<string, KnownMember>();
+  /** The listed members, by duty; undefined for all. */
+  readonly #lists = new Map<Duty | undefined, readonly FleetMember[]>();
+  #possiblyRunning: PossiblyRunning | undefined;
+  readonly #spenders = new Map<Duty, readonly string[]>();
   /** Data centres by address; an address does not move to another. */
   readonly #dataCentres = new Map<string, string>();
 
   set(member: FleetMember): void {
-    this.#members.set(member.id, { member });
+    this.#change(() => this.#members.set(member.id, { member }));
     this.#dataCentres.set(member.address, member.dataCentre);
   }
 
@@ -23,7 +37,9 @@
   remove(id: string, nowMs: number): void {
     const known = this.#members.get(id);
     if (known !== undefined && known.unlistedMs === undefined) {
-      this.#members.set(id, { ...known, unlistedMs: nowMs });
+      this.#change(() =>
+        this.#members.set(id, { ...known, unlistedMs: nowMs }),
+      );
     }
   }
 
@@ -33,7 +49,7 @@
    */
   dropIncarnation(id: string, incarnation: string): void {
     if (this.#members.get(id)?.member.incarnation === incarnation) {
-      this.#members.delete(id);
+      this.#change(() => this.#members.delete(id));
     }
   }
 
@@ -59,19 +75,21 @@
 
   /** Counts the instances currently registered in the store. */
   count(): number {
-    let count = 0;
-    this.#members.forEach(({ unlistedMs }) => {
-      count += unlistedMs === undefined ? 1 : 0;
-    });
-    return count;
+    return this.list().length;
   }
 
   /** Lists the instances currently registered in the store. */
   list(duty?: Duty): readonly FleetMember[] {
-    return [...this.#members.values()]
+    const known = this.#lists.get(duty);
+    if (known !== undefined) {
+      return known;
+    }
+    const members = [...this.#members.values()]
       .filter(({ unlistedMs }) => unlistedMs === undefined)
       .map(({ member }) => member)
       .filter((member) => duty === undefined || member.duty === duty);
+    this.#lists.set(duty, members);
+    return members;
   }
 
   /**
@@ -79,21 +97,49 @@
    * lease expired so recently that they may only be cut off from the store.
    */
   listPossiblyRunning(nowMs: number): readonly FleetMember[] {
-    return [...this.#members.values()]
-      .filter(
-        ({ unlistedMs }) =>
-          unlistedMs === undefined ||
-          nowMs - unlistedMs < QUOTAS.REMOVED_PEER_FENCE_MS,
-      )
-      .map(({ member }) => member);
+    const known = this.#possiblyRunning;
+    if (known !== undefined && nowMs < known.untilMs) {
+      return known.members;
+    }
+    const running = [...this.#members.values()]
+      .map(({ member, unlistedMs }) => ({
+        member,
+        untilMs: computeFenceEndMs(unlistedMs),
+      }))
+      .filter(({ untilMs }) => nowMs < untilMs);
+    const members = running.map(({ member }) => member);
+    const untilMs = Math.min(...running.map((entry) => entry.untilMs));
+    this.#possiblyRunning = { members, untilMs };
+    this.#spenders.clear();
+    return members;
   }
 
   /**
    * Lists the ids of instances that may be spending a share of a rate limit.
    */
   listSpenders(duty: Duty, nowMs: number): readonly string[] {
-    return this.listPossiblyRunning(nowMs)
+    const members = this.listPossiblyRunning(nowMs);
+    const known = this.#spenders.get(duty);
+    if (known !== undefined) {
+      return known;
+    }
+    const ids = members
       .filter((member) => member.duty === duty)
       .map(({ id }) => id);
+    this.#spenders.set(duty, ids);
+    return ids;
   }
+
+  #change(apply: () => void): void {
+    apply();
+    this.#lists.clear();
+    this.#possiblyRunning = undefined;
+  }
+}
+
+/** Returns until when a member may be running, in ms. */
+function computeFenceEndMs(unlistedMs: number | undefined): number {
+  return unlistedMs === undefined
+    ? Number.POSITIVE_INFINITY
+    : unlistedMs + QUOTAS.REMOVED_PEER_FENCE_MS;
 }
--- a/packages/gateway/src/fleet/quota_tracker.ts
+++ b/packages/gateway/src/fleet/quota_tracker.ts
@@ -137,8 +137,9 @@
   #computeReachableShare(name: string, nowMs: number): number {
     const { listSpenders, load, instanceId, getTimeoutMs } = this.#parts;
     const others = listSpenders(name, nowMs).filter((id) => id !== instanceId);
+    const timeoutMs = getTimeoutMs();
     const reachable = others.filter((id) =>
-      load.hasRecentMessage(id, getTimeoutMs(), nowMs),
+      load.hasRecentMessage(id, timeoutMs, nowMs),
     );
     return (reachable.length + 1) / (others.length + 1);
   }
