Check the tables of load messages with one look at their values

Each instance reads a message of every other one in turn, and most of the time that this took was the schema's: a table was made a list, each entry a tuple with a schema of its own, and the list a table again.

The tables of numbers are now checked in place, as strictly: objects only, finite numbers only, any name, no prototype. A test covers what is not heard.

--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -1,11 +1,25 @@
-import { DUTIES, type LoadMessage } from "@gooseberryline/core";
+import {
+  type CustomerUsage,
+  DUTIES,
+  type InFlightWork,
+  type LoadMessage,
+} from "@gooseberryline/core";
 import { z } from "zod";
+import { buildCheckedRecordSchema } from "../build_checked_record_schema.ts";
 import { buildRecordSchema } from "../build_record_schema.ts";
 import { CRASH_NEWS_SCHEMA } from "../crashes/crash_news_schema.ts";
 import { decodeJson } from "../decode_json.ts";
+import { holdsNumbers } from "./holds_numbers.ts";
 
-const WORK = z.object({ online: z.number(), batch: z.number() });
-const USE = z.object({ admitted: z.number(), tokens: z.number() });
+const NUMBERS = buildCheckedRecordSchema((value): value is number =>
+  Number.isFinite(value),
+);
+const WORK = buildCheckedRecordSchema((value): value is InFlightWork =>
+  holdsNumbers(value, ["online", "batch"]),
+);
+const USE = buildCheckedRecordSchema((value): value is CustomerUsage =>
+  holdsNumbers(value, ["admitted", "tokens"]),
+);
 const LIMIT = z.object({
   perSecond: z.number().nonnegative(),
   ageMs: z.number(),
@@ -27,15 +41,15 @@
   ageMs: z.number(),
   hasStore: z.boolean(),
   sequence: z.number(),
-  open: buildRecordSchema(WORK),
+  open: WORK,
   waitingItems: z.number(),
   waitingServices: z.array(z.string()).optional(),
-  quietMs: buildRecordSchema(z.number()),
+  quietMs: NUMBERS,
   suspects: z.array(z.string()),
-  use: buildRecordSchema(USE),
+  use: USE,
   unheard: z.array(z.string()),
-  seen: buildRecordSchema(z.number()),
-  listed: buildRecordSchema(z.number()),
+  seen: NUMBERS,
+  listed: NUMBERS,
   limits: buildRecordSchema(LIMIT).optional(),
   leaving: z.array(LEAVING).optional(),
   crashes: CRASH_NEWS_SCHEMA.optional(),
--- a/packages/gateway/src/fleet/load_codec_test.ts
+++ b/packages/gateway/src/fleet/load_codec_test.ts
@@ -45,6 +45,29 @@
   expect(loadCodec.decode(bytes)).toBeUndefined();
 });
 
+// Guards against a check of numbers that lets others through.
+test("a message with a value of a table that is no number is not heard", () => {
+  const message = createMessage();
+  const odd = [
+    { open: { u: { online: "1", batch: 0 } } },
+    { open: { u: { online: 1 } } },
+    { open: { u: null } },
+    { use: { t: { admitted: 1, tokens: [] } } },
+    { quietMs: { u: "3" } },
+    { seen: { u: null } },
+    { listed: { u: {} } },
+    { listed: null },
+    { listed: undefined },
+  ];
+  odd.forEach((fields) => {
+    const bytes = Buffer.from(JSON.stringify({ ...message, ...fields }));
+    expect(loadCodec.decode(bytes)).toBeUndefined();
+  });
+  const text = JSON.stringify({ ...message, listed: { u: 7 } });
+  const infinite = Buffer.from(text.replace('{"u":7}', '{"u":1e999}'));
+  expect(loadCodec.decode(infinite)).toBeUndefined();
+});
+
 // Guards against a history that was written again and again, as names were lost.
 test("versions of any name stay in a service's history", () => {
   const versions = buildTable(null);
