Set no timer to yield slots where none are held

Every load message of a peer set a timer, at each instance, to look for items that have to yield; instances that serve callers run none.

--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -148,7 +148,12 @@
   });
   view.limits.onChange = (upstream, perSecond, source) =>
     log.info("upstream-limit", { upstream, perSecond, source });
-  view.onPeerLoad = () => runner.handleLoadChange();
+  view.onPeerLoad = () => {
+    // Without runs there is no slot to yield.
+    if (runner.countRunning() > 0) {
+      runner.handleLoadChange();
+    }
+  };
   view.readResultCounts = () => runner.listResultCounts();
   view.onPeerResultCounts = (listed) => resultCounts.recordCounts(listed);
   view.readWatchRevisions = () => watches.listRevisions();
