Handle the load messages of a large fleet together

At 195 instances each hears 125 messages a second, one each 8 ms, and each woke the process up for itself.

Messages are now held for a 32nd of the interval beyond the minimum, 43 ms at 195 instances and none in a fleet that reports each 100 ms, and handled in one turn, with the times at which they came. The interval is 7.5 ms a member instead of 8, so that news is no older in spite of two such waits, on the way through another instance. A message that is sent early, since peers must learn something at once, bears a mark and is handled as it comes; earlier builds leave the mark out and ignore it.

Of 125 messages in a second, 25 turns at most are left.

--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -74,4 +74,6 @@
   readonly crashes?: CrashNews | undefined;
   /** Set in the one message that an instance sends on shutdown. */
   readonly isLeaving: boolean;
+  /** Set if peers must learn what it says at once; earlier builds leave it out. */
+  readonly isUrgent?: boolean | undefined;
 };
--- a/packages/gateway/src/fleet/constants.ts
+++ b/packages/gateway/src/fleet/constants.ts
@@ -24,6 +24,8 @@
   PEER_SUSPECT_MS: 400,
   /** Maximum age of upstream activity that is reported to peers, in ms. */
   MAX_ACTIVITY_AGE_MS: 250,
+  /** Share of the quota slack that an instance may spend when it starts. */
+  INITIAL_TOKENS_SHARE: 0.5,
   /** Weight of one request in the moving average of service times. */
   SERVICE_TIME_WEIGHT: 0.05,
   /** Service time assumed until a request has completed, in ms. */
@@ -49,5 +51,11 @@
    * Message interval per fleet member, which bounds the sending rate of an
    * instance, in ms.
    */
-  GOSSIP_INTERVAL_PER_PEER_MS: 8,
+  GOSSIP_INTERVAL_PER_PEER_MS: 7.5,
+  /**
+   * Share of the interval beyond the minimum for which messages of peers are held.
+   * They are held at the instance that passes them on and where they arrive; both
+   * are made up for by the shorter interval.
+   */
+  INBOX_INTERVAL_SHARE: 1 / 32,
 } as const;
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -15,6 +15,8 @@
 import { CrashTracker } from "../crashes/crash_tracker.ts";
 import type { GatewaySettings } from "../settings/types.ts";
 import { computeLoadTimes } from "./compute_load_times.ts";
+import { FLEET } from "./constants.ts";
+import { describeSender } from "./describe_sender.ts";
 import { type Lane, LoadTracker } from "./load_tracker.ts";
 import { MemberRegistry } from "./member_registry.ts";
 import { MessageRouter } from "./message_router.ts";
@@ -24,9 +26,6 @@
 import { UpstreamDirectory } from "./upstream_directory.ts";
 import { UpstreamLimitTracker } from "./upstream_limit_tracker.ts";
 
-/** Share of the quota slack that an instance may spend when it starts. */
-const INITIAL_TOKENS_SHARE = 0.5;
-
 /** Holds what this instance knows of the fleet and of its configuration. */
 export class FleetView {
   readonly settings: GatewaySettings;
@@ -81,7 +80,7 @@
     const { members, load } = this;
     const startedMs = readNowMs();
     this.#startedMs = startedMs;
-    const initialTokens = settings.quotaSlack * INITIAL_TOKENS_SHARE;
+    const initialTokens = settings.quotaSlack * FLEET.INITIAL_TOKENS_SHARE;
     this.quotas = new QuotaTracker({
       instanceId,
       load,
@@ -179,12 +178,14 @@
   }
 
   /**
-   * Handles a peer's load message; returns false if it is not newer than the
-   * last one. `isDirect` says whether it shows that the peer is reached: it came
-   * from the peer itself, or by way of this data centre from one in another.
+   * Handles a peer's load message; returns false if it is not newer than the last.
+   * `isDirect`: it came from the peer itself, or from afar by way of this data centre.
    */
-  handleMessage(message: LoadMessage, isDirect: boolean): boolean {
-    const nowMs = this.readNowMs();
+  handleMessage(
+    message: LoadMessage,
+    isDirect: boolean,
+    nowMs = this.readNowMs(),
+  ): boolean {
     if (!this.load.recordPeerMessage(message, nowMs, isDirect)) {
       return false;
     }
@@ -213,9 +214,14 @@
    * Handles a load message that arrived from the address `sender`; returns the
    * peers to which this instance passes it on.
    */
-  receiveMessage(message: LoadMessage, sender: string): readonly FleetMember[] {
+  receiveMessage(
+    message: LoadMessage,
+    sender: string,
+    receivedMs = this.readNowMs(),
+  ): readonly FleetMember[] {
     const path = this.#router.locateSender(message, sender);
-    return !this.handleMessage(message, path.isDirect) || message.isLeaving
+    const isNews = this.handleMessage(message, path.isDirect, receivedMs);
+    return !isNews || message.isLeaving
       ? []
       : this.#router.listRecipients(message, path);
   }
@@ -232,10 +238,7 @@
     const isServing = this.settings.duty === DUTIES.serve;
     const customers = this.#table?.customers ?? new Map();
     return {
-      from: this.settings.instanceId,
-      address: this.settings.host,
-      dataCentre: this.settings.dataCentre,
-      duty: this.settings.duty,
+      ...describeSender(this.settings),
       incarnation: this.incarnation,
       ageMs: Math.round(nowMs - this.#startedMs),
       hasStore: this.hasStore,
@@ -270,9 +273,7 @@
    * members.
    */
   getRank(duty?: Duty): { readonly rank: number; readonly count: number } {
-    const ids = this.members.list(duty).map(({ id }) => id);
-    const rank = ids.filter((id) => id < this.settings.instanceId).length;
-    return { rank, count: Math.max(1, ids.length) };
+    return this.members.getRank(this.settings.instanceId, duty);
   }
 
   /**
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -54,8 +54,12 @@
   leaving: z.array(LEAVING).optional(),
   crashes: CRASH_NEWS_SCHEMA.optional(),
   isLeaving: z.boolean(),
+  isUrgent: z.boolean().optional(),
 });
 
+/** How the mark of an urgent message reads; text in it has its quotes escaped. */
+const URGENT_MARK = '"isUrgent":true';
+
 /**
  * Encodes and decodes the load messages between instances, JSON datagrams that
  * are validated on receipt.
@@ -63,6 +67,8 @@
 export const loadCodec = {
   encode: (message: LoadMessage): Buffer =>
     Buffer.from(JSON.stringify(message)),
+  /** Returns whether an encoded message is marked as urgent, undecoded. */
+  isUrgent: (bytes: Buffer): boolean => bytes.includes(URGENT_MARK),
   /**
    * Returns undefined for bytes that are not a load message of this version.
    */
--- a/packages/gateway/src/fleet/load_codec_test.ts
+++ b/packages/gateway/src/fleet/load_codec_test.ts
@@ -68,6 +68,19 @@
   expect(loadCodec.decode(infinite)).toBeUndefined();
 });
 
+test("only a message marked as urgent reads as urgent, whatever names it has", () => {
+  const mark = '"isUrgent":true';
+  const message = {
+    ...createMessage(),
+    listed: { [mark]: 1 },
+    unheard: [mark],
+  };
+  expect(loadCodec.isUrgent(loadCodec.encode(message))).toBe(false);
+  const urgent = loadCodec.encode({ ...message, isUrgent: true });
+  expect(loadCodec.isUrgent(urgent)).toBe(true);
+  expect(loadCodec.decode(urgent)?.isUrgent).toBe(true);
+});
+
 // Guards against a history that was written again and again, as names were lost.
 test("versions of any name stay in a service's history", () => {
   const versions = buildTable(null);
--- a/packages/gateway/src/fleet/member_registry.ts
+++ b/packages/gateway/src/fleet/member_registry.ts
@@ -92,6 +92,13 @@
     return members;
   }
 
+  /** Returns an instance's rank by its id among the members with a duty. */
+  getRank(instanceId: string, duty?: Duty) {
+    const members = this.list(duty);
+    const rank = members.filter(({ id }) => id < instanceId).length;
+    return { rank, count: Math.max(1, members.length) };
+  }
+
   /**
    * Lists the instances that may be running: those listed, and those whose
    * lease expired so recently that they may only be cut off from the store.
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -2,15 +2,18 @@
 import type { EventLog, FleetMember, LoadMessage } from "@gooseberryline/core";
 import { runStep } from "../steps/run_step.ts";
 import { computeGossipIntervalMs } from "./compute_gossip_interval_ms.ts";
+import { computeInboxDelayMs } from "./compute_inbox_delay_ms.ts";
 import { FLEET } from "./constants.ts";
 import type { FleetView } from "./fleet_view.ts";
 import { loadCodec } from "./load_codec.ts";
+import { type Datagram, MessageInbox } from "./message_inbox.ts";
 
 /** Exchanges load messages with peers over UDP; any message may be lost. */
 export class PeerLink {
   readonly #view: FleetView;
   readonly #log: EventLog;
   readonly #socket: Socket;
+  readonly #inbox: MessageInbox;
   #timer: NodeJS.Timeout | undefined;
   #isUrgentScheduled = false;
   #unreadableCount = 0;
@@ -26,10 +29,16 @@
       this.#sendSoon();
     };
     this.#socket = createSocket("udp4");
-    this.#socket.on("message", (bytes, { address }) =>
-      runStep(log, { step: "peer-message", key: address }, () =>
-        this.#handleDatagram(bytes, address),
-      ),
+    this.#inbox = new MessageInbox({
+      getDelayMs: () => computeInboxDelayMs(view.members.count()),
+      isUrgent: (bytes) => loadCodec.isUrgent(bytes),
+      handle: (datagram) =>
+        runStep(log, { step: "peer-message", key: datagram.sender }, () =>
+          this.#handleDatagram(datagram),
+        ),
+    });
+    this.#socket.on("message", (bytes, { address: sender }) =>
+      this.#inbox.add({ bytes, sender, receivedMs: view.readNowMs() }),
     );
     this.#socket.on("error", (error) => {
       log.error("peer-socket", { reason: error.message });
@@ -52,15 +61,17 @@
   /** Notifies peers that this instance is leaving, then closes the socket. */
   stop(): void {
     clearTimeout(this.#timer);
-    this.#send(true);
+    this.#inbox.stop();
+    this.#send({ isLeaving: true });
     this.#socket.close();
   }
 
-  #handleDatagram(bytes: Buffer, sender: string): void {
+  #handleDatagram({ bytes, sender, receivedMs }: Datagram): void {
     const message = loadCodec.decode(bytes);
     if (message !== undefined) {
       this.#recordSender(message, sender);
-      this.#sendTo(this.#view.receiveMessage(message, sender), bytes);
+      const targets = this.#view.receiveMessage(message, sender, receivedMs);
+      this.#sendTo(targets, bytes);
       return;
     }
     this.#unreadableCount += 1;
@@ -114,13 +125,19 @@
   }
 
   #step(): void {
+    const isUrgent = this.#isUrgentScheduled;
     this.#isUrgentScheduled = false;
-    runStep(this.#log, { step: "peer-message" }, () => this.#send(false));
+    runStep(this.#log, { step: "peer-message" }, () =>
+      this.#send({ isUrgent }),
+    );
     this.#sendLater();
   }
 
-  #send(isLeaving: boolean): void {
-    const bytes = loadCodec.encode(this.#view.buildMessage(isLeaving));
+  #send({ isLeaving = false, isUrgent = false }): void {
+    const message = this.#view.buildMessage(isLeaving);
+    const bytes = loadCodec.encode(
+      isUrgent ? { ...message, isUrgent } : message,
+    );
     const targets = isLeaving
       ? this.#view.listPeers()
       : this.#view.listMessageTargets();
--- a/packages/gateway/src/fleet/peer_link_test.ts
+++ b/packages/gateway/src/fleet/peer_link_test.ts
@@ -5,6 +5,7 @@
 import { createView } from "../testing/create_view.ts";
 import { SILENT_LOG } from "../testing/silent_log.ts";
 import { FleetView } from "./fleet_view.ts";
+import { loadCodec } from "./load_codec.ts";
 import { PeerLink } from "./peer_link.ts";
 
 const HOST = "127.0.0.1";
@@ -12,9 +13,10 @@
 /** Starts a peer that counts the messages that it gets. */
 async function startPeer() {
   const socket = createSocket("udp4");
-  const counts = { messages: 0 };
-  socket.on("message", () => {
+  const counts = { messages: 0, urgent: 0 };
+  socket.on("message", (bytes) => {
     counts.messages += 1;
+    counts.urgent += loadCodec.isUrgent(bytes) ? 1 : 0;
   });
   socket.bind(0, HOST);
   await once(socket, "listening");
@@ -50,3 +52,18 @@
   await expect(started).rejects.toThrow("EADDRINUSE");
   socket.close();
 });
+
+// Guards against urgent news that a large fleet holds back with the rest.
+test("news that can't wait is marked as urgent, other news is not", async () => {
+  const { socket, counts, port } = await startPeer();
+  const view = createView();
+  view.members.set(buildMember("sound", port));
+  const link = new PeerLink(view, SILENT_LOG);
+  await link.start();
+  await expect.poll(() => counts.messages).toBeGreaterThan(1);
+  expect(counts.urgent).toBe(0);
+  view.onUpstreamOverloaded();
+  await expect.poll(() => counts.urgent).toBe(1);
+  link.stop();
+  socket.close();
+});
