Tell peers at once of an upstream that fails

Callers of a large fleet waited and were tried again, since one instance after the other sent to the same full upstream: a suspect was told with the next regular message, 0.6 s later at 76 instances, and counts for 0.4 s. Workers heard as late that the upstream was crowded, so no item gave way.

An instance now sends its next message at once when an upstream becomes suspect that no peer has named. One that stays suspect is no news, so a failing upstream costs each instance one early message until it has served again.

--- a/packages/gateway/src/fleet/load_tracker.ts
+++ b/packages/gateway/src/fleet/load_tracker.ts
@@ -28,6 +28,8 @@
   waitingItems = 0;
   /** Services for which items wait here. */
   waitingServices: readonly string[] = [];
+  /** Called when an upstream becomes suspect that no instance reported as such. */
+  onNewSuspect: () => void = () => undefined;
 
   /** `getAgeLimitMs` returns the age at which a report is out of date, in ms. */
   constructor(getAgeLimitMs: () => number) {
@@ -47,6 +49,9 @@
    * failure.
    */
   recordFailure(upstreamId: string, nowMs: number): void {
+    if (this.getSuspectUntilMs(upstreamId, nowMs) <= nowMs) {
+      this.onNewSuspect();
+    }
     const failures = (this.#suspects.get(upstreamId)?.failures ?? 0) + 1;
     const backoffMs = Math.min(
       FLEET.MAX_SUSPECT_MS,
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -22,6 +22,7 @@
     this.#view = view;
     this.#log = log;
     view.onUpstreamOverloaded = () => this.#sendSoon();
+    view.load.onNewSuspect = () => this.#sendSoon();
     view.crashes.onUrgentNews = () => this.#sendSoon();
     view.limits.onUrgentNews = () => this.#sendSoon();
     view.directory.onLeaving = (upstream) => {
