Count held news of crashes and limits from when it arrived

Messages of a large fleet are held for up to 43 ms. What they tell of crashes, sound answers and limits is told by its age, which was counted back from the moment when the message was handled: a sound answer could seem to come after a crash that it came before. It is counted from the arrival, as loads are.

--- a/packages/gateway/src/crashes/crash_tracker.ts
+++ b/packages/gateway/src/crashes/crash_tracker.ts
@@ -169,8 +169,11 @@
     return isEmpty ? undefined : { crashes, soundAges, blocks: [], inForce };
   }
 
-  recordPeerNews({ crashes, soundAges, inForce }: CrashNews): void {
-    const nowMs = this.#parts.readNowMs();
+  /** Records what a peer's message told that arrived at `nowMs`. */
+  recordPeerNews(
+    { crashes, soundAges, inForce }: CrashNews,
+    nowMs = this.#parts.readNowMs(),
+  ): void {
     Object.entries(soundAges).forEach(([key, ageMs]) => {
       this.#sound.record(key, nowMs - ageMs);
     });
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -193,12 +193,12 @@
       this.members.dropIncarnation(message.from, message.incarnation);
     } else {
       this.quotas.recordPeerUsage(message, message.use, nowMs);
-      this.limits.recordPeerNews(message, message.limits ?? {});
+      this.limits.recordPeerNews(message, message.limits ?? {}, nowMs);
       this.directory.markLeaving(message.leaving ?? []);
       this.onPeerWatchRevisions(message.seen);
       this.onPeerResultCounts(message.listed);
       if (message.crashes !== undefined) {
-        this.crashes.recordPeerNews(message.crashes);
+        this.crashes.recordPeerNews(message.crashes, nowMs);
       }
     }
     this.onPeerLoad();
--- a/packages/gateway/src/fleet/upstream_limit_tracker.ts
+++ b/packages/gateway/src/fleet/upstream_limit_tracker.ts
@@ -132,11 +132,12 @@
     return entries.length === 0 ? undefined : Object.fromEntries(entries);
   }
 
+  /** Records what a peer's message told that arrived at `nowMs`. */
   recordPeerNews(
     message: LoadMessage,
     news: Readonly<Record<string, LimitNews>>,
+    nowMs = this.#parts.readNowMs(),
   ): void {
-    const nowMs = this.#parts.readNowMs();
     Object.entries(news).forEach(([upstreamId, { perSecond, ageMs }]) => {
       const atMs = nowMs - ageMs;
       const limit = perSecond === 0 ? undefined : toKeptLimit(perSecond);
