Let peers hear of a failing upstream with the messages they hold

A suspect is told at once; each such message was marked as urgent, so that every instance of a large fleet woke up for it. When upstreams fill up, many instances say so at the same moment, and the turns are what messages cost. Overloads, crashes, limits and upstreams that leave stay urgent.

--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -15,14 +15,17 @@
   readonly #socket: Socket;
   readonly #inbox: MessageInbox;
   #timer: NodeJS.Timeout | undefined;
-  #isUrgentScheduled = false;
+  /** Whether the next message is sent before its time. */
+  #isEarly = false;
+  /** Whether peers must handle the next message at once. */
+  #isUrgent = false;
   #unreadableCount = 0;
 
   constructor(view: FleetView, log: EventLog) {
     this.#view = view;
     this.#log = log;
     view.onUpstreamOverloaded = () => this.#sendSoon();
-    view.load.onNewSuspect = () => this.#sendSoon();
+    view.load.onNewSuspect = () => this.#sendSoon({ isUrgent: false });
     view.crashes.onUrgentNews = () => this.#sendSoon();
     view.limits.onUrgentNews = () => this.#sendSoon();
     view.directory.onLeaving = (upstream) => {
@@ -107,11 +110,12 @@
 
   /**
    * Schedules an early message for changes that peers must learn before the
-   * next interval.
+   * next interval, and at once if `isUrgent`.
    */
-  #sendSoon(): void {
-    if (!this.#isUrgentScheduled) {
-      this.#isUrgentScheduled = true;
+  #sendSoon({ isUrgent = true } = {}): void {
+    this.#isUrgent ||= isUrgent;
+    if (!this.#isEarly) {
+      this.#isEarly = true;
       clearTimeout(this.#timer);
       this.#timer = setTimeout(
         () => this.#step(),
@@ -126,8 +130,9 @@
   }
 
   #step(): void {
-    const isUrgent = this.#isUrgentScheduled;
-    this.#isUrgentScheduled = false;
+    const isUrgent = this.#isUrgent;
+    this.#isEarly = false;
+    this.#isUrgent = false;
     runStep(this.#log, { step: "peer-message" }, () =>
       this.#send({ isUrgent }),
     );
--- a/packages/gateway/src/fleet/peer_link_test.ts
+++ b/packages/gateway/src/fleet/peer_link_test.ts
@@ -61,7 +61,12 @@
   const link = new PeerLink(view, SILENT_LOG);
   await link.start();
   await expect.poll(() => counts.messages).toBeGreaterThan(1);
+  // Many instances find the same upstream failing, and can be heard together.
+  view.load.recordFailure("u1", view.readNowMs());
+  const heard = counts.messages;
+  await expect.poll(() => counts.messages).toBeGreaterThan(heard + 1);
   expect(counts.urgent).toBe(0);
+  view.load.recordFailure("u2", view.readNowMs());
   view.onUpstreamOverloaded();
   await expect.poll(() => counts.urgent).toBe(1);
   link.stop();
