Count the calls of the platform's store by kind and records

Calls of the store are the largest price of a large fleet, and nothing told which they are. `gooseberryline_store_calls_total` counts each call that an instance makes, also for peers, by its kind and the kind of record.

--- a/packages/gateway/src/metrics/create_gateway_metrics.ts
+++ b/packages/gateway/src/metrics/create_gateway_metrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { StoreCall } from "../store/count_store_calls.ts";
 
 /** Upper bounds of the latency histogram, in ms. */
 const LATENCY_BOUNDS_MS = [10, 25, 50, 100, 200, 300, 500, 1_000, 2_000, 5_000];
@@ -10,6 +11,8 @@
   readonly recordRequest: (outcome: string, tookMs: number) => void;
   /** Records an error that the gateway itself returned. */
   readonly recordRefusal: (status: number, code: string) => void;
+  /** Records a call of the metadata store that this instance makes. */
+  readonly recordStoreCall: (call: StoreCall) => void;
   /** Sets a gauge to its current value. */
   readonly setGauge: (name: GaugeName, value: number) => void;
   readonly render: () => Promise<string>;
@@ -40,6 +43,12 @@
     labelNames: ["status", "code"],
     registers,
   });
+  const storeCalls = new Counter({
+    name: `${PREFIX}store_calls_total`,
+    help: "calls of the metadata store, by kind and records",
+    labelNames: ["call", "records"],
+    registers,
+  });
   const latency = new Histogram({
     name: `${PREFIX}request_ms`,
     help: "time from a request's head to its end, ms",
@@ -78,6 +87,7 @@
     recordRefusal: (status, code) => {
       refusals.inc({ status: `${status}`, code });
     },
+    recordStoreCall: (call) => storeCalls.inc(call),
     setGauge: (name, value) => gauges[name].set(value),
     render: () => registry.metrics(),
   };
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -29,6 +29,7 @@
 import { TableCheck } from "./refusals/table_check.ts";
 import type { GatewaySettings } from "./settings/types.ts";
 import { SHUTDOWN_TIMES } from "./shutdown_times.ts";
+import { countStoreCalls } from "./store/count_store_calls.ts";
 import { RelayClient } from "./store/relay_client.ts";
 import { RelayListener } from "./store/relay_listener.ts";
 import { RelayedStore } from "./store/relayed_store.ts";
@@ -67,8 +68,10 @@
   const { settings, dialect, log } = parts;
   const incarnation = randomUUID().slice(0, 8);
   const view = new FleetView(settings, incarnation, () => performance.now());
+  const metrics = createGatewayMetrics();
+  const direct = countStoreCalls(parts.store, metrics.recordStoreCall);
   const relayed = new RelayedStore({
-    direct: parts.store,
+    direct,
     choosePeer: (avoidedId) => view.storeRelays.choose(avoidedId),
     chooseInformedPeer: (prefix, after, avoidedId) =>
       view.storeRelays.chooseInformed(prefix, after, avoidedId),
@@ -85,9 +88,8 @@
     freshness.recordStoreContact(isReached);
   });
   const detour = relayed.buildDetour();
-  const relay = new RelayListener(parts.store);
+  const relay = new RelayListener(direct);
   const pool = new ConnectionPool(EXCHANGE.IDLE_TIMEOUT_MS);
-  const metrics = createGatewayMetrics();
   const held = new HeldBytes();
   const shared = { view, pool, dialect: dialect.calls, log, store, held };
   const state = { isLoaded: false, isStopping: false };
