Let changes of upstreams in quick succession share a call of the store

Each change of an upstream's entry ended the watch of each instance, which asked again at once.

Upstreams are now watched at most once in 250 ms, as instances are. A change after a quiet interval still comes at once; an upstream that leaves has seconds.

--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -61,10 +61,14 @@
     );
     this.#watches = [
       this.operators,
-      this.#watch(dialect.upstreamPrefix, (event) => {
-        this.#handleUpstreamEvent(event);
-        this.#parts.versions.review();
-      }),
+      this.#watch(
+        dialect.upstreamPrefix,
+        (event) => {
+          this.#handleUpstreamEvent(event);
+          this.#parts.versions.review();
+        },
+        { minIntervalMs: WATCH_TIMING.UPSTREAMS_INTERVAL_MS },
+      ),
       this.#watch(
         memberRecord.prefix,
         (event) => this.#handleMemberEvent(event),
--- a/packages/gateway/src/store/constants.ts
+++ b/packages/gateway/src/store/constants.ts
@@ -33,6 +33,12 @@
    * than `BEHIND_TIMEOUT_MS`, as peers tell each other of changes.
    */
   INSTANCES_INTERVAL_MS: 250,
+  /**
+   * Minimum time between two watches of upstreams, in ms: a change after a pause is
+   * told at once, others of the same pause together. The bound for an upstream that
+   * leaves is seconds; shorter than `BEHIND_TIMEOUT_MS` as well.
+   */
+  UPSTREAMS_INTERVAL_MS: 250,
   /** Minimum time between two watches of the jobs' claims, in ms. */
   CLAIMS_INTERVAL_MS: 500,
   MIN_RETRY_DELAY_MS: 50,
