Block what crashes follow, not what was there when upstreams crashed

Callers of a fleet of 64 heard 400 for 136 sound requests after 13 upstreams had crashed within 0.13 s. A key that was under way at three crashes was blocked, whatever else crashed at the time, and what speaks for it (answers that begin elsewhere) went with the next load message, 0.6 s later at 76 members, while crashes are told at once.

A crash now counts for a key only if a suspect was sent there after the crash before, so upstreams that end together count once. Beside the key's crashes there may be few that nothing explains. Nothing is blocked within 100 ms of the first of them, and the first sound answer after a crash is told to peers at once. A lapsed block comes back by a crash only if no other happened beside it, which is the same cause. block-evidence logs what a block rests on.

The counter test finds requests and parts that crash upstreams at all sizes.

Two tests of cut paths let several upstreams break in the same instant and took that for evidence, or would have passed for that reason alone; they break 10 ms apart now and demand the same.

--- a/packages/core/src/crashes/constants.ts
+++ b/packages/core/src/crashes/constants.ts
@@ -1,7 +1,19 @@
 /** Limits on the evidence about crashes. */
 export const CRASHES = {
-  /** Crashes under a request or part, without a sound answer since, that block it. */
+  /**
+   * Crashes under a request or part, one after the other and without a sound answer
+   * since, that block it.
+   */
   BLOCKING_CRASHES: 3,
+  /** Part of a key's crashes that may happen beside it for another cause. */
+  MAX_STRAY_SHARE: 0.5,
+  /** Crashes of one cause are found within this time, in ms. */
+  SAME_EVENT_MS: 500,
+  /**
+   * Time in which peers tell of sound answers on what ran at a crash, in ms. Less
+   * than that after the first of the crashes, nothing is blocked.
+   */
+  OBJECTION_MS: 100,
   /** Crashes that block all remaining suspects if none stands out. */
   MAX_CRASHES: 5,
   /** Crashes besides those of a blocked request that block a part of it, too. */
--- a/packages/core/src/crashes/crash_fixture.ts
+++ b/packages/core/src/crashes/crash_fixture.ts
@@ -8,7 +8,7 @@
   customer = "c1",
   hasHead = true,
 ): CrashSuspect {
-  const progress = { hasHead, hasBegun: false };
+  const progress = { hasHead, hasBegun: false, ranMs: 0 };
   return { request: "", parts: parts.split(" "), customer, ...progress };
 }
 
--- a/packages/core/src/crashes/decide_prompt_blocks.ts
+++ b/packages/core/src/crashes/decide_prompt_blocks.ts
@@ -1,8 +1,15 @@
 import { collectEvidence, type KeyEvidence } from "./collect_evidence.ts";
 import { CRASHES } from "./constants.ts";
+import { isProven } from "./is_proven.ts";
+import { keySources } from "./key_sources.ts";
 import { listLikelySuspects } from "./list_likely_suspects.ts";
 import { listRivals } from "./list_rivals.ts";
-import type { Crash, CrashSuspect, PromptBlock } from "./types.ts";
+import type {
+  Crash,
+  CrashContext,
+  CrashSuspect,
+  PromptBlock,
+} from "./types.ts";
 
 /**
  * Decides which prompt parts to block. A crash speaks against each part of the
@@ -13,26 +20,26 @@
  */
 export function decidePromptBlocks(
   crashes: readonly Crash[],
-  getLastSoundMs: (part: string) => number,
+  context: CrashContext,
 ): readonly PromptBlock[] {
   const evidence = collectEvidence(
     crashes,
-    (crash) => listLikelySuspects(crash).flatMap(({ parts }) => parts),
-    getLastSoundMs,
+    keySources.likelyParts,
+    context.getLastSoundMs,
   ).filter(isOfSeveralRequests);
-  const [worst] = evidence;
-  if (worst === undefined || worst.crashes.length < CRASHES.BLOCKING_CRASHES) {
+  const worst = evidence.find((known) => isProven(known, context));
+  if (worst === undefined) {
     return [];
   }
-  const rivals = listRivals(evidence);
+  const rivals = listRivals(worst, evidence);
   const companions = rivals.filter((other) => isAlwaysBeside(other, worst));
   const isClear = companions.length === rivals.length;
-  if (!isClear && worst.crashes.length < CRASHES.MAX_CRASHES) {
+  if (!isClear && worst.chain.length < CRASHES.MAX_CRASHES) {
     return [];
   }
   const block = buildBlock(companions.map(({ key }) => key).sort(), worst);
   const unexplained = crashes.filter((crash) => !worst.crashes.includes(crash));
-  return [block, ...decidePromptBlocks(unexplained, getLastSoundMs)];
+  return [block, ...decidePromptBlocks(unexplained, context)];
 }
 
 /**
--- a/packages/core/src/crashes/decide_request_blocks.ts
+++ b/packages/core/src/crashes/decide_request_blocks.ts
@@ -1,10 +1,9 @@
-import { collectEvidence } from "./collect_evidence.ts";
+import { collectEvidence, type KeySource } from "./collect_evidence.ts";
 import { CRASHES } from "./constants.ts";
-import { listLikelySuspects } from "./list_likely_suspects.ts";
+import { isProven } from "./is_proven.ts";
+import { keySources } from "./key_sources.ts";
 import { listRivals } from "./list_rivals.ts";
-import type { Crash, CrashSuspect, RequestBlock } from "./types.ts";
-
-type ListSuspects = (crash: Crash) => readonly CrashSuspect[];
+import type { Crash, CrashContext, RequestBlock } from "./types.ts";
 
 /**
  * Decides which requests to block: those that recur at crashes as likely suspects,
@@ -12,13 +11,12 @@
  */
 export function decideRequestBlocks(
   crashes: readonly Crash[],
-  getLastSoundMs: (request: string) => number,
+  context: CrashContext,
 ): readonly RequestBlock[] {
-  const likely = decideAmong(listLikelySuspects, crashes, getLastSoundMs);
+  const likely = decideAmong(keySources.likelyRequests, crashes, context);
   const explained = new Set(likely.flatMap(({ upstreams }) => upstreams));
   const others = crashes.filter(({ upstreamId }) => !explained.has(upstreamId));
-  const listAll: ListSuspects = ({ suspects }) => suspects;
-  return [...likely, ...decideAmong(listAll, others, getLastSoundMs)];
+  return [...likely, ...decideAmong(keySources.allRequests, others, context)];
 }
 
 /**
@@ -28,21 +26,17 @@
  * for further crashes, up to a maximum.
  */
 function decideAmong(
-  listSuspects: ListSuspects,
+  source: KeySource,
   crashes: readonly Crash[],
-  getLastSoundMs: (request: string) => number,
+  context: CrashContext,
 ): readonly RequestBlock[] {
-  const listRequests = (crash: Crash): readonly string[] =>
-    listSuspects(crash)
-      .map(({ request }) => request)
-      .filter((request) => request !== "");
-  const evidence = collectEvidence(crashes, listRequests, getLastSoundMs);
-  const [worst] = evidence;
-  if (worst === undefined || worst.crashes.length < CRASHES.BLOCKING_CRASHES) {
+  const evidence = collectEvidence(crashes, source, context.getLastSoundMs);
+  const worst = evidence.find((known) => isProven(known, context));
+  if (worst === undefined) {
     return [];
   }
-  const rivals = listRivals(evidence);
-  if (rivals.length > 1 && worst.crashes.length < CRASHES.MAX_CRASHES) {
+  const rivals = listRivals(worst, evidence);
+  if (rivals.length > 1 && worst.chain.length < CRASHES.MAX_CRASHES) {
     return [];
   }
   const upstreams = worst.crashes.map(({ upstreamId }) => upstreamId);
@@ -52,5 +46,5 @@
     upstreams,
   }));
   const unexplained = crashes.filter((crash) => !worst.crashes.includes(crash));
-  return [...blocks, ...decideAmong(listSuspects, unexplained, getLastSoundMs)];
+  return [...blocks, ...decideAmong(source, unexplained, context)];
 }
--- a/packages/core/src/crashes/list_rivals.ts
+++ b/packages/core/src/crashes/list_rivals.ts
@@ -1,13 +1,13 @@
 import type { KeyEvidence } from "./collect_evidence.ts";
 
-/** Lists the keys that the same crashes speak against as against the first. */
+/** Lists the keys that the same crashes speak against as against this one. */
 export function listRivals(
+  worst: KeyEvidence,
   evidence: readonly KeyEvidence[],
 ): readonly KeyEvidence[] {
-  const [worst] = evidence;
   return evidence.filter(
     ({ crashes }) =>
-      crashes.length === worst?.crashes.length &&
+      crashes.length === worst.crashes.length &&
       crashes.every((crash) => worst.crashes.includes(crash)),
   );
 }
--- a/packages/core/src/crashes/types.ts
+++ b/packages/core/src/crashes/types.ts
@@ -15,6 +15,8 @@
   readonly hasHead: boolean;
   /** Whether its answer had begun; told without parts and head, then. */
   readonly hasBegun: boolean;
+  /** Time since it was sent to that upstream, in ms; earlier builds don't tell. */
+  readonly ranMs?: number | undefined;
 };
 
 /**
@@ -104,3 +106,12 @@
   readonly blocks: readonly never[];
   readonly inForce: readonly CrashBlock[];
 };
+
+/** What blocks are decided by, beside the crashes. */
+export type CrashContext = {
+  /** Returns when a key was last sound, in ms of the crashes' clock. */
+  readonly getLastSoundMs: (key: string) => number;
+  /** Crashes that no key explains. */
+  readonly strays: readonly Crash[];
+  readonly nowMs: number;
+};
--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -41,6 +41,10 @@
     fields: ["blockId", "requestKey", "upstreams", "source"],
     text: "This request and its repeats are refused: these upstreams crashed under it",
   },
+  "block-evidence": {
+    fields: ["blockId", "crashAgesMs", "otherCrashes"],
+    text: "Time since each crash that a new block rests on, and the other crashes known then",
+  },
   "prompt-block-lifted": {
     fields: ["blockId", "reason"],
     text: "A block ended: an operator removed its record, its upstreams were reached after all, or its time was over",
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -38,6 +38,7 @@
 export { isSameCrash } from "./crashes/is_same_crash.ts";
 export { isSuccessor } from "./crashes/is_successor.ts";
 export { listLikelySuspects } from "./crashes/list_likely_suspects.ts";
+export { listLoneCrashes } from "./crashes/list_lone_crashes.ts";
 export { mergeCrash } from "./crashes/merge_crash.ts";
 export { mergeCrashBlock } from "./crashes/merge_crash_block.ts";
 export { startBlockTerm } from "./crashes/start_block_term.ts";
--- a/packages/gateway/src/crashes/block_keeper.ts
+++ b/packages/gateway/src/crashes/block_keeper.ts
@@ -34,10 +34,13 @@
 
   constructor(parts: BlockKeeperParts) {
     this.#parts = parts;
-    parts.tracker.onBlock = (block, source) => {
+    parts.tracker.onBlock = (block, source, evidence) => {
       const event =
         block.kind === "request" ? "request-blocked" : "prompt-blocked";
-      parts.log.warn(event, { ...listBlockFields(block), source });
+      const fields = listBlockFields(block);
+      parts.log.warn(event, { ...fields, source });
+      const { blockId } = fields;
+      parts.log.warn("block-evidence", { blockId, ...evidence });
       this.#writeLater(block);
     };
     parts.tracker.onLift = (block, reason) => {
--- a/packages/gateway/src/crashes/crash_evidence.ts
+++ b/packages/gateway/src/crashes/crash_evidence.ts
@@ -21,6 +21,14 @@
   readonly findUpstream: (upstreamId: string) => UpstreamEntry | undefined;
 };
 
+/** What a block rests on, for operators. */
+export type EvidenceFields = {
+  /** Time since each of its crashes that is known here, in ms. */
+  readonly crashAgesMs: string;
+  /** Crashes known here that are not its own. */
+  readonly otherCrashes: number;
+};
+
 /** Possible crashes of upstreams, as seen here and told by peers. */
 export class CrashEvidence {
   readonly #parts: CrashEvidenceParts;
@@ -46,6 +54,36 @@
     );
   }
 
+  /** Lists the crashes that nobody has disproved. */
+  listPossible(): readonly Crash[] {
+    return this.#crashes.filter(({ reachedAt }) => reachedAt.length === 0);
+  }
+
+  /** Describes what a block that rests on crashes of these upstreams is decided by. */
+  describe(upstreams: readonly string[]): EvidenceFields {
+    const nowMs = this.#parts.readNowMs();
+    const possible = this.listPossible();
+    const ages = possible
+      .filter(({ upstreamId }) => upstreams.includes(upstreamId))
+      .map(({ atMs }) => Math.round(nowMs - atMs));
+    const otherCrashes = possible.length - ages.length;
+    return { crashAgesMs: ages.join(" "), otherCrashes };
+  }
+
+  /** Returns when an upstream last seemed to crash under a request or part. */
+  getLastUnderMs(key: string): number {
+    return this.#crashes
+      .filter(({ suspects }) =>
+        suspects.some(
+          ({ request, parts }) => request === key || parts.includes(key),
+        ),
+      )
+      .reduce(
+        (latest, { atMs }) => Math.max(latest, atMs),
+        Number.NEGATIVE_INFINITY,
+      );
+  }
+
   /** Returns what the latest possible crash of an upstream was. */
   findVerdict(upstreamId: string): CrashVerdict {
     const [latest] = this.#listCrashesOf(upstreamId).sort(
--- a/packages/gateway/src/crashes/crash_news_schema.ts
+++ b/packages/gateway/src/crashes/crash_news_schema.ts
@@ -8,6 +8,8 @@
   customer: z.string(),
   hasHead: z.boolean(),
   hasBegun: z.boolean().default(false),
+  // Earlier builds leave it out: what they saw starts a chain, and goes on with none.
+  ranMs: z.number().optional(),
 });
 const REPORT = z.object({
   upstreamId: z.string(),
--- a/packages/gateway/src/crashes/crash_play_test.ts
+++ b/packages/gateway/src/crashes/crash_play_test.ts
@@ -81,6 +81,7 @@
               customer: "c",
               hasHead: true,
               hasBegun: false,
+              ranMs: 0,
             };
             crashTimesMs.push(clock.nowMs);
             tracker?.recordDown(`u${step}`, clock.nowMs, [suspect]);
@@ -118,6 +119,7 @@
               customer: `c${step % 3}`,
               hasHead: true,
               hasBegun: false,
+              ranMs: 0,
             };
             const upstreamId = `u${upstreams.next().value ?? 0}`;
             trackers[instance]?.recordDown(upstreamId, clock.nowMs, [suspect]);
--- a/packages/gateway/src/crashes/crash_tracker.ts
+++ b/packages/gateway/src/crashes/crash_tracker.ts
@@ -7,6 +7,7 @@
   type CrashSuspect,
   type CrashVerdict,
   decideCrashBlocks,
+  listLoneCrashes,
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import { addRecentEntry } from "../add_recent_entry.ts";
@@ -14,14 +15,9 @@
 import { CrashEvidence, type CrashEvidenceParts } from "./crash_evidence.ts";
 import type { RequestKey } from "./request_key.ts";
 import { SoundAnswers } from "./sound_answers.ts";
+import type { BlockSource, LiftReason, OnBlock } from "./types.ts";
 import { VerdictWaits } from "./verdict_waits.ts";
 
-/** How a block became known. */
-export type BlockSource = "evidence" | "peer" | "store";
-
-/** Why a block no longer holds. */
-export type LiftReason = "record removed" | "upstreams reached" | "time over";
-
 /** An attempt in flight; told without parts once its answer has begun. */
 export type PendingAttempt = BlockSubject & {
   /** Stops the attempt, since a block holds for it. */
@@ -51,7 +47,7 @@
   /** Called for each possible crash that this instance had not heard of. */
   onNewCrash: (crash: Crash) => void = () => undefined;
   /** Called when a block is new here, or holds for more customers. */
-  onBlock: (block: CrashBlock, source: BlockSource) => void = () => undefined;
+  onBlock: OnBlock = () => undefined;
   /** Called when a block no longer holds. */
   onLift: (block: CrashBlock, reason: LiftReason) => void = () => undefined;
   /** Called once it is known what a possible crash was. */
@@ -76,12 +72,13 @@
    * whole, without those that were only cut paths.
    */
   countCrashesUnder(key: RequestKey): number {
-    return this.#evidence.crashes.filter(
-      ({ reachedAt, suspects, atMs }) =>
-        reachedAt.length === 0 &&
-        suspects.some(({ request }) => key.matches(request)) &&
-        this.#sound.getLastMs(key.full) < atMs,
-    ).length;
+    return this.#evidence
+      .listPossible()
+      .filter(
+        ({ suspects, atMs }) =>
+          suspects.some(({ request }) => key.matches(request)) &&
+          this.#sound.getLastMs(key.full) < atMs,
+      ).length;
   }
 
   /** Returns what the latest possible crash of an upstream was. */
@@ -110,16 +107,25 @@
     );
     // One that breaks and is answered elsewhere at once is suspected only later.
     if (isSuspected || key.isHashed) {
-      this.#sound.record(key.full, this.#parts.readNowMs());
+      this.recordSoundStart([key.full]);
     }
   }
 
-  /** Records that an answer began on a prompt with these parts. */
-  recordSoundStart(parts: readonly string[]): void {
+  /**
+   * Records that an answer began on a prompt with these parts. Peers hear at once
+   * of the first one after a crash.
+   */
+  recordSoundStart(keys: readonly string[]): void {
     const nowMs = this.#parts.readNowMs();
-    parts.forEach((part) => {
-      this.#sound.record(part, nowMs);
+    const isObjection = keys.some(
+      (key) => this.#evidence.getLastUnderMs(key) > this.#sound.getLastMs(key),
+    );
+    keys.forEach((key) => {
+      this.#sound.record(key, nowMs);
     });
+    if (isObjection) {
+      this.onUrgentNews();
+    }
   }
 
   /**
@@ -213,10 +219,15 @@
     const unfounded = this.#list.remove((block) => this.#isUnfounded(block));
     this.#endBlocks(unfounded, "upstreams reached");
     const crashed = this.#evidence.listCrashed();
-    const decided = decideCrashBlocks(crashed, (key) =>
-      this.#sound.getLastMs(key),
+    const possible = this.#evidence.listPossible();
+    const nowMs = this.#parts.readNowMs();
+    const decided = decideCrashBlocks(
+      crashed,
+      (key) => this.#sound.getLastMs(key),
+      { possible, nowMs },
     );
-    [...decided, ...this.#list.renewLapsed(crashed)].forEach((block) => {
+    const renewed = this.#list.renewLapsed(listLoneCrashes(crashed, possible));
+    [...decided, ...renewed].forEach((block) => {
       this.addBlock(block, "evidence");
     });
     this.#waits.settleKnown();
@@ -252,7 +263,7 @@
     if (!this.#list.add(block)) {
       return;
     }
-    this.onBlock(block, source);
+    this.onBlock(block, source, this.#evidence.describe(block.upstreams));
     this.onUrgentNews();
     [...this.#pending].forEach((attempt) => {
       const held = this.findBlock(attempt);
--- a/packages/gateway/src/crashes/crash_tracker_test.ts
+++ b/packages/gateway/src/crashes/crash_tracker_test.ts
@@ -161,3 +161,43 @@
   }
   expect(crashes).toBeLessThanOrEqual(3 + Math.log2(DAY_MS / CRASHES.BLOCK_MS));
 });
+
+test("peers hear at once of the first sound answer on what ran at a crash", () => {
+  const { clock, trackers, crash } = createCrashTrackers(2);
+  const [, second] = trackers;
+  crash("u1", X);
+  let urgent = 0;
+  if (second !== undefined) {
+    second.onUrgentNews = () => {
+      urgent += 1;
+    };
+  }
+  clock.nowMs += 10;
+  second?.recordSoundStart(["other"]);
+  expect(urgent).toBe(0);
+  second?.recordSoundStart(["x"]);
+  expect(urgent).toBe(1);
+  clock.nowMs += 10;
+  second?.recordSoundStart(["x"]);
+  expect(urgent).toBe(1);
+});
+
+test("a lapsed block does not return by a crash beside others", () => {
+  const { clock, trackers, exchange, crash, settle } = createCrashTrackers(2);
+  const [first] = trackers;
+  ["u1", "u2", "u3"].forEach((upstreamId) => {
+    crash(upstreamId, X);
+  });
+  settle();
+  clock.nowMs += CRASHES.BLOCK_MS;
+  exchange();
+  expect(first?.blocks).toEqual([]);
+  ["u4", "u5", "u6"].forEach((upstreamId) => {
+    const suspects = upstreamId === "u5" ? [X] : [];
+    first?.recordDown(upstreamId, clock.nowMs, suspects);
+    trackers[1]?.recordDown(upstreamId, clock.nowMs, []);
+  });
+  exchange();
+  settle();
+  expect(trackers.flatMap(({ blocks }) => blocks)).toEqual([]);
+});
--- a/packages/gateway/src/crashes/cut_paths_test.ts
+++ b/packages/gateway/src/crashes/cut_paths_test.ts
@@ -10,6 +10,7 @@
   const [cutOff, other] = trackers;
   [1, 2, 3, 4, 5, 6].forEach((round) => {
     const upstreamId = `u${round}`;
+    clock.nowMs += 10;
     cutOff?.recordDown(upstreamId, clock.nowMs, [X]);
     exchange();
     other?.recordReached(upstreamId, clock.nowMs);
@@ -63,6 +64,7 @@
   const { clock, trackers, listEntry, settle } = createCrashTrackers(1);
   const [alone] = trackers;
   ["u1", "u2", "u3"].forEach((upstreamId) => {
+    clock.nowMs += 10;
     alone?.recordDown(upstreamId, clock.nowMs, [X]);
   });
   settle();
--- a/packages/gateway/src/requests/check_broken_attempt.ts
+++ b/packages/gateway/src/requests/check_broken_attempt.ts
@@ -66,9 +66,9 @@
 }
 
 function describeSuspect(
-  { promptParts, customer = "", hasHead, hasBegun }: BrokenAttempt,
+  { promptParts, customer = "", hasHead, hasBegun, ranMs }: BrokenAttempt,
   key: RequestKey,
 ): CrashSuspect {
   const parts = hasBegun ? [] : promptParts;
-  return { request: key.full, parts, customer, hasHead, hasBegun };
+  return { request: key.full, parts, customer, hasHead, hasBegun, ranMs };
 }
--- a/packages/gateway/src/testing/crash_request.ts
+++ b/packages/gateway/src/testing/crash_request.ts
@@ -7,6 +7,7 @@
   customer: "c1",
   hasHead: true,
   hasBegun: false,
+  ranMs: 0,
 };
 
 function createKey(text: string): RequestKey {
