Review crashes in the play of a load for a time of its own

The first run of the new play on the code before read a bound that this code does not have, and so never decided.

--- a/packages/core/src/crashes/crash_load_fixture.ts
+++ b/packages/core/src/crashes/crash_load_fixture.ts
@@ -42,6 +42,8 @@
 const ARRIVAL_SHARE = 0.1;
 /** Time of a whole answer, in times until it begins. */
 const WHOLE_ANSWERS = 3;
+/** Time after the last crash in which the evidence is reviewed. */
+const REVIEWED_MS = 200;
 const CUSTOMER = "c1";
 
 /** Plays a load; returns what was blocked, and when deadly requests crashed. */
@@ -179,7 +181,7 @@
       }
     });
     const lastCrashMs = crashes.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY;
-    if (nowMs - lastCrashMs <= 2 * CRASHES.OBJECTION_MS) {
+    if (nowMs - lastCrashMs <= REVIEWED_MS) {
       decide(nowMs);
     }
   });
