Decide whether an instance reaches upstreams, and who takes its requests

Pure functions, not used yet. An instance is cut off once several upstreams have failed within a second and nothing went well meanwhile: no answer on any connection, or no new connection. One upstream that is silent, or several that fail beside others that answer, cut nobody off.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -1,5 +1,6 @@
 /** Decision logic of the serving system, as pure functions without I/O. */
 
+export { ATTEMPTS } from "./attempts/constants.ts";
 export { decideNextStep } from "./attempts/decide_next_step.ts";
 export type * from "./attempts/types.ts";
 export { backlogKeys } from "./backlog/backlog_keys.ts";
@@ -95,6 +96,15 @@
 export { createRampBucket } from "./ramps/create_ramp_bucket.ts";
 export { listRampSenders } from "./ramps/list_ramp_senders.ts";
 export type * from "./ramps/types.ts";
+export { choosePassingPeer } from "./reach/choose_passing_peer.ts";
+export { REACH } from "./reach/constants.ts";
+export { createReach } from "./reach/create_reach.ts";
+export { isCutOff } from "./reach/is_cut_off.ts";
+export { recordAnswer } from "./reach/record_answer.ts";
+export { recordConnected } from "./reach/record_connected.ts";
+export { recordOpened } from "./reach/record_opened.ts";
+export { recordUnanswered } from "./reach/record_unanswered.ts";
+export type * from "./reach/types.ts";
 export { authenticateCaller } from "./routes/authenticate_caller.ts";
 export { buildRouteTable } from "./routes/build_route_table.ts";
 export { canRefuseByTable } from "./routes/can_refuse_by_table.ts";
