--- a/packages/gateway/src/requests/attempt_tracker.ts
+++ b/packages/gateway/src/requests/attempt_tracker.ts
@@ -8,6 +8,8 @@
 import { computeTimeLimitMs } from "./compute_time_limit_ms.ts";
 import type { AdmittedCall, RequestFields } from "./types.ts";
 
+const SERVER_ERROR = 500;
+
 /** Tracks the attempts of a request and decides whether to retry it. */
 export class AttemptTracker {
   readonly #call: AdmittedCall;
@@ -93,6 +95,19 @@
     return decideNextStep(this.#call.route, progress, end);
   }
 
+  /**
+   * Says why an answer sends the request to another upstream; undefined if it is
+   * for the caller. Nothing but events can follow events. A server error may be
+   * specific to this upstream. Another one may do better in both cases.
+   */
+  findAnswerFault(status: number, hasStarted: boolean): AttemptEnd | undefined {
+    const end = { kind: "lost", reason: `an answer of ${status}` } as const;
+    const isRetryable = hasStarted || status >= SERVER_ERROR;
+    return isRetryable && this.decideNextStep(end, hasStarted).kind === "retry"
+      ? end
+      : undefined;
+  }
+
   /** Returns the fields included in each log event about the request. */
   describe(): RequestFields {
     const { head, route, customer } = this.#call;
--- a/packages/gateway/src/requests/request_ending.ts
+++ b/packages/gateway/src/requests/request_ending.ts
@@ -39,6 +39,21 @@
     }
   }
 
+  /** Ends a request that can't be retried. */
+  abandon(reason: string, availableInMs: number, hasStarted: boolean): void {
+    const { tracker } = this.#parts;
+    const block = tracker.findBlock();
+    if (block !== undefined) {
+      this.refuseBlocked(block, hasStarted);
+      return;
+    }
+    const error =
+      tracker.runs > 0
+        ? callErrors.upstreamFailed(reason)
+        : callErrors.noCapacity(reason, availableInMs);
+    this.fail(reason, error, hasStarted);
+  }
+
   /** Ends a request that a block holds for. */
   refuseBlocked(block: CrashBlock, hasStarted: boolean): void {
     const text = describeBlock(block);
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -1,53 +1,37 @@
 import {
   type AttemptEnd,
   assertNever,
-  type NextStep,
   type UpstreamEntry,
 } from "@gooseberryline/core";
-import { AnswerBuffer } from "../exchange/answer_buffer.ts";
 import type { ExchangeHead } from "../exchange/types.ts";
-import type { StreamOrigins } from "../streams/stream_origins.ts";
 import { admitCustomer } from "./admit_customer.ts";
-import type { Attempt, AttemptParts, AttemptResult } from "./attempt.ts";
+import type { Attempt, AttemptResult } from "./attempt.ts";
 import { AttemptTracker } from "./attempt_tracker.ts";
 import { callErrors } from "./call_errors.ts";
+import { CallerAnswer } from "./caller_answer.ts";
 import { chooseUpstream } from "./choose_upstream.ts";
 import { REQUESTS } from "./constants.ts";
-import { isStreamAnswer } from "./is_stream_answer.ts";
 import { RequestEnding } from "./request_ending.ts";
 import { RequestOrigin } from "./request_origin.ts";
+import type { RequestRunParts } from "./request_run_parts.ts";
 import { startAttempt } from "./start_attempt.ts";
-import { StreamRelay } from "./stream_relay.ts";
 import type { AdmittedCall, CallReply } from "./types.ts";
 
-type RequestRunParts = AttemptParts & {
-  readonly origins: Pick<StreamOrigins, "find" | "recordBegun">;
-  readonly onDone: (outcome: string, tookMs: number) => void;
-};
-
-const SERVER_ERROR = 500;
-
 /** Runs a caller's request: chooses upstreams, relays the response, retries. */
 export class RequestRun {
   readonly #call: AdmittedCall;
-  readonly #reply: CallReply;
   readonly #parts: RequestRunParts;
-  readonly #relay: StreamRelay;
+  readonly #answer: CallerAnswer;
   readonly #tracker: AttemptTracker;
   #isAdmitted = false;
   #attempt: Attempt | undefined;
-  #head: ExchangeHead | undefined;
-  readonly #body: AnswerBuffer;
-  #hasStarted = false;
   readonly #origin: RequestOrigin;
   #timer: NodeJS.Timeout | undefined;
   readonly #ending: RequestEnding;
 
   constructor(call: AdmittedCall, reply: CallReply, parts: RequestRunParts) {
     this.#call = call;
-    this.#reply = reply;
     this.#parts = parts;
-    this.#body = new AnswerBuffer(parts.held);
     this.#tracker = new AttemptTracker(call, parts.view);
     this.#origin = new RequestOrigin(call, parts.origins);
     this.#ending = new RequestEnding({
@@ -57,14 +41,18 @@
       tracker: this.#tracker,
       onDone: (outcome, tookMs) => {
         clearTimeout(this.#timer);
-        this.#body.drop();
+        this.#answer.drop();
         this.#origin.recordEnd();
         parts.onDone(outcome, tookMs);
       },
     });
-    this.#relay = new StreamRelay(reply, call.head.lastEventId, () =>
-      this.#attempt?.resume(),
-    );
+    this.#answer = new CallerAnswer({
+      call,
+      reply,
+      held: parts.held,
+      onDrain: () => this.#attempt?.resume(),
+      onStart: () => this.#tracker.recordFirstByte(),
+    });
   }
 
   start(): void {
@@ -97,7 +85,7 @@
   #place(): void {
     const block = this.#tracker.findBlock();
     if (block !== undefined) {
-      this.#ending.refuseBlocked(block, this.#hasStarted);
+      this.#ending.refuseBlocked(block, this.#answer.hasStarted);
       return;
     }
     const placement = chooseUpstream(this.#parts.view, this.#call, {
@@ -107,7 +95,7 @@
     });
     switch (placement.kind) {
       case "placed":
-        this.#admit(placement.upstream, placement.waitMs);
+        this.#send(placement.upstream, placement.waitMs);
         return;
       case "full":
         this.#abandon("every upstream is full", placement.freeInMs);
@@ -123,52 +111,53 @@
     }
   }
 
-  /** Takes a rate-limit token, once per request, then sends the request. */
-  #admit(upstream: UpstreamEntry, waitMs: number): void {
+  /** Takes a rate-limit token, once per request; refuses it if there is none. */
+  #admit(): boolean {
     const error = this.#isAdmitted
       ? undefined
       : admitCustomer(this.#parts.view, this.#call.customer);
     if (error !== undefined) {
       this.#ending.refuse(error);
-      return;
+      return false;
     }
     this.#isAdmitted = true;
-    this.#send(upstream, waitMs);
+    this.#answer.restart();
+    return true;
   }
 
   #send(upstream: UpstreamEntry, waitMs: number): void {
-    this.#head = undefined;
-    this.#body.drop();
-    this.#relay.restart();
+    if (!this.#admit()) {
+      return;
+    }
     const call = this.#call;
     const tracker = this.#tracker;
-    const { lastEventId, eventCount } = this.#relay;
+    const { lastEventId, eventCount } = this.#answer;
     this.#attempt = startAttempt(
       { call, tracker, upstream, waitMs, lastEventId },
       this.#parts,
       {
-        onHead: (response) => {
-          this.#head = response;
-        },
-        onChunk: (chunk) => this.#handleChunk(chunk),
-        onEnd: (end) => this.#handleEnd(end),
-        countEvents: () => this.#relay.eventCount - eventCount,
+        ...this.#buildEvents(),
+        countEvents: () => this.#answer.eventCount - eventCount,
       },
     );
   }
 
+  #buildEvents() {
+    return {
+      onHead: (head: ExchangeHead): void => this.#answer.setHead(head),
+      onChunk: (chunk: Buffer): boolean => this.#handleChunk(chunk),
+      onEnd: (end: AttemptResult): void => this.#handleEnd(end),
+    };
+  }
+
   #handleChunk(chunk: Buffer): boolean {
-    if (!isStreamAnswer(this.#call.route, this.#head)) {
-      return this.#body.append(chunk) || this.#drop("the answer is too long");
-    }
-    this.#startReply();
-    const result = this.#relay.relayChunk(chunk);
-    if (this.#relay.eventCount > 0 && this.#attempt !== undefined) {
+    const result = this.#answer.addChunk(chunk);
+    if (this.#answer.eventCount > 0 && this.#attempt !== undefined) {
       this.#origin.recordBegun(this.#attempt.upstream);
     }
-    return result === "room" || result === "full"
-      ? result === "room"
-      : this.#drop(REQUESTS.DROP_REASONS[result]);
+    return result.kind === "unusable"
+      ? this.#drop(result.reason)
+      : result.kind === "room";
   }
 
   /** Gives up an answer that can't be passed on; returns false, for no more. */
@@ -178,14 +167,6 @@
     return false;
   }
 
-  #startReply(): void {
-    if (!this.#hasStarted && this.#head !== undefined) {
-      this.#hasStarted = true;
-      this.#tracker.recordFirstByte();
-      this.#reply.startStream(this.#head);
-    }
-  }
-
   #handleEnd(end: AttemptResult): void {
     this.#attempt = undefined;
     if (end.kind === "whole" || end.kind === "lost") {
@@ -200,53 +181,40 @@
   }
 
   #handleComplete(): void {
-    const status = this.#head?.status ?? 0;
-    if (isStreamAnswer(this.#call.route, this.#head)) {
-      if (this.#relay.isAtEventBoundary()) {
-        // A stream resumed after its last event has a head but no events.
-        this.#startReply();
-        this.#reply.finishStream();
-        const events = this.#relay.eventCount;
-        this.#ending.finish("answered", { status, events });
-      } else {
-        this.#tracker.recordFailure();
-        this.#handleFailure({
-          kind: "lost",
-          reason: "the last event is cut off",
-        });
-      }
+    const { status, isStream, hasStarted } = this.#answer;
+    if (isStream) {
+      this.#finishStream(status);
       return;
     }
-    const end = { kind: "lost", reason: `an answer of ${status}` } as const;
-    // Nothing but events can follow events. A server error may be specific to
-    // this upstream. Another one may do better in both cases.
-    const isRetryable = this.#hasStarted || status >= SERVER_ERROR;
-    if (isRetryable && this.#decide(end).kind === "retry") {
+    const end = this.#tracker.findAnswerFault(status, hasStarted);
+    if (end !== undefined) {
       this.#tracker.recordFailure();
       this.#handleFailure(end);
       return;
     }
-    this.#sendResponse(status);
-  }
-
-  #sendResponse(status: number): void {
-    if (this.#hasStarted || this.#head === undefined) {
+    if (this.#answer.sendWhole()) {
+      this.#ending.finish("answered", { status });
+    } else {
       this.#ending.breakOff(`an answer of ${status}`);
-      return;
     }
-    this.#reply.sendResponse(this.#head, this.#body.read());
-    this.#ending.finish("answered", { status });
   }
 
-  #decide(end: AttemptEnd): NextStep {
-    return this.#tracker.decideNextStep(end, this.#hasStarted);
+  #finishStream(status: number): void {
+    if (this.#answer.finishStream()) {
+      const events = this.#answer.eventCount;
+      this.#ending.finish("answered", { status, events });
+      return;
+    }
+    this.#tracker.recordFailure();
+    this.#handleFailure({ kind: "lost", reason: "the last event is cut off" });
   }
 
   #handleFailure(end: AttemptEnd): void {
-    const next = this.#decide(end);
+    const { hasStarted, eventCount } = this.#answer;
+    const next = this.#tracker.decideNextStep(end, hasStarted);
     switch (next.kind) {
       case "retry":
-        this.#ending.logRetry(end, this.#relay.eventCount);
+        this.#ending.logRetry(end, eventCount);
         this.#place();
         return;
       case "break-off":
@@ -261,18 +229,8 @@
     }
   }
 
-  /** Ends a request that can't be retried. */
   #abandon(reason: string, availableInMs: number): void {
-    const block = this.#tracker.findBlock();
-    if (block !== undefined) {
-      this.#ending.refuseBlocked(block, this.#hasStarted);
-      return;
-    }
-    const error =
-      this.#tracker.runs > 0
-        ? callErrors.upstreamFailed(reason)
-        : callErrors.noCapacity(reason, availableInMs);
-    this.#ending.fail(reason, error, this.#hasStarted);
+    this.#ending.abandon(reason, availableInMs, this.#answer.hasStarted);
   }
 
   /** Ends the request with what is known of it; `reason` says why now. */
@@ -282,7 +240,7 @@
     }
     this.#cancelAttempt();
     const error = callErrors.timedOut(reason, this.#tracker.runs > 0);
-    this.#ending.fail(reason, error, this.#hasStarted);
+    this.#ending.fail(reason, error, this.#answer.hasStarted);
   }
 
   /** Cancels the current attempt, which may have run the request. */
--- /dev/null
+++ b/packages/gateway/src/requests/request_run_parts.ts
@@ -0,0 +1,9 @@
+import type { StreamOrigins } from "../streams/stream_origins.ts";
+import type { AttemptParts } from "./attempt.ts";
+
+/** What the run of a request needs of its instance. */
+export type RequestRunParts = AttemptParts & {
+  readonly origins: Pick<StreamOrigins, "find" | "recordBegun">;
+  /** Called with the outcome and the time it took, in ms. */
+  readonly onDone: (outcome: string, tookMs: number) => void;
+};
