Pass requests on to peers while no upstream is reached

Cause: what an instance learns of its paths it learnt for each request alone, and nothing could take a request to an instance that has paths; the link between instances carried calls of the store only.

Now attempts tell whether any upstream is reached. While none is, or while no new connection opens, a request goes to a peer that says in its load messages that it takes some, in one hop over the listener that peers use; streams go on there after their last event, at their version. The customer is admitted once, id, deadline, signature and framing are kept, a link that breaks counts as an upstream that broke, so what may not run twice gets 502 and no second try. One attempt to connect each 125 to 375 ms finds the way back. An instance that has confirmed that it reaches nothing speaks neither of suspects nor of crashes. Older instances don't say that they take requests and get none.

--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -72,6 +72,11 @@
   readonly leaving?: readonly LeavingUpstream[] | undefined;
   /** Left out if there is none, and by earlier builds. */
   readonly crashes?: CrashNews | undefined;
+  /**
+   * Whether the sender reaches upstreams and serves requests of peers that don't;
+   * earlier builds leave it out.
+   */
+  readonly isTaking?: boolean | undefined;
   /** Set in the one message that an instance sends on shutdown. */
   readonly isLeaving: boolean;
   /** Set if peers must learn what it says at once; earlier builds leave it out. */
--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -7,6 +7,10 @@
  */
 export const LOG_EVENTS = {
   ...REQUEST_EVENTS,
+  "upstream-reach": {
+    fields: ["isCutOff"],
+    text: "This instance has lost its paths to all upstreams, or has one again",
+  },
   "upstream-broke-off": {
     fields: [
       "requestId",
--- a/packages/core/src/logs/request_events.ts
+++ b/packages/core/src/logs/request_events.ts
@@ -6,6 +6,7 @@
   "route",
   "customer",
   "upstreams",
+  "passedTo",
   "runs",
   "waitMs",
   "firstMs",
@@ -44,4 +45,8 @@
     fields: [...REQUEST_FIELDS, "end", "reason", "events"],
     text: "An attempt failed and the request goes to another upstream",
   },
+  "request-passed-on": {
+    fields: [...REQUEST_FIELDS, "peer"],
+    text: "No upstream is reached from here, and the request goes to this peer",
+  },
 } as const;
--- a/packages/core/src/stream_versions/get_version.ts
+++ b/packages/core/src/stream_versions/get_version.ts
@@ -1,6 +1,8 @@
 import type { UpstreamEntry } from "../placing/types.ts";
 
 /** Returns an upstream's version; empty if it names none. */
-export function getVersion({ version }: UpstreamEntry): string {
+export function getVersion({
+  version,
+}: Pick<UpstreamEntry, "version">): string {
   return version ?? "";
 }
--- a/packages/gateway/src/crashes/crash_watch.ts
+++ b/packages/gateway/src/crashes/crash_watch.ts
@@ -61,7 +61,7 @@
     }
     const port = await checkPort(address);
     log.info("upstream-looked-at", { upstream: upstreamId, port });
-    if (port === "refused") {
+    if (port === "refused" && !view.reach.isConfirmed) {
       view.crashes.recordDown(upstreamId, atMs, []);
     } else if (port === "open") {
       view.crashes.recordReached(upstreamId, atMs);
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -56,6 +56,8 @@
     };
 
 export type ExchangeEvents = {
+  /** Called when a new connection has opened for this request. */
+  readonly onConnect?: () => void;
   /** Called for each answer to this request, also if it was not executed. */
   readonly onAnswer?: (status: number, head: ResponseHead) => void;
   readonly onHead: (head: ExchangeHead) => void;
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -134,6 +134,7 @@
     socket.once("connect", () => {
       clearTimeout(this.#connectTimer);
       this.#mayHaveBeenSent = true;
+      this.#parts.onConnect?.();
     });
   }
 
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -13,6 +13,7 @@
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import { CrashTracker } from "../crashes/crash_tracker.ts";
+import { ReachTracker } from "../passing/reach_tracker.ts";
 import type { GatewaySettings } from "../settings/types.ts";
 import { computeLoadTimes } from "./compute_load_times.ts";
 import { FLEET } from "./constants.ts";
@@ -33,6 +34,7 @@
   readonly directory = new UpstreamDirectory();
   readonly members = new MemberRegistry();
   readonly load = new LoadTracker(() => this.#times.ageLimitMs);
+  readonly reach = new ReachTracker(() => this.readNowMs(), this.directory);
   readonly crashes: CrashTracker;
   readonly quotas: QuotaTracker;
   readonly limits: UpstreamLimitTracker;
@@ -78,8 +80,7 @@
     this.#readNowMs = readNowMs;
     const { instanceId, ramp } = settings;
     const { members, load } = this;
-    const startedMs = readNowMs();
-    this.#startedMs = startedMs;
+    this.#startedMs = readNowMs();
     const initialTokens = settings.quotaSlack * FLEET.INITIAL_TOKENS_SHARE;
     this.quotas = new QuotaTracker({
       instanceId,
@@ -87,7 +88,7 @@
       listSpenders: (_, nowMs) => members.listSpenders(DUTIES.serve, nowMs),
       getTimeoutMs: () =>
         Math.max(QUOTAS.PEER_TIMEOUT_MS, this.#times.ageLimitMs),
-      createQuota: () => createQuota(startedMs, initialTokens),
+      createQuota: () => createQuota(this.#startedMs, initialTokens),
     });
     this.crashes = new CrashTracker({
       instanceId,
@@ -248,6 +249,7 @@
       waitingServices: this.load.waitingServices,
       quietMs: this.load.listActivityAges(nowMs),
       suspects: this.load.listSuspects(nowMs),
+      ...this.reach.buildNews(),
       use: isServing
         ? this.quotas.listUsage((name) => customers.get(name), nowMs)
         : {},
@@ -268,10 +270,7 @@
     );
   }
 
-  /**
-   * Returns this instance's rank among the members with a duty, or among all
-   * members.
-   */
+  /** Returns this instance's rank among all members, or those with a duty. */
   getRank(duty?: Duty): { readonly rank: number; readonly count: number } {
     return this.members.getRank(this.settings.instanceId, duty);
   }
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -53,6 +53,7 @@
   limits: buildRecordSchema(LIMIT).optional(),
   leaving: z.array(LEAVING).optional(),
   crashes: CRASH_NEWS_SCHEMA.optional(),
+  isTaking: z.boolean().optional(),
   isLeaving: z.boolean(),
   isUrgent: z.boolean().optional(),
 });
--- a/packages/gateway/src/fleet/load_tracker.ts
+++ b/packages/gateway/src/fleet/load_tracker.ts
@@ -173,6 +173,10 @@
     return (this.#unheardBy.get(instanceId)?.size ?? 0) > 0;
   }
 
+  getPeerMessage(peerId: string): LoadMessage | undefined {
+    return this.#peers.get(peerId)?.message;
+  }
+
   hasRecentMessage(peerId: string, withinMs: number, nowMs: number): boolean {
     const peer = this.#peers.get(peerId);
     return peer !== undefined && nowMs - peer.receivedMs <= withinMs;
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -28,6 +28,7 @@
     view.load.onNewSuspect = () => this.#sendSoon({ isUrgent: false });
     view.crashes.onUrgentNews = () => this.#sendSoon();
     view.limits.onUrgentNews = () => this.#sendSoon();
+    view.reach.onUrgentNews = () => this.#sendSoon();
     view.directory.onLeaving = (upstream) => {
       log.info("upstream-leaving", { upstream });
       this.#sendSoon();
--- a/packages/gateway/src/fleet/upstream_directory.ts
+++ b/packages/gateway/src/fleet/upstream_directory.ts
@@ -135,6 +135,11 @@
     return versions;
   }
 
+  /** Lists the registered upstreams, whatever their state. */
+  listAll(): readonly UpstreamEntry[] {
+    return [...this.#held.values()].map(({ entry }) => entry);
+  }
+
   count(): number {
     return this.#held.size;
   }
--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -7,6 +7,7 @@
 import Koa, { type Context } from "koa";
 import { RequestKey } from "../crashes/request_key.ts";
 import type { JobApi } from "../jobs/job_api.ts";
+import type { RequestPasser } from "../passing/request_passer.ts";
 import type { RefusalRecorder } from "../refusals/refusal_recorder.ts";
 import { reportRefusals } from "../refusals/report_refusals.ts";
 import type { TableCheck } from "../refusals/table_check.ts";
@@ -32,6 +33,7 @@
   readonly jobs: JobApi;
   readonly origins: StreamOrigins;
   readonly tableCheck: Pick<TableCheck, "confirm">;
+  readonly passer?: RequestPasser;
   readonly refusals: Pick<RefusalRecorder, "record">;
   readonly onDone: (outcome: string, tookMs: number) => void;
 };
@@ -49,7 +51,8 @@
 export class CallerListener {
   readonly #parts: CallerListenerParts;
   readonly #server: Server;
-  readonly #open = new OpenCalls();
+  /** The requests in flight, those of peers among them. */
+  readonly openCalls = new OpenCalls();
   readonly #connections: CallerConnections;
   #stop: StopTimes | undefined;
 
@@ -104,7 +107,16 @@
 
   /** Ends the requests in flight with what is known of them. */
   expireAll(): void {
-    this.#open.expireAll(STOPPING);
+    this.openCalls.expireAll(STOPPING);
+  }
+
+  /** Whether a request that may take so long, in ms, comes too late in a stop. */
+  isTooLate(limitMs: number): boolean {
+    return isTooLate(this.#stop, this.#parts.view.readNowMs(), limitMs);
+  }
+
+  get isStopping(): boolean {
+    return this.#stop !== undefined;
   }
 
   /** Refuses new connections; those that are open stay. */
@@ -122,12 +134,12 @@
    * the last `idleMs`.
    */
   isBusy(idleMs: number): boolean {
-    return this.#open.count() > 0 || this.#connections.hasRecent(idleMs);
+    return this.openCalls.count() > 0 || this.#connections.hasRecent(idleMs);
   }
 
   /** Returns the number of requests in flight. */
   countInFlight(): number {
-    return this.#open.count();
+    return this.openCalls.count();
   }
 
   stop(): void {
@@ -140,7 +152,7 @@
     res.statusCode = 200;
     const receivedMs = this.#parts.view.readNowMs();
     const { socket } = req;
-    const call = this.#open.add();
+    const call = this.openCalls.add();
     const place = this.#connections.placeCall(socket);
     const end = (): void => {
       call.remove();
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -106,13 +106,16 @@
     const { load } = parts.view;
     const hasActivitySince = (sinceMs: number) =>
       load.hasActivitySince(upstream.id, sinceMs);
-    const recordActivity = () =>
+    const recordActivity = () => {
       load.recordActivity(upstream.id, parts.view.readNowMs());
+      parts.view.reach.recordAnswer();
+    };
     this.#exchange = new UpstreamExchange(
       { ...options, hasActivitySince },
       {
         pool: parts.pool,
         dialect: parts.dialect,
+        onConnect: () => parts.view.reach.recordConnected(),
         onAnswer: (status, head) => this.#recordAnswer(status, head),
         onHead: (head) => {
           this.#head = head;
@@ -210,6 +213,7 @@
 
   /** Records what an upstream says of itself, unless it is another one. */
   #recordAnswer(status: number, head: ResponseHead): void {
+    this.#parts.view.reach.recordAnswer();
     if (status === MISDIRECTED) {
       return;
     }
@@ -245,7 +249,7 @@
   }
 
   #recordEnd(end: ExchangeEnd): void {
-    const { load } = this.#parts.view;
+    const { load, reach } = this.#parts.view;
     const nowMs = this.#parts.view.readNowMs();
     switch (end.kind) {
       case "whole":
@@ -261,10 +265,14 @@
         return;
       case "unsent":
         if (end.isUnbuilt !== true) {
+          reach.recordUnanswered(this.upstream.id, false);
           load.recordFailure(this.upstream.id, nowMs);
         }
         return;
       case "lost":
+        reach.recordUnanswered(this.upstream.id, true);
+        load.recordFailure(this.upstream.id, nowMs);
+        return;
       case "unexecuted":
         load.recordFailure(this.upstream.id, nowMs);
         return;
--- a/packages/gateway/src/requests/attempt_tracker.ts
+++ b/packages/gateway/src/requests/attempt_tracker.ts
@@ -1,10 +1,12 @@
 import {
+  ATTEMPTS,
   type AttemptEnd,
   type CrashBlock,
   decideNextStep,
   type NextStep,
 } from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
+import { PASSING } from "../passing/constants.ts";
 import { computeTimeLimitMs } from "./compute_time_limit_ms.ts";
 import type { AdmittedCall, RequestFields } from "./types.ts";
 
@@ -16,6 +18,8 @@
   readonly #view: FleetView;
   readonly #attemptedIds: string[] = [];
   readonly #failed = new Set<string>();
+  readonly #passedTo = new Set<string>();
+  #unreached = 0;
   #runs = 0;
   #waitMs = 0;
   #firstMs: number | undefined;
@@ -47,6 +51,29 @@
     this.#waitMs = Math.round(waitMs);
   }
 
+  /** Ids of the peers to which the request was passed on. */
+  get passedTo(): ReadonlySet<string> {
+    return this.#passedTo;
+  }
+
+  recordPass(peerId: string): void {
+    this.#passedTo.add(peerId);
+  }
+
+  /** Whether several upstreams were not reached, and there is time for a peer. */
+  hasNoPath(end: AttemptEnd, next: NextStep): boolean {
+    return (
+      (end.kind === "unsent" || next.kind === "retry") &&
+      this.#unreached >= PASSING.MIN_UNREACHED &&
+      this.computeRemainingMs() > ATTEMPTS.MIN_REMAINING_MS
+    );
+  }
+
+  /** Records that an upstream was not reached. */
+  recordUnreached(): void {
+    this.#unreached += 1;
+  }
+
   /** Records the time at which the response to the caller started. */
   recordFirstByte(): void {
     const nowMs = this.#view.readNowMs();
@@ -118,6 +145,8 @@
       route: route.name,
       customer: customer?.name,
       upstreams: this.#attemptedIds.join(" "),
+      passedTo:
+        this.#passedTo.size === 0 ? undefined : [...this.#passedTo].join(" "),
       runs: this.#runs,
       waitMs: this.#waitMs,
       firstMs: this.#firstMs,
--- a/packages/gateway/src/requests/check_broken_attempt.ts
+++ b/packages/gateway/src/requests/check_broken_attempt.ts
@@ -49,7 +49,8 @@
     port,
     reason: attempt.reason,
   });
-  if (port !== "refused") {
+  // An instance that reaches no upstream can't tell which of them are down.
+  if (port !== "refused" || view.reach.isConfirmed) {
     return false;
   }
   view.crashes.recordDown(upstream.id, brokeMs, suspects);
--- a/packages/gateway/src/requests/constants.ts
+++ b/packages/gateway/src/requests/constants.ts
@@ -17,6 +17,8 @@
   MAX_RETRY_AFTER_MS: 1_500,
   /** Retry delay for callers when no upstream is available, in ms. */
   NO_UPSTREAM_RETRY_MS: 500,
+  /** Why a request is refused for which no instance has a path. */
+  NO_PATH: "no instance that takes the request reaches upstreams",
   /** Deadline of requests whose caller sets none, in ms. */
   DEFAULT_DEADLINE_MS: 30_000,
   /** Why a stream's upstream is given up, by what its last bytes were. */
--- a/packages/gateway/src/requests/request_ending.ts
+++ b/packages/gateway/src/requests/request_ending.ts
@@ -54,6 +54,12 @@
     this.fail(reason, error, hasStarted);
   }
 
+  /** Ends a request with the error of the peer that it was passed on to. */
+  refuseAsPeer(error: CallError, hasStarted: boolean): void {
+    const run = this.#parts.tracker.runs > 0 ? "may have run" : error.run;
+    this.fail(error.message, { ...error, run }, hasStarted);
+  }
+
   /** Ends a request that a block holds for. */
   refuseBlocked(block: CrashBlock, hasStarted: boolean): void {
     const text = describeBlock(block);
--- a/packages/gateway/src/requests/request_origin.ts
+++ b/packages/gateway/src/requests/request_origin.ts
@@ -20,6 +20,7 @@
   ) {
     this.#call = call;
     this.#origins = origins;
+    this.#origin = call.origin;
   }
 
   /** What alone may go on with the stream; undefined unless it has begun. */
@@ -27,10 +28,14 @@
     return this.#origin;
   }
 
-  /** Whether the caller goes on with a stream that it has a part of. */
+  /** Whether it has to be found what began a stream that the caller goes on with. */
   get isTakenUp(): boolean {
     const { head, route } = this.#call;
-    return route.shape === CALL_SHAPES.stream && head.lastEventId !== undefined;
+    return (
+      this.#origin === undefined &&
+      route.shape === CALL_SHAPES.stream &&
+      head.lastEventId !== undefined
+    );
   }
 
   /** Says what is missing if no upstream can be chosen. */
@@ -52,7 +57,7 @@
   }
 
   /** Records that an upstream brought the stream's first event. */
-  recordBegun(upstream: UpstreamEntry): void {
+  recordBegun(upstream: Pick<UpstreamEntry, "service" | "version">): void {
     if (this.#origin !== undefined) {
       return;
     }
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -1,15 +1,18 @@
 import {
   type AttemptEnd,
   assertNever,
+  type FleetMember,
   type UpstreamEntry,
 } from "@gooseberryline/core";
 import type { ExchangeHead } from "../exchange/types.ts";
+import type { PassAttempt } from "../passing/pass_attempt.ts";
+import { startPass } from "../passing/start_pass.ts";
 import { admitCustomer } from "./admit_customer.ts";
 import type { Attempt, AttemptResult } from "./attempt.ts";
 import { AttemptTracker } from "./attempt_tracker.ts";
 import { callErrors } from "./call_errors.ts";
 import { CallerAnswer } from "./caller_answer.ts";
-import { chooseUpstream } from "./choose_upstream.ts";
+import { chooseTarget } from "./choose_target.ts";
 import { REQUESTS } from "./constants.ts";
 import { RequestEnding } from "./request_ending.ts";
 import { RequestOrigin } from "./request_origin.ts";
@@ -23,8 +26,8 @@
   readonly #parts: RequestRunParts;
   readonly #answer: CallerAnswer;
   readonly #tracker: AttemptTracker;
-  #isAdmitted = false;
-  #attempt: Attempt | undefined;
+  #isAdmitted: boolean;
+  #attempt: Attempt | PassAttempt | undefined;
   readonly #origin: RequestOrigin;
   #timer: NodeJS.Timeout | undefined;
   readonly #ending: RequestEnding;
@@ -32,6 +35,7 @@
   constructor(call: AdmittedCall, reply: CallReply, parts: RequestRunParts) {
     this.#call = call;
     this.#parts = parts;
+    this.#isAdmitted = call.isAdmitted === true;
     this.#tracker = new AttemptTracker(call, parts.view);
     this.#origin = new RequestOrigin(call, parts.origins);
     this.#ending = new RequestEnding({
@@ -61,6 +65,11 @@
     void (this.#origin.isTakenUp ? this.#placeTakenUp() : this.#place());
   }
 
+  /** Version of the upstream whose answer arrives. */
+  get version(): string {
+    return this.#attempt?.upstream.version ?? "";
+  }
+
   /** Cancels the request after the caller has disconnected. */
   cancel(): void {
     if (!this.#ending.isEnded) {
@@ -88,17 +97,24 @@
       this.#ending.refuseBlocked(block, this.#answer.hasStarted);
       return;
     }
-    const placement = chooseUpstream(this.#parts.view, this.#call, {
+    const target = chooseTarget(this.#parts, this.#call, {
       tried: this.#tracker.failed,
+      passedTo: this.#tracker.passedTo,
       leftMs: this.#tracker.computeRemainingMs(),
       origin: this.#origin.current,
     });
-    switch (placement.kind) {
+    switch (target.kind) {
       case "placed":
-        this.#send(placement.upstream, placement.waitMs);
+        this.#send(target.upstream, target.waitMs);
+        return;
+      case "peer":
+        this.#passOn(target.peer);
+        return;
+      case "cut-off":
+        this.#abandon(REQUESTS.NO_PATH, REQUESTS.NO_UPSTREAM_RETRY_MS);
         return;
       case "full":
-        this.#abandon("every upstream is full", placement.freeInMs);
+        this.#abandon("every upstream is full", target.freeInMs);
         return;
       case "none":
         this.#abandon(
@@ -107,7 +123,7 @@
         );
         return;
       default:
-        assertNever(placement);
+        assertNever(target);
     }
   }
 
@@ -142,6 +158,25 @@
     );
   }
 
+  #passOn(peer: FleetMember): void {
+    const { passer } = this.#parts;
+    if (passer === undefined || !this.#admit()) {
+      return;
+    }
+    const call = this.#call;
+    const tracker = this.#tracker;
+    const { lastEventId } = this.#answer;
+    const origin = this.#origin.current;
+    const pass = { call, tracker, peer, lastEventId, origin };
+    this.#attempt = startPass(pass, passer, this.#parts, {
+      ...this.#buildEvents(),
+      onRefused: (error) => {
+        this.#attempt = undefined;
+        this.#ending.refuseAsPeer(error, this.#answer.hasStarted);
+      },
+    });
+  }
+
   #buildEvents() {
     return {
       onHead: (head: ExchangeHead): void => this.#answer.setHead(head),
@@ -211,7 +246,15 @@
 
   #handleFailure(end: AttemptEnd): void {
     const { hasStarted, eventCount } = this.#answer;
-    const next = this.#tracker.decideNextStep(end, hasStarted);
+    const tracker = this.#tracker;
+    const next = tracker.decideNextStep(end, hasStarted);
+    const peer = tracker.hasNoPath(end, next)
+      ? this.#parts.passer?.choose(tracker.passedTo)
+      : undefined;
+    if (peer !== undefined) {
+      this.#passOn(peer);
+      return;
+    }
     switch (next.kind) {
       case "retry":
         this.#ending.logRetry(end, eventCount);
--- a/packages/gateway/src/requests/start_attempt.ts
+++ b/packages/gateway/src/requests/start_attempt.ts
@@ -1,5 +1,10 @@
 import type { UpstreamEntry } from "@gooseberryline/core";
-import { Attempt, type AttemptEvents, type AttemptParts } from "./attempt.ts";
+import {
+  Attempt,
+  type AttemptEvents,
+  type AttemptParts,
+  type AttemptResult,
+} from "./attempt.ts";
 import type { AttemptTracker } from "./attempt_tracker.ts";
 import { buildExchangeOptions } from "./build_exchange_options.ts";
 import type { AdmittedCall } from "./types.ts";
@@ -34,6 +39,21 @@
     { upstream, lane: "online", key, promptParts, customer: customer?.name },
     options,
     parts,
-    events,
+    {
+      ...events,
+      onEnd: (end) => {
+        if (isUnreached(end)) {
+          tracker.recordUnreached();
+        }
+        events.onEnd(end);
+      },
+    },
   );
 }
+
+/** Whether the upstream may be out of reach: no connection, or silence on one. */
+function isUnreached(end: AttemptResult): boolean {
+  return end.kind === "unsent"
+    ? end.isUnbuilt !== true
+    : end.kind === "lost" && end.isSilent;
+}
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -1,6 +1,6 @@
 /** Types of a caller's request while the gateway serves it. */
 import type { IncomingHttpHeaders } from "node:http";
-import type { Route, RouteCustomer } from "@gooseberryline/core";
+import type { Route, RouteCustomer, StreamOrigin } from "@gooseberryline/core";
 import type { RequestKey } from "../crashes/request_key.ts";
 import type { CallHead } from "../dialect/types.ts";
 import type { ExchangeHead } from "../exchange/types.ts";
@@ -19,6 +19,10 @@
   readonly body: Buffer;
   /** When the request head was read, on the monotonic clock, in ms. */
   readonly receivedMs: number;
+  /** What began the stream, if a peer that passes the request on knows it. */
+  readonly origin?: StreamOrigin | undefined;
+  /** Whether a peer has admitted the customer and passes the request on. */
+  readonly isAdmitted?: boolean;
 };
 
 /**
--- a/packages/gateway/src/run_gateway.ts
+++ b/packages/gateway/src/run_gateway.ts
@@ -16,6 +16,7 @@
 import { MembershipTask } from "./fleet/membership_task.ts";
 import { PeerLink } from "./fleet/peer_link.ts";
 import { RecordWatches } from "./fleet/record_watches.ts";
+import { handleRetirement } from "./handle_retirement.ts";
 import { CallerListener } from "./http/caller_listener.ts";
 import { drainCallers } from "./http/drain_callers.ts";
 import { StatusListener } from "./http/status_listener.ts";
@@ -24,6 +25,10 @@
 import { JobSweeper } from "./jobs/job_sweeper.ts";
 import { ResultCountFeed } from "./jobs/result_count_feed.ts";
 import { createGatewayMetrics } from "./metrics/create_gateway_metrics.ts";
+import { PASSING } from "./passing/constants.ts";
+import { ReachWatch } from "./passing/reach_watch.ts";
+import { RequestPasser } from "./passing/request_passer.ts";
+import { TakenRequests } from "./passing/taken_requests.ts";
 import { ConfigFreshness } from "./refusals/config_freshness.ts";
 import { RefusalRecorder } from "./refusals/refusal_recorder.ts";
 import { TableCheck } from "./refusals/table_check.ts";
@@ -35,7 +40,6 @@
 import { RelayedStore } from "./store/relayed_store.ts";
 import { reportStoreContact } from "./store/report_store_contact.ts";
 import { createStreamOrigins } from "./streams/create_stream_origins.ts";
-import { waitMs } from "./wait_ms.ts";
 
 export type GatewayParts = {
   readonly settings: GatewaySettings;
@@ -88,7 +92,6 @@
     freshness.recordStoreContact(isReached);
   });
   const detour = relayed.buildDetour();
-  const relay = new RelayListener(direct);
   const pool = new ConnectionPool(EXCHANGE.IDLE_TIMEOUT_MS);
   const held = new HeldBytes();
   const shared = { view, pool, dialect: dialect.calls, log, store, held };
@@ -106,18 +109,26 @@
   });
   const streams = createStreamOrigins({ view, store, log }, dialect.records);
   const { origins, versions } = streams;
+  const onDone = metrics.recordRequest;
   const listener = new CallerListener({
     ...shared,
     jobs,
     origins,
     tableCheck,
+    passer: new RequestPasser(shared),
     refusals: new RefusalRecorder({
       view,
       log,
       freshness,
       onRefused: metrics.recordRefusal,
     }),
-    onDone: metrics.recordRequest,
+    onDone,
+  });
+  const reachWatch = new ReachWatch({ view, log });
+  const taken = new TakenRequests({ ...shared, listener, onDone });
+  const relay = new RelayListener(direct, {
+    path: PASSING.PATH,
+    handle: (req, res) => taken.handle(req, res),
   });
   const runner = new JobRunner(shared);
   const sweeper = new JobSweeper(shared);
@@ -246,6 +257,7 @@
     blocks.stop();
     versions.stop();
     crashWatch.stop();
+    reachWatch.stop();
     await streams.writer.stop();
     await membership.stop();
     peers.stop();
@@ -264,37 +276,3 @@
     },
   };
 }
-
-/**
- * Releases this instance's jobs to others and reports completion, or resumes
- * claiming.
- */
-async function handleRetirement(
-  { settings, store, dialect, log }: GatewayParts,
-  runner: JobRunner,
-  isRetired: boolean,
-): Promise<void> {
-  if (!isRetired) {
-    runner.resumeClaims();
-    return;
-  }
-  await runner.releaseAll();
-  const { records } = dialect;
-  const { key, value } = records.buildRetirementStatus(
-    settings.instanceId,
-    true,
-  );
-  const write = async (): Promise<void> => {
-    const done = await store.commit({
-      expect: [],
-      set: [{ key, value }],
-      remove: [],
-    });
-    if (done.kind !== "committed") {
-      await waitMs(SHUTDOWN_TIMES.RETIREMENT_RETRY_MS);
-      await write();
-    }
-  };
-  await write();
-  log.info("retired", { instance: settings.instanceId });
-}
--- a/packages/gateway/src/store/relay_listener.ts
+++ b/packages/gateway/src/store/relay_listener.ts
@@ -1,4 +1,9 @@
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import {
   assertNever,
   type MetadataFailure,
@@ -13,18 +18,33 @@
 
 /** Larger than any commit of a job. */
 const MAX_BODY_BYTES = 16_777_216;
+/** Time in which a message has to arrive whole, in ms. */
+const MESSAGE_TIMEOUT_MS = 10_000;
+const OK = 200;
 const BAD_REQUEST = 400;
 
+/** Serves messages of peers below a path of its own, and answers them itself. */
+type PathHandler = {
+  readonly path: string;
+  readonly handle: (req: IncomingMessage, res: ServerResponse) => Promise<void>;
+};
+
 /** Serves store calls to peers that can't reach the store themselves. */
 export class RelayListener {
   readonly #store: MetadataStore;
   readonly #server: Server;
 
   /** Creates a listener; `store` must be this instance's direct connection. */
-  constructor(store: MetadataStore) {
+  constructor(store: MetadataStore, other?: PathHandler) {
     this.#store = store;
     const app = new Koa();
     app.use(async (ctx) => {
+      if (ctx.path === other?.path) {
+        ctx.respond = false;
+        ctx.res.statusCode = OK;
+        await other.handle(ctx.req, ctx.res);
+        return;
+      }
       const body = await getRawBody(ctx.req, { limit: MAX_BODY_BYTES });
       const call = parseCall(body);
       if (call === undefined) {
@@ -38,7 +58,10 @@
       );
     });
     app.silent = true;
-    this.#server = createServer(app.callback());
+    this.#server = createServer(
+      { requestTimeout: MESSAGE_TIMEOUT_MS, noDelay: true },
+      app.callback(),
+    );
   }
 
   start(endpoint: Endpoint): Promise<void> {
--- a/packages/gateway/src/testing/create_view.ts
+++ b/packages/gateway/src/testing/create_view.ts
@@ -1,8 +1,12 @@
 import type { Duty } from "@gooseberryline/core";
 import { FleetView } from "../fleet/fleet_view.ts";
+import type { GatewaySettings } from "../settings/types.ts";
 
 /** Creates the view of a single instance that has just started, for tests. */
-export function createView(duty: Duty = "serve"): FleetView {
+export function createView(
+  duty: Duty = "serve",
+  fields: Partial<GatewaySettings> = {},
+): FleetView {
   const settings = {
     instanceId: "i1",
     dataCentre: "a",
@@ -17,6 +21,7 @@
     isFirstStart: false,
     quotaSlack: 20,
     ramp: { over: 1, slack: 1 },
+    ...fields,
   };
   return new FleetView(settings, "1", () => performance.now());
 }
