Admit what the bucket can spare until the next reports of a large fleet

A customer with nine times its usual load had 268 requests run in 5 s where 231 are allowed, at 64 instances that serve callers. Each instance saw the same tokens and the admissions of the others 0.6 s later, so all admitted at once, then all refused.

Instances tell how much is asked of them, and each admits the part of its requests that the bucket can spare until the next reports. Where less is asked all is admitted. With little left, what was admitted is told once before the interval.

--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -26,6 +26,8 @@
   readonly admitted: number;
   /** The sender's estimate of the customer's fleet-wide token bucket. */
   readonly tokens: number;
+  /** Requests that come to the sender a second; earlier builds don't tell. */
+  readonly askedPerSecond?: number | undefined;
 };
 
 /** A process of an upstream that said in an answer that it is about to end. */
--- a/packages/core/src/quotas/take_quota.ts
+++ b/packages/core/src/quotas/take_quota.ts
@@ -1,5 +1,6 @@
+import { computeAdmittedPart } from "./compute_admitted_part.ts";
 import { refillQuota } from "./refill_quota.ts";
-import type { Quota, QuotaLimit } from "./types.ts";
+import type { OtherDemand, Quota, QuotaLimit } from "./types.ts";
 
 /** Updated bucket and whether a token was taken. */
 export type TakeQuotaResult =
@@ -13,12 +14,19 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** Takes one token, or reports that the customer is over its rate. */
+/** No other instance takes tokens. */
+const ALONE = { perSecond: 0, lagMs: 0, drawn: 0 };
+
+/**
+ * Takes one token, or reports that the customer is over its rate. `drawn` is a
+ * random number in [0, 1).
+ */
 export function takeQuota(
   quota: Quota,
   limit: QuotaLimit,
   reachableShare: number,
   nowMs: number,
+  others: OtherDemand & { readonly drawn: number } = ALONE,
 ): TakeQuotaResult {
   if (limit.ratePerSecond <= 0) {
     return { kind: "taken", quota };
@@ -29,6 +37,15 @@
     const freeInMs = ((1 - refilled.tokens) / rate) * MS_PER_SECOND;
     return { kind: "over", quota: refilled, freeInMs };
   }
+  const { ratePerSecond, burst } = limit;
+  const reached = {
+    ratePerSecond: ratePerSecond * reachableShare,
+    burst: burst * reachableShare,
+  };
+  if (others.drawn >= computeAdmittedPart(refilled.tokens, reached, others)) {
+    const freeInMs = MS_PER_SECOND / reached.ratePerSecond;
+    return { kind: "over", quota: refilled, freeInMs };
+  }
   return {
     kind: "taken",
     quota: {
--- a/packages/core/src/quotas/types.ts
+++ b/packages/core/src/quotas/types.ts
@@ -26,3 +26,17 @@
   /** Requests that this instance has admitted since it started. */
   readonly admitted: number;
 };
+
+/** A moving average of requests, admitted or not. */
+export type Demand = {
+  readonly perSecond: number;
+  readonly atMs: number;
+};
+
+/** What the other instances may take unseen. */
+export type OtherDemand = {
+  /** Requests of the customer that come to them, by their last reports. */
+  readonly perSecond: number;
+  /** Time between two reports of an instance, in ms. */
+  readonly lagMs: number;
+};
--- a/packages/gateway/src/fleet/compute_load_times.ts
+++ b/packages/gateway/src/fleet/compute_load_times.ts
@@ -3,6 +3,8 @@
 
 /** How long what a peer reported can be relied on, in ms. */
 type LoadTimes = {
+  /** Time between two messages of a peer. */
+  readonly intervalMs: number;
   /** Time without a message after which a peer counts as unreachable. */
   readonly peerTimeoutMs: number;
   /** Age at which a report is out of date. */
@@ -13,6 +15,7 @@
 export function computeLoadTimes(memberCount: number): LoadTimes {
   const intervalMs = computeGossipIntervalMs(memberCount);
   return {
+    intervalMs,
     peerTimeoutMs: Math.max(
       FLEET.MIN_PEER_TIMEOUT_MS,
       intervalMs * FLEET.PEER_TIMEOUT_INTERVALS,
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -88,6 +88,7 @@
       listSpenders: (_, nowMs) => members.listSpenders(DUTIES.serve, nowMs),
       getTimeoutMs: () =>
         Math.max(QUOTAS.PEER_TIMEOUT_MS, this.#times.ageLimitMs),
+      getLagMs: () => this.#times.intervalMs,
       createQuota: () => createQuota(this.#startedMs, initialTokens),
     });
     this.crashes = new CrashTracker({
--- a/packages/gateway/src/fleet/load_codec.ts
+++ b/packages/gateway/src/fleet/load_codec.ts
@@ -17,9 +17,16 @@
 const WORK = buildCheckedRecordSchema((value): value is InFlightWork =>
   holdsNumbers(value, ["online", "batch"]),
 );
-const USE = buildCheckedRecordSchema((value): value is CustomerUsage =>
-  holdsNumbers(value, ["admitted", "tokens"]),
+const USE = buildCheckedRecordSchema(
+  (value): value is CustomerUsage =>
+    holdsNumbers(value, ["admitted", "tokens"]) &&
+    isNumberIfPresent(Reflect.get(value, "askedPerSecond")),
 );
+
+function isNumberIfPresent(value: unknown): boolean {
+  return value === undefined || Number.isFinite(value);
+}
+
 const LIMIT = z.object({
   perSecond: z.number().nonnegative(),
   ageMs: z.number(),
--- a/packages/gateway/src/fleet/load_codec_test.ts
+++ b/packages/gateway/src/fleet/load_codec_test.ts
@@ -53,6 +53,8 @@
     { open: { u: { online: 1 } } },
     { open: { u: null } },
     { use: { t: { admitted: 1, tokens: [] } } },
+    { use: { t: { admitted: 1, tokens: 1, askedPerSecond: null } } },
+    { use: { t: { admitted: 1, tokens: 1, askedPerSecond: "1" } } },
     { quietMs: { u: "3" } },
     { seen: { u: null } },
     { listed: { u: {} } },
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -27,6 +27,7 @@
     view.onUpstreamOverloaded = () => this.#sendSoon();
     view.load.onNewSuspect = () => this.#sendSoon({ isUrgent: false });
     view.crashes.onUrgentNews = () => this.#sendSoon();
+    view.quotas.onUrgentNews = () => this.#sendSoon();
     view.limits.onUrgentNews = () => this.#sendSoon();
     view.reach.onUrgentNews = () => this.#sendSoon();
     view.directory.onLeaving = (upstream) => {
--- a/packages/gateway/src/fleet/quota_tracker.ts
+++ b/packages/gateway/src/fleet/quota_tracker.ts
@@ -1,12 +1,15 @@
 import {
   type CustomerUsage,
+  type Demand,
   type LoadMessage,
   type PeerUsage,
   QUOTAS,
   type Quota,
   type QuotaLimit,
+  recordDemand,
   recordPeerUsage,
   refillQuota,
+  shouldTellEarly,
   type TakeQuotaResult,
   takeQuota,
 } from "@gooseberryline/core";
@@ -19,6 +22,8 @@
   readonly listSpenders: (name: string, nowMs: number) => readonly string[];
   /** Returns the time after which a silent peer uses its static share, in ms. */
   readonly getTimeoutMs: () => number;
+  /** Returns the time between two reports of a peer, in ms. */
+  readonly getLagMs: () => number;
   /** Creates the bucket of a quota that was not known. */
   readonly createQuota: (nowMs: number) => Quota;
 };
@@ -26,6 +31,8 @@
 /** What a peer last reported, by quota. */
 type PeerState = {
   readonly usage: Map<string, PeerUsage>;
+  /** Requests that come to it a second. */
+  readonly askedPerSecond: Map<string, number>;
   readonly receivedMs: number;
 };
 
@@ -37,19 +44,31 @@
   readonly #parts: QuotaTrackerParts;
   readonly #quotas = new Map<string, Quota>();
   readonly #peers = new Map<string, PeerState>();
-  /** When a request was last admitted, by quota. */
-  readonly #lastAdmittedMs = new Map<string, number>();
+  /** Requests that come here, by quota. */
+  readonly #demands = new Map<string, Demand>();
+  /** When a request last came, by quota. */
+  readonly #lastAskedMs = new Map<string, number>();
+
+  /** The limits in force, as of the last request, by quota. */
+  readonly #limits = new Map<string, QuotaLimit>();
+  /** What peers were told to be admitted here, by quota. */
+  readonly #told = new Map<string, number>();
+  readonly #toldEarlyMs = new Map<string, number>();
+  /** Called for what peers have to learn before the next interval. */
+  onUrgentNews: () => void = () => undefined;
 
   constructor(parts: QuotaTrackerParts) {
     this.#parts = parts;
   }
 
   take(name: string, limit: QuotaLimit, nowMs: number): TakeQuotaResult {
+    if (limit.ratePerSecond > 0) {
+      this.#lastAskedMs.set(name, nowMs);
+      this.#limits.set(name, limit);
+      this.#demands.set(name, this.#computeDemand(name, nowMs, 1));
+    }
     const taken = this.#compute(name, limit, nowMs);
     this.#quotas.set(name, taken.quota);
-    if (taken.kind === "taken" && limit.ratePerSecond > 0) {
-      this.#lastAdmittedMs.set(name, nowMs);
-    }
     return taken;
   }
 
@@ -62,12 +81,33 @@
   /** Forgets a quota that is no longer in force. */
   drop(name: string): void {
     this.#quotas.delete(name);
-    this.#lastAdmittedMs.delete(name);
+    this.#demands.delete(name);
+    this.#limits.delete(name);
+    this.#told.delete(name);
+    this.#toldEarlyMs.delete(name);
+    this.#lastAskedMs.delete(name);
   }
 
   #compute(name: string, limit: QuotaLimit, nowMs: number): TakeQuotaResult {
     const share = this.#computeReachableShare(name, nowMs);
-    return takeQuota(this.#find(name, nowMs), limit, share, nowMs);
+    const perSecond = this.#sumOthersDemand(name, nowMs);
+    const lagMs = this.#parts.getLagMs();
+    const others = { perSecond, lagMs, drawn: Math.random() };
+    return takeQuota(this.#find(name, nowMs), limit, share, nowMs, others);
+  }
+
+  #computeDemand(name: string, nowMs: number, count: number): Demand {
+    const known = this.#demands.get(name) ?? { perSecond: 0, atMs: nowMs };
+    return recordDemand(known, nowMs, count);
+  }
+
+  /** Adds what comes to the peers that were heard of lately. */
+  #sumOthersDemand(name: string, nowMs: number): number {
+    const timeoutMs = this.#parts.getTimeoutMs();
+    return [...this.#peers.values()]
+      .filter(({ receivedMs }) => nowMs - receivedMs <= timeoutMs)
+      .map(({ askedPerSecond }) => askedPerSecond.get(name) ?? 0)
+      .reduce((sum, perSecond) => sum + perSecond, 0);
   }
 
   /** Records what a peer's message says of its usage, by quota. */
@@ -77,33 +117,53 @@
     receivedMs: number,
   ): void {
     const peer = this.#peers.get(from) ?? { usage: new Map(), receivedMs };
+    const askedPerSecond = new Map<string, number>();
     const timeoutMs = this.#parts.getTimeoutMs();
     const wasSilent = receivedMs - peer.receivedMs > timeoutMs;
-    Object.entries(use).forEach(([name, { admitted, tokens }]) => {
+    Object.entries(use).forEach(([name, said]) => {
+      const { admitted, tokens } = said;
+      askedPerSecond.set(name, said.askedPerSecond ?? 0);
       const usage = { incarnation, admitted };
       const previous = peer.usage.get(name);
       const about = { usage, previous, tokens, ageMs, wasSilent, receivedMs };
       const quota = this.#find(name, receivedMs);
       this.#quotas.set(name, recordPeerUsage(quota, about));
       peer.usage.set(name, usage);
+      this.#reportEarly(name, receivedMs);
     });
-    this.#peers.set(from, { ...peer, receivedMs });
+    this.#peers.set(from, { ...peer, askedPerSecond, receivedMs });
+  }
+
+  /** Tells peers before the next interval, once in an interval. */
+  #reportEarly(name: string, nowMs: number): void {
+    const limit = this.#limits.get(name);
+    const lagMs = this.#parts.getLagMs();
+    const lastMs = this.#toldEarlyMs.get(name) ?? Number.NEGATIVE_INFINITY;
+    if (limit === undefined || nowMs - lastMs < lagMs) {
+      return;
+    }
+    const quota = this.#find(name, nowMs);
+    const untold = quota.admitted - (this.#told.get(name) ?? 0);
+    if (shouldTellEarly(quota, limit, untold)) {
+      this.#toldEarlyMs.set(name, nowMs);
+      this.onUrgentNews();
+    }
   }
 
   /**
-   * Lists the usage reported to peers, for the quotas from which requests were
-   * admitted lately and whose limit is known.
+   * Lists the usage reported to peers, for the quotas for which requests came
+   * lately and whose limit is known.
    */
   listUsage(
     getLimit: (name: string) => QuotaLimit | undefined,
     nowMs: number,
   ): Readonly<Record<string, CustomerUsage>> {
-    [...this.#lastAdmittedMs]
+    [...this.#lastAskedMs]
       .filter(([, atMs]) => nowMs - atMs > QUOTAS.REPORT_MS)
       .forEach(([name]) => {
-        this.#lastAdmittedMs.delete(name);
+        this.#lastAskedMs.delete(name);
       });
-    const entries = [...this.#lastAdmittedMs.keys()].flatMap((name) => {
+    const entries = [...this.#lastAskedMs.keys()].flatMap((name) => {
       const limit = getLimit(name);
       return limit === undefined
         ? []
@@ -117,7 +177,10 @@
     const quota = refillQuota(this.#find(name, nowMs), limit, share, nowMs);
     this.#quotas.set(name, quota);
     const { admitted, tokens } = quota;
-    return { admitted, tokens: toTenths(tokens) };
+    this.#told.set(name, admitted);
+    const { perSecond } = this.#computeDemand(name, nowMs, 0);
+    const askedPerSecond = toTenths(perSecond);
+    return { admitted, tokens: toTenths(tokens), askedPerSecond };
   }
 
   #find(name: string, nowMs: number): Quota {
--- a/packages/gateway/src/fleet/upstream_limit_tracker.ts
+++ b/packages/gateway/src/fleet/upstream_limit_tracker.ts
@@ -52,6 +52,8 @@
       load,
       listSpenders: (upstreamId) => this.#listSenders(upstreamId),
       getTimeoutMs: () => UPSTREAM_LIMITS.PEER_TIMEOUT_MS,
+      // Upstreams reject what is sent beyond their limit, and it is sent again.
+      getLagMs: () => 0,
       createQuota: (nowMs) => createQuota(nowMs, 0),
     });
   }
