Keep when a suspect was sent as reports of a crash are joined

A review of the blocks showed it: the report of an instance that saw a crash first moved the time of the crash, but not the time for which the suspects of the other reports had run. A suspect sent after the crash before seemed to have been there at it, so the crash did not count, and what crashes upstreams was blocked later.

Suspects are now dated from the joined crash, and a suspect whose report is told again at a slightly other time is the same one. The first test failed before; the second guards the mend and passed before it.

--- a/packages/core/src/crashes/merge_crash.ts
+++ b/packages/core/src/crashes/merge_crash.ts
@@ -22,10 +22,14 @@
 }
 
 function mergeReports(known: Crash, added: Crash): Crash {
+  const atMs = Math.min(known.atMs, added.atMs);
+  const suspects = [known, added].flatMap((report) =>
+    listSuspectsUntil(report, atMs),
+  );
   return {
     upstreamId: known.upstreamId,
-    atMs: Math.min(known.atMs, added.atMs),
-    suspects: mergeSuspects(known.suspects, added.suspects),
+    atMs,
+    suspects: listDistinct(suspects),
     downAt: [...new Set([...known.downAt, ...added.downAt])],
     reachedAt: [...new Set([...known.reachedAt, ...added.reachedAt])],
     reachedMs: findLatest([known.reachedMs, added.reachedMs]),
@@ -49,12 +53,28 @@
   );
 }
 
-function mergeSuspects(
-  known: readonly CrashSuspect[],
-  added: readonly CrashSuspect[],
+/** Lists a report's suspects with the times for which they ran until `atMs`. */
+function listSuspectsUntil(
+  report: Crash,
+  atMs: number,
 ): readonly CrashSuspect[] {
-  const byText = new Map(
-    [...known, ...added].map((suspect) => [JSON.stringify(suspect), suspect]),
+  const earlierMs = report.atMs - atMs;
+  return report.suspects.map((suspect) =>
+    suspect.ranMs === undefined
+      ? suspect
+      : { ...suspect, ranMs: suspect.ranMs - earlierMs },
   );
+}
+
+/** The times of repeated reports differ by what they took to arrive. */
+function listDistinct(
+  suspects: readonly CrashSuspect[],
+): readonly CrashSuspect[] {
+  const byText = new Map<string, CrashSuspect>();
+  suspects.forEach((suspect) => {
+    const { ranMs: _, ...identity } = suspect;
+    const text = JSON.stringify(identity);
+    byText.set(text, byText.get(text) ?? suspect);
+  });
   return [...byText.values()].slice(0, CRASHES.MAX_SUSPECTS);
 }
