Tell the own data centre of work in flight more often

Callers of a large fleet waited in queues while other upstreams had free slots: load messages go out each 8 ms a member, so at 76 instances 64 of them place by counts that are up to 0.6 s old, for requests of 0.7 s.

Where load messages are at least twice as rare as the own data centre's size asks for, its instances now tell each other their work in flight in between, each 8 ms a member of the data centre and only if it has changed. A message holds nothing but that; its age no longer grows with the fleet. Small fleets send none.

--- a/packages/core/src/fleet/types.ts
+++ b/packages/core/src/fleet/types.ts
@@ -84,3 +84,17 @@
   /** Set if peers must learn what it says at once; earlier builds leave it out. */
   readonly isUrgent?: boolean | undefined;
 };
+
+/**
+ * Sent to the instances of the own data centre between load messages, where those
+ * are rare; earlier builds don't read it. May be lost in transit.
+ */
+export type WorkMessage = {
+  readonly kind: "work";
+  readonly from: string;
+  readonly incarnation: string;
+  /** Increases with each message of an incarnation, load messages included. */
+  readonly sequence: number;
+  /** The sender's work in flight, by upstream. */
+  readonly open: LoadMessage["open"];
+};
--- /dev/null
+++ b/packages/gateway/src/fleet/candidate_lister.ts
@@ -0,0 +1,55 @@
+import {
+  type Candidate,
+  type FleetMember,
+  listUnreachableDataCentres,
+} from "@gooseberryline/core";
+import type { Lane, LoadTracker } from "./load_tracker.ts";
+import type { RampTracker } from "./ramp_tracker.ts";
+import type { UpstreamDirectory } from "./upstream_directory.ts";
+import type { UpstreamLimitTracker } from "./upstream_limit_tracker.ts";
+
+type CandidateListerParts = {
+  readonly directory: UpstreamDirectory;
+  readonly load: LoadTracker;
+  readonly limits: UpstreamLimitTracker;
+  readonly ramps: RampTracker;
+  readonly listPeers: () => readonly FleetMember[];
+  readonly getPeerTimeoutMs: () => number;
+  readonly getColdRate: (service: string) => number;
+  readonly readNowMs: () => number;
+};
+
+/** Lists the upstreams of a service with what is known of their load. */
+export class CandidateLister {
+  readonly #parts: CandidateListerParts;
+
+  constructor(parts: CandidateListerParts) {
+    this.#parts = parts;
+  }
+
+  list(service: string, lane: Lane): readonly Candidate[] {
+    const { directory, load, limits, ramps } = this.#parts;
+    const nowMs = this.#parts.readNowMs();
+    const perSecond = this.#parts.getColdRate(service);
+    const unreachable = this.#listUnreachableDataCentres(nowMs);
+    return directory.list(service, nowMs).map((entry) => ({
+      entry,
+      open: load.countInFlight(entry.id, nowMs),
+      suspectUntilMs: unreachable.has(entry.dataCentre)
+        ? Number.POSITIVE_INFINITY
+        : load.getSuspectUntilMs(entry.id, nowMs),
+      isLimited: limits.isLimited(entry.id),
+      isRateOpen:
+        ramps.canSend(entry, perSecond, nowMs) &&
+        limits.canSend(entry.id, lane, nowMs),
+    }));
+  }
+
+  #listUnreachableDataCentres(nowMs: number): ReadonlySet<string> {
+    const { load, listPeers, getPeerTimeoutMs } = this.#parts;
+    const timeoutMs = getPeerTimeoutMs();
+    return listUnreachableDataCentres(listPeers(), (id) =>
+      load.hasDirectContact(id, timeoutMs, nowMs),
+    );
+  }
+}
--- a/packages/gateway/src/fleet/constants.ts
+++ b/packages/gateway/src/fleet/constants.ts
@@ -58,4 +58,6 @@
    * are made up for by the shorter interval.
    */
   INBOX_INTERVAL_SHARE: 1 / 32,
+  /** Messages of work in flight for each load message that pay for sending any. */
+  MIN_WORK_MESSAGES: 2,
 } as const;
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -6,7 +6,6 @@
   type Duty,
   type FleetMember,
   type LoadMessage,
-  listUnreachableDataCentres,
   QUOTAS,
   type RouteTable,
   type ServingConfig,
@@ -15,6 +14,7 @@
 import { CrashTracker } from "../crashes/crash_tracker.ts";
 import { ReachTracker } from "../passing/reach_tracker.ts";
 import type { GatewaySettings } from "../settings/types.ts";
+import { CandidateLister } from "./candidate_lister.ts";
 import { computeLoadTimes } from "./compute_load_times.ts";
 import { FLEET } from "./constants.ts";
 import { describeSender } from "./describe_sender.ts";
@@ -26,6 +26,7 @@
 import { StoreRelayChooser } from "./store_relay_chooser.ts";
 import { UpstreamDirectory } from "./upstream_directory.ts";
 import { UpstreamLimitTracker } from "./upstream_limit_tracker.ts";
+import { WorkNews } from "./work_news.ts";
 
 /** Holds what this instance knows of the fleet and of its configuration. */
 export class FleetView {
@@ -39,12 +40,16 @@
   readonly quotas: QuotaTracker;
   readonly limits: UpstreamLimitTracker;
   readonly storeRelays: StoreRelayChooser;
+  readonly work: WorkNews;
   readonly #ramps: RampTracker;
+  readonly #candidates: CandidateLister;
   readonly #router: MessageRouter;
   readonly #readNowMs: () => number;
   #table: RouteTable | undefined;
   readonly #startedMs: number;
   #sequence = 0;
+  /** Number of load messages sent. */
+  #round = 0;
   /**
    * Called when an online request is sent to an upstream whose work in flight
    * exceeds its slots, so that batch items must yield.
@@ -104,21 +109,30 @@
       load,
       readNowMs,
     });
-    this.#router = new MessageRouter({
-      settings,
-      members,
+    const contact = {
       load,
       listPeers: () => this.listPeers(),
       getPeerTimeoutMs: () => this.#times.peerTimeoutMs,
       readNowMs,
-    });
-    this.storeRelays = new StoreRelayChooser({
+    };
+    this.#router = new MessageRouter({ settings, members, ...contact });
+    this.work = new WorkNews({
+      settings,
+      incarnation,
+      members,
       load,
-      listPeers: () => this.listPeers(),
-      getPeerTimeoutMs: () => this.#times.peerTimeoutMs,
-      readNowMs,
+      listNearPeers: () => this.#router.listNearPeers(),
+      takeSequence: () => this.#takeSequence(),
     });
+    this.storeRelays = new StoreRelayChooser(contact);
     this.#ramps = new RampTracker({ instanceId, members, bounds: ramp });
+    this.#candidates = new CandidateLister({
+      ...contact,
+      directory: this.directory,
+      limits: this.limits,
+      ramps: this.#ramps,
+      getColdRate: (service) => this.#getColdRate(service),
+    });
   }
 
   /** Returns the time of the monotonic clock, in ms. */
@@ -145,20 +159,7 @@
    * an item.
    */
   listCandidates(service: string, lane: Lane): readonly Candidate[] {
-    const nowMs = this.readNowMs();
-    const perSecond = this.#getColdRate(service);
-    const unreachable = this.#listUnreachableDataCentres(nowMs);
-    return this.directory.list(service, nowMs).map((entry) => ({
-      entry,
-      open: this.load.countInFlight(entry.id, nowMs),
-      suspectUntilMs: unreachable.has(entry.dataCentre)
-        ? Number.POSITIVE_INFINITY
-        : this.load.getSuspectUntilMs(entry.id, nowMs),
-      isLimited: this.limits.isLimited(entry.id),
-      isRateOpen:
-        this.#ramps.canSend(entry, perSecond, nowMs) &&
-        this.limits.canSend(entry.id, lane, nowMs),
-    }));
+    return this.#candidates.list(service, lane);
   }
 
   /** Records that a request is being sent to an upstream. */
@@ -209,7 +210,8 @@
 
   /** Lists the peers that the next load message is sent to. */
   listMessageTargets(): readonly FleetMember[] {
-    return this.#router.listTargets(this.#sequence);
+    this.#round += 1;
+    return this.#router.listTargets(this.#round);
   }
 
   /**
@@ -236,7 +238,6 @@
     const unreached = (isSettled ? this.listPeers() : [])
       .map(({ id }) => id)
       .filter((id) => !this.load.hasDirectContact(id, timeoutMs, nowMs));
-    this.#sequence += 1;
     const isServing = this.settings.duty === DUTIES.serve;
     const customers = this.#table?.customers ?? new Map();
     return {
@@ -244,7 +245,7 @@
       incarnation: this.incarnation,
       ageMs: Math.round(nowMs - this.#startedMs),
       hasStore: this.hasStore,
-      sequence: this.#sequence,
+      sequence: this.#takeSequence(),
       open: this.load.listOwnInFlight(),
       waitingItems: this.load.waitingItems,
       waitingServices: this.load.waitingServices,
@@ -264,13 +265,6 @@
     };
   }
 
-  #listUnreachableDataCentres(nowMs: number): ReadonlySet<string> {
-    const timeoutMs = this.#times.peerTimeoutMs;
-    return listUnreachableDataCentres(this.listPeers(), (id) =>
-      this.load.hasDirectContact(id, timeoutMs, nowMs),
-    );
-  }
-
   /** Returns this instance's rank among all members, or those with a duty. */
   getRank(duty?: Duty): { readonly rank: number; readonly count: number } {
     return this.members.getRank(this.settings.instanceId, duty);
@@ -287,11 +281,15 @@
       .filter(({ id }) => id !== instanceId);
   }
 
-  /** How long what peers reported can be relied on, in ms. */
   get #times() {
     return computeLoadTimes(this.members.count());
   }
 
+  #takeSequence(): number {
+    this.#sequence += 1;
+    return this.#sequence;
+  }
+
   #getColdRate(service: string): number {
     return this.#table?.services.get(service)?.coldRequestsPerSecond ?? 1;
   }
--- a/packages/gateway/src/fleet/load_tracker.ts
+++ b/packages/gateway/src/fleet/load_tracker.ts
@@ -1,8 +1,13 @@
-import type { InFlightWork, LoadMessage } from "@gooseberryline/core";
+import type {
+  InFlightWork,
+  LoadMessage,
+  WorkMessage,
+} from "@gooseberryline/core";
 import { addWork } from "./add_work.ts";
 import { FLEET } from "./constants.ts";
 import { PeerReports } from "./peer_reports.ts";
 import type { PeerState } from "./peer_state.ts";
+import { UnheardIndex } from "./unheard_index.ts";
 
 export type Lane = "online" | "batch";
 
@@ -21,8 +26,7 @@
   readonly #suspects = new Map<string, SuspectState>();
   readonly #lastActivityMs = new Map<string, number>();
   readonly #meanServiceTimesMs = new Map<string, number>();
-  /** Peers that report to receive nothing from an instance, by its id. */
-  readonly #unheardBy = new Map<string, Set<string>>();
+  readonly unheard = new UnheardIndex();
   readonly #getAgeLimitMs: () => number;
   /** Number of this instance's batch items that wait for an upstream. */
   waitingItems = 0;
@@ -138,7 +142,7 @@
       }
       return false;
     }
-    this.#updateUnheard(message.from, lastMessage?.unheard, message.unheard);
+    this.unheard.update(message.from, lastMessage?.unheard, message.unheard);
     if (message.isLeaving) {
       this.#peers.delete(message.from);
       this.#reports.drop(message.from);
@@ -154,23 +158,20 @@
     return true;
   }
 
-  #updateUnheard(
-    peerId: string,
-    before: readonly string[] = [],
-    now: readonly string[],
-  ): void {
-    before.forEach((id) => {
-      this.#unheardBy.get(id)?.delete(peerId);
-    });
-    now.forEach((id) => {
-      const peers = this.#unheardBy.get(id) ?? new Set();
-      this.#unheardBy.set(id, peers.add(peerId));
-    });
-  }
-
-  /** Returns whether some peer reports to receive nothing from an instance. */
-  isUnheardByPeer(instanceId: string): boolean {
-    return (this.#unheardBy.get(instanceId)?.size ?? 0) > 0;
+  /** Records a known peer's work in flight; returns false if it is no news. */
+  recordPeerWork(
+    { from, incarnation, sequence, open }: WorkMessage,
+    receivedMs: number,
+  ): boolean {
+    const peer = this.#peers.get(from);
+    const isKnown = peer?.message.incarnation === incarnation;
+    if (!isKnown || peer.message.sequence >= sequence) {
+      return false;
+    }
+    const message = { ...peer.message, sequence, open };
+    this.#peers.set(from, { ...peer, message });
+    this.#reports.recordWork(from, open, receivedMs);
+    return true;
   }
 
   getPeerMessage(peerId: string): LoadMessage | undefined {
--- a/packages/gateway/src/fleet/message_router.ts
+++ b/packages/gateway/src/fleet/message_router.ts
@@ -71,13 +71,13 @@
     { isFromPeer, isFromAfar, isDirect }: MessagePath,
   ): readonly FleetMember[] {
     return [
-      ...(isFromPeer && isFromAfar ? this.#listNearPeers() : []),
+      ...(isFromPeer && isFromAfar ? this.listNearPeers() : []),
       ...(isDirect ? this.#listRelayTargets(from) : []),
     ];
   }
 
   /** Lists the peers of this instance's data centre. */
-  #listNearPeers(): readonly FleetMember[] {
+  listNearPeers(): readonly FleetMember[] {
     const { dataCentre } = this.#parts.settings;
     return this.#parts
       .listPeers()
@@ -88,7 +88,7 @@
   #listRelayTargets(origin: string): readonly FleetMember[] {
     const { settings, load, listPeers, getPeerTimeoutMs, readNowMs } =
       this.#parts;
-    if (!load.isUnheardByPeer(origin)) {
+    if (!load.unheard.has(origin)) {
       return [];
     }
     const unreachedByPeer = load.listUnreachedByPeer(
--- a/packages/gateway/src/fleet/peer_link.ts
+++ b/packages/gateway/src/fleet/peer_link.ts
@@ -1,5 +1,10 @@
 import { createSocket, type Socket } from "node:dgram";
-import type { EventLog, FleetMember, LoadMessage } from "@gooseberryline/core";
+import type {
+  EventLog,
+  FleetMember,
+  LoadMessage,
+  WorkMessage,
+} from "@gooseberryline/core";
 import { runStep } from "../steps/run_step.ts";
 import { computeGossipIntervalMs } from "./compute_gossip_interval_ms.ts";
 import { computeInboxDelayMs } from "./compute_inbox_delay_ms.ts";
@@ -7,6 +12,7 @@
 import type { FleetView } from "./fleet_view.ts";
 import { loadCodec } from "./load_codec.ts";
 import { type Datagram, MessageInbox } from "./message_inbox.ts";
+import { workCodec } from "./work_codec.ts";
 
 /** Exchanges load messages with peers over UDP; any message may be lost. */
 export class PeerLink {
@@ -15,6 +21,7 @@
   readonly #socket: Socket;
   readonly #inbox: MessageInbox;
   #timer: NodeJS.Timeout | undefined;
+  #workTimer: NodeJS.Timeout | undefined;
   /** Whether the next message is sent before its time. */
   #isEarly = false;
   /** Whether peers must handle the next message at once. */
@@ -59,6 +66,7 @@
       this.#socket.bind(peerPort, host, () => {
         this.#socket.off("error", reject);
         this.#sendLater();
+        this.#sendWorkLater();
         resolve();
       });
     });
@@ -67,12 +75,18 @@
   /** Notifies peers that this instance is leaving, then closes the socket. */
   stop(): void {
     clearTimeout(this.#timer);
+    clearTimeout(this.#workTimer);
     this.#inbox.stop();
     this.#send({ isLeaving: true });
     this.#socket.close();
   }
 
   #handleDatagram({ bytes, sender, receivedMs }: Datagram): void {
+    const work = workCodec.decode(bytes);
+    if (work !== undefined) {
+      this.#handleWork(work, receivedMs);
+      return;
+    }
     const message = loadCodec.decode(bytes);
     if (message !== undefined) {
       this.#recordSender(message, sender);
@@ -86,6 +100,12 @@
     }
   }
 
+  #handleWork(message: WorkMessage, receivedMs: number): void {
+    if (this.#view.work.record(message, receivedMs)) {
+      this.#view.onPeerLoad();
+    }
+  }
+
   /**
    * Adds an unknown sender to the members, with this instance's ports: all
    * instances use the same ones.
@@ -141,6 +161,22 @@
     this.#sendLater();
   }
 
+  #sendWorkLater(): void {
+    const { intervalMs = FLEET.MIN_GOSSIP_INTERVAL_MS } = this.#view.work;
+    this.#workTimer = setTimeout(() => {
+      runStep(this.#log, { step: "peer-message" }, () => this.#sendWork());
+      this.#sendWorkLater();
+    }, intervalMs);
+  }
+
+  #sendWork(): void {
+    const { work } = this.#view;
+    const message = work.build();
+    if (message !== undefined) {
+      this.#sendTo(work.listTargets(), workCodec.encode(message));
+    }
+  }
+
   #send({ isLeaving = false, isUrgent = false }): void {
     const message = this.#view.buildMessage(isLeaving);
     const bytes = loadCodec.encode(
--- a/packages/gateway/src/fleet/peer_reports.ts
+++ b/packages/gateway/src/fleet/peer_reports.ts
@@ -26,10 +26,7 @@
   /** Records a peer's message in place of its last one. */
   record(message: LoadMessage, receivedMs: number): void {
     const { from, open, suspects, quietMs } = message;
-    this.#work.replace(
-      from,
-      Object.entries(open).map(([id, work]) => [id, { work, receivedMs }]),
-    );
+    this.recordWork(from, open, receivedMs);
     this.#suspects.replace(
       from,
       suspects.map((id) => [id, receivedMs]),
@@ -40,6 +37,18 @@
     );
   }
 
+  /** Records a peer's work in flight in place of what it said before. */
+  recordWork(
+    from: string,
+    open: LoadMessage["open"],
+    receivedMs: number,
+  ): void {
+    this.#work.replace(
+      from,
+      Object.entries(open).map(([id, work]) => [id, { work, receivedMs }]),
+    );
+  }
+
   drop(peerId: string): void {
     this.#work.drop(peerId);
     this.#suspects.drop(peerId);
