Keep items out of slots that online requests are about to take

They started wherever a slot was free by the last count, most at once at the same upstream, and left as soon as the requests sent meanwhile were told. Requests so found upstreams full, and were late.

An instance now estimates what comes to an upstream between two reports on it, from the mean in flight over all of them, the service time and the interval of reports. Requests and items prefer upstreams of which the news is fresh. An item that has three times its remaining run until it is due leaves free what is likely to come, and a standard deviation; one with less time takes any free slot, as before. Where news is fresh the estimate is the same for all upstreams, so requests of small fleets are placed as before.

--- a/packages/core/src/batches/constants.ts
+++ b/packages/core/src/batches/constants.ts
@@ -34,6 +34,11 @@
   MIN_REMAINING_RUN_MS: 100,
   /** Factor by which runs take longer because online bursts preempt items. */
   RUN_TIME_FACTOR: 1.3,
+  /**
+   * Times its remaining run that an item must have until it is due, to wait for a
+   * slot that online requests are not likely to need.
+   */
+  WAIT_FACTOR: 3,
   /**
    * Weight of one 50 ms tick in the moving average of slots, which spans about
    * 4 s.
--- /dev/null
+++ b/packages/core/src/placing/count_headroom_test.ts
@@ -0,0 +1,19 @@
+import { expect, test } from "vitest";
+import { countHeadroom } from "./count_headroom.ts";
+import { estimateUnseen } from "./estimate_unseen.ts";
+
+const busy = { open: { online: 4, batch: 0 } };
+const idle = { open: { online: 0, batch: 6 } };
+
+test("what comes between two reports grows with their interval", () => {
+  const times = { intervalMs: 100, meanServiceMs: 800 };
+  expect(estimateUnseen([busy, idle], times)).toBe(0.25);
+  expect(estimateUnseen([busy, idle], { ...times, intervalMs: 800 })).toBe(2);
+  expect(estimateUnseen([], times)).toBe(0);
+});
+
+test("an upstream without online requests needs no headroom", () => {
+  expect(countHeadroom({ ...idle, unseen: 0 })).toBe(0);
+  expect(countHeadroom({ ...busy, unseen: 0 })).toBe(2);
+  expect(countHeadroom({ ...busy, unseen: 5 })).toBe(8);
+});
--- a/packages/core/src/placing/place_item.ts
+++ b/packages/core/src/placing/place_item.ts
@@ -15,9 +15,9 @@
     .filter(({ isRateOpen }) => isRateOpen)
     .filter(({ entry }) => entry.coldUntilMs <= nowMs)
     .filter(({ suspectUntilMs }) => suspectUntilMs <= nowMs)
-    .map(({ entry, open: inFlight }) => ({
+    .map(({ entry, open: inFlight, unseen }) => ({
       entry,
-      free: entry.slots - inFlight.online - inFlight.batch,
+      free: entry.slots - inFlight.online - inFlight.batch - unseen,
     }))
     .sort((a, b) => b.free - a.free);
   return best?.entry;
--- a/packages/core/src/placing/place_request.ts
+++ b/packages/core/src/placing/place_request.ts
@@ -73,6 +73,7 @@
     waitMs,
     load:
       countedWork +
+      candidate.unseen +
       (isCold ? PLACING.COLD_LOAD_PENALTY : 0) +
       (isLimited ? entry.slots + PLACING.AFFINITY_SLACK : 0),
   };
--- a/packages/core/src/placing/place_request_test.ts
+++ b/packages/core/src/placing/place_request_test.ts
@@ -10,6 +10,7 @@
   return {
     entry: { ...ENTRY_FIXTURE, id, dataCentre: overrides.dataCentre ?? "a" },
     open: overrides.open ?? { online: 0, batch: 0 },
+    unseen: overrides.unseen ?? 0,
     suspectUntilMs: overrides.suspectUntilMs ?? 0,
     isLimited: overrides.isLimited ?? false,
     isRateOpen: overrides.isRateOpen ?? true,
--- a/packages/core/src/placing/types.ts
+++ b/packages/core/src/placing/types.ts
@@ -35,6 +35,11 @@
   readonly entry: UpstreamEntry;
   /** Work in flight from all instances, as last reported. */
   readonly open: InFlightWork;
+  /**
+   * Online requests that other instances are likely to have sent between two
+   * reports on it.
+   */
+  readonly unseen: number;
   /** Until this time the upstream is used only as a last resort, in ms. */
   readonly suspectUntilMs: number;
   /** Whether it names a limit on the requests that it takes. */
--- a/packages/gateway/src/fleet/candidate_lister.ts
+++ b/packages/gateway/src/fleet/candidate_lister.ts
@@ -1,5 +1,6 @@
 import {
   type Candidate,
+  estimateUnseen,
   type FleetMember,
   listUnreachableDataCentres,
 } from "@gooseberryline/core";
@@ -9,12 +10,18 @@
 import type { UpstreamLimitTracker } from "./upstream_limit_tracker.ts";
 
 type CandidateListerParts = {
+  /** The own data centre. */
+  readonly dataCentre: string;
   readonly directory: UpstreamDirectory;
   readonly load: LoadTracker;
   readonly limits: UpstreamLimitTracker;
   readonly ramps: RampTracker;
   readonly listPeers: () => readonly FleetMember[];
   readonly getPeerTimeoutMs: () => number;
+  /** Returns the interval of reports, in ms. */
+  readonly getIntervalMs: () => number;
+  /** Returns the interval of reports in the own data centre, if it differs. */
+  readonly getWorkIntervalMs: () => number | undefined;
   readonly getColdRate: (service: string) => number;
   readonly readNowMs: () => number;
 };
@@ -28,13 +35,19 @@
   }
 
   list(service: string, lane: Lane): readonly Candidate[] {
-    const { directory, load, limits, ramps } = this.#parts;
+    const { dataCentre, directory, load, limits, ramps } = this.#parts;
     const nowMs = this.#parts.readNowMs();
     const perSecond = this.#parts.getColdRate(service);
     const unreachable = this.#listUnreachableDataCentres(nowMs);
-    return directory.list(service, nowMs).map((entry) => ({
+    const known = directory.list(service, nowMs).map((entry) => ({
       entry,
       open: load.countInFlight(entry.id, nowMs),
+    }));
+    const unseen = this.#estimateUnseen(service, known);
+    return known.map(({ entry, open }) => ({
+      entry,
+      open,
+      unseen: entry.dataCentre === dataCentre ? unseen.near : unseen.far,
       suspectUntilMs: unreachable.has(entry.dataCentre)
         ? Number.POSITIVE_INFINITY
         : load.getSuspectUntilMs(entry.id, nowMs),
@@ -45,6 +58,18 @@
     }));
   }
 
+  /** Most of an upstream's requests come from its own data centre. */
+  #estimateUnseen(service: string, known: readonly Pick<Candidate, "open">[]) {
+    const { load, getIntervalMs, getWorkIntervalMs } = this.#parts;
+    const meanServiceMs = load.getMeanServiceTimeMs(service);
+    const intervalMs = getIntervalMs();
+    const nearMs = getWorkIntervalMs() ?? intervalMs;
+    return {
+      near: estimateUnseen(known, { intervalMs: nearMs, meanServiceMs }),
+      far: estimateUnseen(known, { intervalMs, meanServiceMs }),
+    };
+  }
+
   #listUnreachableDataCentres(nowMs: number): ReadonlySet<string> {
     const { load, listPeers, getPeerTimeoutMs } = this.#parts;
     const timeoutMs = getPeerTimeoutMs();
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -128,9 +128,12 @@
     this.#ramps = new RampTracker({ instanceId, members, bounds: ramp });
     this.#candidates = new CandidateLister({
       ...contact,
+      dataCentre: settings.dataCentre,
       directory: this.directory,
       limits: this.limits,
       ramps: this.#ramps,
+      getIntervalMs: () => this.#times.intervalMs,
+      getWorkIntervalMs: () => this.work.intervalMs,
       getColdRate: (service) => this.#getColdRate(service),
     });
   }
--- a/packages/gateway/src/jobs/item_placer.ts
+++ b/packages/gateway/src/jobs/item_placer.ts
@@ -77,18 +77,26 @@
     return location;
   }
 
-  /** Returns whether some item could be placed at a service. */
+  /** Returns whether an item that can't wait could be placed at a service. */
   hasRoom(service: string): boolean {
     const nowMs = this.#view.readNowMs();
     const candidates = this.#listStartable(
       service,
       this.#view.listCandidates(service, "batch"),
+      false,
     );
     return placeItem(candidates, new Set(), nowMs) !== undefined;
   }
 
-  /** Places an item on an upstream of its service. */
-  place({ text, tried }: WaitingItem, service: string): ItemPlacement {
+  /**
+   * Places an item on an upstream of its service; `canWait` says whether there is
+   * time to wait for a slot that online requests are not likely to need.
+   */
+  place(
+    { text, tried }: WaitingItem,
+    service: string,
+    canWait: boolean,
+  ): ItemPlacement {
     const nowMs = this.#view.readNowMs();
     const listed = this.#view.listCandidates(service, "batch");
     const resumable = listResumable(listed, text);
@@ -96,6 +104,7 @@
     const candidates = this.#listStartable(
       service,
       isAnew ? listed : resumable,
+      canWait,
     );
     // An upstream that failed before is better than none.
     const upstream =
@@ -113,11 +122,17 @@
   #listStartable(
     service: string,
     candidates: readonly Candidate[],
+    canWait: boolean,
   ): readonly Candidate[] {
     const nowMs = this.#view.readNowMs();
     const { load } = this.#view;
     const workers = load.listPeersWithWaitingItems(service, nowMs);
-    return this.#startLimiter.listStartable(candidates, workers, nowMs);
+    return this.#startLimiter.listStartable(
+      candidates,
+      workers,
+      canWait,
+      nowMs,
+    );
   }
 }
 
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -1,5 +1,6 @@
 import {
   assertNever,
+  canItemWait,
   type BatchResult,
   decideItemStep,
   ITEM_RESULTS,
@@ -126,6 +127,8 @@
   ): number {
     const before = this.#running.size;
     const isReady = new Set(ready);
+    const nowMs = Date.now();
+    const { meanRunMs } = this.#pace.get(service);
     /** Versions whose upstreams have no room for the texts that they wrote. */
     const full = new Set<string>();
     // What one item of a service waits for, the next ones wait for as well.
@@ -137,7 +140,8 @@
         if (origin !== undefined && full.has(origin.version)) {
           return true;
         }
-        const placement = this.#placer.place(waiting, service);
+        const canWait = canItemWait(waiting, { nowMs, meanRunMs });
+        const placement = this.#placer.place(waiting, service, canWait);
         if (placement.kind === "placed") {
           this.#startItem(waiting, placement);
         } else if (placement.version !== undefined) {
--- a/packages/gateway/src/jobs/list_overloads.ts
+++ b/packages/gateway/src/jobs/list_overloads.ts
@@ -1,20 +1,25 @@
-import { countItemsToYield, groupBy } from "@gooseberryline/core";
+import {
+  countItemsToYield,
+  groupBy,
+  type UpstreamEntry,
+} from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
-import type { ItemRun } from "./item_run.ts";
+
+type PlacedRun = { readonly upstream: UpstreamEntry };
 
 /** Runs at one upstream of which some have to yield their slots. */
-type Overload = {
+type Overload<Run extends PlacedRun> = {
   readonly service: string;
-  readonly runs: readonly ItemRun[];
+  readonly runs: readonly Run[];
   /** How many have to yield. */
   readonly count: number;
 };
 
 /** Lists the upstreams at which this worker's runs take too many slots. */
-export function listOverloads(
+export function listOverloads<Run extends PlacedRun>(
   view: FleetView,
-  runs: readonly ItemRun[],
-): readonly Overload[] {
+  runs: readonly Run[],
+): readonly Overload<Run>[] {
   return [...groupBy(runs, ({ upstream }) => upstream.id).values()]
     .map((atUpstream) => ({
       service: atUpstream[0]?.upstream.service ?? "",
@@ -25,7 +30,7 @@
 }
 
 /** Returns how many of these runs, all at one upstream, have to yield. */
-function countYields(view: FleetView, runs: readonly ItemRun[]): number {
+function countYields(view: FleetView, runs: readonly PlacedRun[]): number {
   const { load, settings } = view;
   const nowMs = view.readNowMs();
   const [first] = runs;
--- a/packages/gateway/src/jobs/start_limiter.ts
+++ b/packages/gateway/src/jobs/start_limiter.ts
@@ -1,4 +1,8 @@
-import { type Candidate, countItemsToStart } from "@gooseberryline/core";
+import {
+  type Candidate,
+  countHeadroom,
+  countItemsToStart,
+} from "@gooseberryline/core";
 import { JOB_CONSTANTS } from "./constants.ts";
 
 type Start = { readonly upstreamId: string; readonly atMs: number };
@@ -21,11 +25,12 @@
 
   /**
    * Returns the candidates at which this worker's share of slots is not used
-   * up.
+   * up; one for an item that can wait leaves online requests their headroom.
    */
   listStartable(
     candidates: readonly Candidate[],
     busyWorkers: readonly string[],
+    canWait: boolean,
     nowMs: number,
   ): readonly Candidate[] {
     this.#starts = this.#starts.filter(
@@ -39,8 +44,15 @@
       // The share is that of the slots that were free before these starts.
       const openBefore = { ...open, batch: Math.max(0, open.batch - started) };
       const candidate = { ...rest, entry, open: openBefore };
-      const ids = busyWorkers;
-      return started < countItemsToStart(candidate, this.#workerId, ids, round);
+      const headroom = canWait ? countHeadroom(candidate) : 0;
+      const limit = countItemsToStart(
+        candidate,
+        headroom,
+        this.#workerId,
+        busyWorkers,
+        round,
+      );
+      return started < limit;
     });
   }
 }
--- a/packages/gateway/src/requests/choose_upstream.ts
+++ b/packages/gateway/src/requests/choose_upstream.ts
@@ -8,6 +8,12 @@
 import { REQUESTS } from "./constants.ts";
 import type { AdmittedCall } from "./types.ts";
 
+/** What of a call decides where it goes. */
+type PlacedCall = Pick<AdmittedCall, "service" | "path" | "receivedMs"> & {
+  readonly head: Pick<AdmittedCall["head"], "affinityKey" | "requestId">;
+  readonly route: Pick<AdmittedCall["route"], "objectiveMs">;
+};
+
 type UpstreamChoice = {
   /** Ids of the upstreams at which the request has failed. */
   readonly tried: ReadonlySet<string>;
@@ -23,7 +29,7 @@
  */
 export function chooseUpstream(
   view: FleetView,
-  call: AdmittedCall,
+  call: PlacedCall,
   { tried, leftMs, origin }: UpstreamChoice,
 ): Placement {
   const { service, head, path, receivedMs, route } = call;
