Let items wait for headroom only early in the time they have

Items waited for a slot with headroom as long as they had three times their remaining run, 6 of their 18 s.

It is four times now, 2 s of 18.

--- a/packages/core/src/batches/constants.ts
+++ b/packages/core/src/batches/constants.ts
@@ -38,7 +38,7 @@
    * Times its remaining run that an item must have until it is due, to wait for a
    * slot that online requests are not likely to need.
    */
-  WAIT_FACTOR: 3,
+  WAIT_FACTOR: 4,
   /**
    * Weight of one 50 ms tick in the moving average of slots, which spans about
    * 4 s.
