--- a/packages/gateway/src/testing/start_cut_fleet.ts
+++ b/packages/gateway/src/testing/start_cut_fleet.ts
@@ -65,6 +65,8 @@
   readonly handle: (req: IncomingMessage, res: ServerResponse) => void;
   /** Whether the instances tell that they take requests, as older ones don't. */
   readonly isTelling?: boolean;
+  /** Number of instances beside the two; none by default. */
+  readonly others?: number;
 };
 
 type Instance = {
@@ -77,20 +79,27 @@
 };
 
 /**
- * Starts two instances, each with paths of its own to the same upstreams, which
- * can be cut.
+ * Starts two instances or more, each with paths of its own to the same upstreams,
+ * which can be cut.
  */
 export async function startCutFleet({
   handle,
   isTelling = true,
+  others = 0,
 }: CutFleetParts) {
   const upstreams = await Promise.all(
     Array.from({ length: UPSTREAMS }, () => startUpstream(handle)),
   );
   const near = await startInstance("near", upstreams);
   const far = await startInstance("far", upstreams);
-  [near, far].forEach(({ view }) => {
-    [near, far]
+  const names = Array.from({ length: others }, (_, index) => `other-${index}`);
+  const all = [
+    near,
+    far,
+    ...(await Promise.all(names.map((name) => startInstance(name, upstreams)))),
+  ];
+  all.forEach(({ view }) => {
+    all
       .filter((other) => other.view !== view)
       .forEach(({ view: { settings, incarnation } }) => {
         const { instanceId, dataCentre, duty, relayPort } = settings;
@@ -103,8 +112,13 @@
     to.handleMessage(isTelling ? { ...message, isTaking } : message, true);
   };
   const tellAll = (): void => {
-    tell(near.view, far.view);
-    tell(far.view, near.view);
+    all.forEach((from) => {
+      all
+        .filter((to) => to !== from)
+        .forEach((to) => {
+          tell(from.view, to.view);
+        });
+    });
   };
   tellAll();
   const timer = setInterval(tellAll, NEWS_INTERVAL_MS);
@@ -120,7 +134,7 @@
     },
     close: async (): Promise<void> => {
       clearInterval(timer);
-      await Promise.all([near.close(), far.close()]);
+      await Promise.all(all.map((instance) => instance.close()));
       await Promise.all(upstreams.map((upstream) => upstream.close()));
     },
   };
