Block a key after five crashes that lie apart, also if its requests overlap

A review of the blocks showed it: a crash counted only if a suspect was sent after the crash before, so of requests that are in flight together one counted for each time that they take to crash. Bursts of a part that crashes all it reaches were never blocked beside crashes of another cause.

Five crashes under a key that lie 0.1 s apart, with no sound answer since, are a proof as well; what ends within a moment still counts once.

--- a/packages/core/src/crashes/collect_evidence.ts
+++ b/packages/core/src/crashes/collect_evidence.ts
@@ -1,4 +1,5 @@
 import { findChain } from "./find_chain.ts";
+import { findSpaced } from "./find_spaced.ts";
 import type { Crash, CrashSuspect } from "./types.ts";
 
 /** Crashes that speak against a request or part since its last sound answer. */
@@ -7,6 +8,8 @@
   readonly crashes: readonly Crash[];
   /** Those of them that followed each other, in order of time. */
   readonly chain: readonly Crash[];
+  /** Those of them that lie apart, in order of time. */
+  readonly spaced: readonly Crash[];
 };
 
 /** How the keys of suspects are found, requests or parts. */
@@ -38,7 +41,8 @@
         listSuspects(crash).filter((suspect) =>
           listKeys(suspect).includes(key),
         );
-      return { key, crashes: against, chain: findChain(against, listWithKey) };
+      const chain = findChain(against, listWithKey);
+      return { key, crashes: against, chain, spaced: findSpaced(against) };
     })
     .sort(
       (a, b) =>
--- a/packages/core/src/crashes/decide_prompt_blocks.ts
+++ b/packages/core/src/crashes/decide_prompt_blocks.ts
@@ -1,5 +1,6 @@
 import { collectEvidence, type KeyEvidence } from "./collect_evidence.ts";
 import { CRASHES } from "./constants.ts";
+import { isCertain } from "./is_certain.ts";
 import { isProven } from "./is_proven.ts";
 import { keySources } from "./key_sources.ts";
 import { listLikelySuspects } from "./list_likely_suspects.ts";
@@ -34,7 +35,7 @@
   const rivals = listRivals(worst, evidence);
   const companions = rivals.filter((other) => isAlwaysBeside(other, worst));
   const isClear = companions.length === rivals.length;
-  if (!isClear && worst.chain.length < CRASHES.MAX_CRASHES) {
+  if (!isClear && !isCertain(worst)) {
     return [];
   }
   const block = buildBlock(companions.map(({ key }) => key).sort(), worst);
--- a/packages/core/src/crashes/decide_request_blocks.ts
+++ b/packages/core/src/crashes/decide_request_blocks.ts
@@ -1,5 +1,5 @@
 import { collectEvidence, type KeySource } from "./collect_evidence.ts";
-import { CRASHES } from "./constants.ts";
+import { isCertain } from "./is_certain.ts";
 import { isProven } from "./is_proven.ts";
 import { keySources } from "./key_sources.ts";
 import { listRivals } from "./list_rivals.ts";
@@ -36,7 +36,7 @@
     return [];
   }
   const rivals = listRivals(worst, evidence);
-  if (rivals.length > 1 && worst.chain.length < CRASHES.MAX_CRASHES) {
+  if (rivals.length > 1 && !isCertain(worst)) {
     return [];
   }
   const upstreams = worst.crashes.map(({ upstreamId }) => upstreamId);
--- a/packages/core/src/crashes/is_proven.ts
+++ b/packages/core/src/crashes/is_proven.ts
@@ -3,22 +3,37 @@
 import type { Crash, CrashContext } from "./types.ts";
 
 /**
- * Returns whether enough crashes followed a key, with few strays beside them: where
+ * Returns whether enough crashes followed a key, or more that only lie apart, as
+ * requests with it may be in flight together. Few strays may be beside them: where
  * many upstreams crash for another cause, some request is at several by chance.
  * What crashed before the last ones of the key may be left out. Peers have had
  * time to tell of sound answers since the first one.
  */
 export function isProven(
-  { chain }: KeyEvidence,
+  { crashes, chain, spaced }: KeyEvidence,
+  context: CrashContext,
+): boolean {
+  return (
+    isProof(chain, chain, CRASHES.BLOCKING_CRASHES, context) ||
+    isProof(spaced, crashes, CRASHES.MAX_CRASHES, context)
+  );
+}
+
+/** `against` are the crashes that the strays beside the proof are weighed with. */
+function isProof(
+  proof: readonly Crash[],
+  against: readonly Crash[],
+  needed: number,
   { strays, nowMs }: CrashContext,
 ): boolean {
-  return chain.some((_, index) => {
-    const latest = chain.slice(index);
-    const beside = strays.filter((stray) => isBeside(stray, latest));
+  return proof.some((_, index) => {
+    const latest = proof.slice(index);
+    const count = (crashes: readonly Crash[]): number =>
+      crashes.filter((crash) => isBeside(crash, latest)).length;
     return (
-      latest.length >= CRASHES.BLOCKING_CRASHES &&
+      latest.length >= needed &&
       nowMs - (latest[0]?.atMs ?? nowMs) >= CRASHES.OBJECTION_MS &&
-      beside.length <= latest.length * CRASHES.MAX_STRAY_SHARE
+      count(strays) <= count(against) * CRASHES.MAX_STRAY_SHARE
     );
   });
 }
--- a/packages/core/src/crashes/list_strays.ts
+++ b/packages/core/src/crashes/list_strays.ts
@@ -13,7 +13,11 @@
 ): readonly Crash[] {
   const recurring = [keySources.likelyParts, keySources.allRequests]
     .flatMap((source) => collectEvidence(crashes, source, getLastSoundMs))
-    .filter(({ chain }) => chain.length >= CRASHES.BLOCKING_CRASHES)
+    .filter(
+      ({ chain, spaced }) =>
+        chain.length >= CRASHES.BLOCKING_CRASHES ||
+        spaced.length >= CRASHES.MAX_CRASHES,
+    )
     .flatMap((evidence) => evidence.crashes);
   const explained = new Set(recurring);
   return crashes.filter((crash) => !explained.has(crash));
