Believe no block against sound answers that were seen since its crashes

A review of the blocks showed it: a block that a peer had decided was taken over, and a lapsed one came back by one crash, though answers on all that it names had begun here after the crashes. One instance that had not heard of these answers so refused sound requests at all others.

Both are now weighed against the answers known here.

--- a/packages/gateway/src/crashes/block_list.ts
+++ b/packages/gateway/src/crashes/block_list.ts
@@ -4,6 +4,7 @@
   type Crash,
   type CrashBlock,
   holdsBlock,
+  isSoundSince,
   listLikelySuspects,
   mergeCrashBlock,
   startBlockTerm,
@@ -75,9 +76,17 @@
   }
 
   /** Removes lapsed blocks that a crash speaks for again; returns them renewed. */
-  renewLapsed(crashes: readonly Crash[]): readonly CrashBlock[] {
+  renewLapsed(
+    crashes: readonly Crash[],
+    getLastSoundMs: (key: string) => number,
+  ): readonly CrashBlock[] {
     const renewed = this.#lapsed
-      .map((lapsed) => ({ lapsed, upstreams: listUpstreams(crashes, lapsed) }))
+      .map((lapsed) => {
+        const against = crashes.filter(
+          ({ atMs }) => !isSoundSince(lapsed.block, atMs, getLastSoundMs),
+        );
+        return { lapsed, upstreams: listUpstreams(against, lapsed) };
+      })
       .filter(({ upstreams }) => upstreams.length > 0);
     const ended = renewed.map(({ lapsed }) => lapsed);
     this.#lapsed = this.#lapsed.filter((lapsed) => !ended.includes(lapsed));
--- a/packages/gateway/src/crashes/crash_evidence.ts
+++ b/packages/gateway/src/crashes/crash_evidence.ts
@@ -1,10 +1,12 @@
 import {
   CRASHES,
   type Crash,
+  type CrashBlock,
   type CrashReport,
   type CrashVerdict,
   decideCrashVerdict,
   isSameCrash,
+  isSoundSince,
   isSuccessor,
   mergeCrash,
   type UpstreamEntry,
@@ -103,6 +105,31 @@
     return verdicts.includes("reached") && !verdicts.includes("crashed");
   }
 
+  /** Returns whether too few of the crashes that led to a block were crashes. */
+  isUnfounded({ upstreams }: CrashBlock): boolean {
+    const crashed = upstreams.filter(
+      (upstreamId) => !this.isDisproved(upstreamId),
+    );
+    return (
+      crashed.length < upstreams.length &&
+      crashed.length < CRASHES.BLOCKING_CRASHES
+    );
+  }
+
+  /** Returns whether all that a block names was sound after its last crash. */
+  isRefuted(
+    block: CrashBlock,
+    getLastSoundMs: (key: string) => number,
+  ): boolean {
+    const times = block.upstreams
+      .flatMap((upstreamId) => this.#listCrashesOf(upstreamId))
+      .map(({ atMs }) => atMs);
+    return (
+      times.length > 0 &&
+      isSoundSince(block, Math.max(...times), getLastSoundMs)
+    );
+  }
+
   #listCrashesOf(upstreamId: string): Crash[] {
     return this.#crashes.filter((crash) => crash.upstreamId === upstreamId);
   }
--- a/packages/gateway/src/crashes/crash_tracker.ts
+++ b/packages/gateway/src/crashes/crash_tracker.ts
@@ -1,6 +1,5 @@
 import {
   type BlockSubject,
-  CRASHES,
   type Crash,
   type CrashBlock,
   type CrashNews,
@@ -8,6 +7,7 @@
   type CrashVerdict,
   decideCrashBlocks,
   hasSoundSuspect,
+  listBlockKeys,
   listLoneCrashes,
   type UpstreamEntry,
 } from "@gooseberryline/core";
@@ -44,6 +44,8 @@
   readonly #waits = new VerdictWaits((id) => this.findVerdict(id));
   readonly #pending = new Set<PendingAttempt>();
   readonly #told = new ToldVerdicts();
+  readonly #getLastSoundMs = (key: string): number =>
+    this.#sound.getLastMs(key);
   /** Called for what peers have to learn before the next interval. */
   onUrgentNews: () => void = () => undefined;
   /** Called for each possible crash that this instance had not heard of. */
@@ -197,7 +199,8 @@
     );
     inForce
       .filter((block) => !this.#list.isLifted(block))
-      .filter((block) => !this.#isUnfounded(block))
+      .filter((block) => !this.#evidence.isUnfounded(block))
+      .filter((block) => !this.#evidence.isRefuted(block, this.#getLastSoundMs))
       .forEach((block) => {
         this.addBlock(block, "peer");
       });
@@ -223,17 +226,19 @@
    */
   review(): void {
     this.#evidence.addLifeSigns();
-    const unfounded = this.#list.remove((block) => this.#isUnfounded(block));
+    const unfounded = this.#list.remove((block) =>
+      this.#evidence.isUnfounded(block),
+    );
     this.#endBlocks(unfounded, "upstreams reached");
     const crashed = this.#evidence.listCrashed();
     const possible = this.#evidence.listPossible();
     const nowMs = this.#parts.readNowMs();
-    const decided = decideCrashBlocks(
-      crashed,
-      (key) => this.#sound.getLastMs(key),
-      { possible, nowMs },
-    );
-    const renewed = this.#list.renewLapsed(listLoneCrashes(crashed, possible));
+    const decided = decideCrashBlocks(crashed, this.#getLastSoundMs, {
+      possible,
+      nowMs,
+    });
+    const lone = listLoneCrashes(crashed, possible);
+    const renewed = this.#list.renewLapsed(lone, this.#getLastSoundMs);
     [...decided, ...renewed].forEach((block) => {
       this.addBlock(block, "evidence");
     });
@@ -251,17 +256,6 @@
     }
   }
 
-  /** Returns whether too few of the crashes that led to a block were crashes. */
-  #isUnfounded({ upstreams }: CrashBlock): boolean {
-    const crashed = upstreams.filter(
-      (upstreamId) => !this.#evidence.isDisproved(upstreamId),
-    );
-    return (
-      crashed.length < upstreams.length &&
-      crashed.length < CRASHES.BLOCKING_CRASHES
-    );
-  }
-
   /** Puts a block in force and stops the attempts that it holds for. */
   addBlock(block: CrashBlock, source: BlockSource): void {
     if (!this.#list.add(block)) {
@@ -284,8 +278,7 @@
   dropBlock(blockId: string): void {
     const lifted = this.#list.lift(blockId);
     lifted.forEach((block) => {
-      const keys = block.kind === "request" ? [block.request] : block.parts;
-      this.recordSoundStart(keys);
+      this.recordSoundStart(listBlockKeys(block));
     });
     this.#endBlocks(lifted, "record removed");
   }
