Count upstreams that crash together under a request as one try

A review of the blocks showed it: a request that was at two upstreams as they crashed for another cause counted as tried twice and heard 502, though it may be repeated. Crashes count here now as for blocks, each only if the request was sent there after the one before. The test failed before.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -36,6 +36,7 @@
 export { CRASHES } from "./crashes/constants.ts";
 export { decideCrashBlocks } from "./crashes/decide_crash_blocks.ts";
 export { decideCrashVerdict } from "./crashes/decide_crash_verdict.ts";
+export { findChain } from "./crashes/find_chain.ts";
 export { hasSoundSuspect } from "./crashes/has_sound_suspect.ts";
 export { holdsBlock } from "./crashes/holds_block.ts";
 export { isSameCrash } from "./crashes/is_same_crash.ts";
--- a/packages/gateway/src/crashes/crash_tracker.ts
+++ b/packages/gateway/src/crashes/crash_tracker.ts
@@ -6,6 +6,7 @@
   type CrashSuspect,
   type CrashVerdict,
   decideCrashBlocks,
+  findChain,
   hasSoundSuspect,
   listBlockKeys,
   listLoneCrashes,
@@ -76,13 +77,15 @@
    * whole, without those that were only cut paths.
    */
   countCrashesUnder(key: RequestKey): number {
-    return this.#evidence
+    const listUnder = ({ suspects }: Crash): readonly CrashSuspect[] =>
+      suspects.filter(({ request }) => key.matches(request));
+    const lastSoundMs = this.#sound.getLastMs(key.full);
+    const against = this.#evidence
       .listPossible()
       .filter(
-        ({ suspects, atMs }) =>
-          suspects.some(({ request }) => key.matches(request)) &&
-          this.#sound.getLastMs(key.full) < atMs,
-      ).length;
+        (crash) => lastSoundMs < crash.atMs && listUnder(crash).length > 0,
+      );
+    return findChain(against, listUnder).length;
   }
 
   /** Returns what the latest possible crash of an upstream was. */
--- a/packages/gateway/src/crashes/presence_at_crashes_test.ts
+++ b/packages/gateway/src/crashes/presence_at_crashes_test.ts
@@ -3,7 +3,7 @@
 import { crashRequest } from "../testing/crash_request.ts";
 import { createCrashTrackers } from "../testing/create_crash_trackers.ts";
 
-const { SUSPECT: X } = crashRequest;
+const { SUSPECT: X, createKey } = crashRequest;
 const DELAY_MS = 10;
 
 test("a peer's block is not taken over where answers began after all its crashes", () => {
@@ -24,6 +24,19 @@
   expect(third?.blocks).toEqual([]);
 });
 
+test("a request that was at two upstreams as they crashed together may be tried again", () => {
+  const { clock, trackers } = createCrashTrackers(2);
+  const [first] = trackers;
+  const key = createKey("repeat");
+  const suspect = { ...X, request: key.full, hasHead: false, ranMs: 500 };
+  ["u1", "u2"].forEach((upstreamId) => {
+    first?.recordDown(upstreamId, clock.nowMs, [suspect]);
+  });
+  expect(first?.countCrashesUnder(key)).toBeLessThan(
+    CRASHES.CRASHES_WITHOUT_RETRY,
+  );
+});
+
 test("a lapsed block does not return after answers began on its part", () => {
   const { clock, trackers, exchange, crash, settle } = createCrashTrackers(2);
   const [first] = trackers;
