Look for accusations only among crashes that peers are told of

Each answer that begins looked through all crashes of the last ten minutes; the ones of the last ten seconds are those whose sound answers are told.

--- a/packages/gateway/src/crashes/crash_evidence.ts
+++ b/packages/gateway/src/crashes/crash_evidence.ts
@@ -72,9 +72,14 @@
     return { crashAgesMs: ages.join(" "), otherCrashes };
   }
 
-  /** Returns when an upstream last seemed to crash under a request or part. */
+  /**
+   * Returns when an upstream last seemed to crash under a request or part, of the
+   * crashes whose sound answers peers are told.
+   */
   getLastUnderMs(key: string): number {
+    const nowMs = this.#parts.readNowMs();
     return this.#crashes
+      .filter(({ atMs }) => nowMs - atMs < CRASHES.SUSPICION_MS)
       .filter(({ suspects }) =>
         suspects.some(
           ({ request, parts }) => request === key || parts.includes(key),
