Admit what the peers of an instance can't take together

A customer within its limit heard 429 in a test of planned stops on two instances: with the bucket under half of its burst an instance refused all as soon as any peer was asked for a little, so about half of the burst could not be used. The part to admit looked at what the bucket gains and at its target, not at what is there.

Where the peers are asked for less until their next reports than the bucket has, all is admitted now.

--- a/packages/core/src/quotas/compute_admitted_part.ts
+++ b/packages/core/src/quotas/compute_admitted_part.ts
@@ -9,7 +9,7 @@
  * their next reports. So that all of them together take no more than there is,
  * each admits the part of what is asked that the bucket can spare in that time:
  * what it gains, and some of what it has beyond its target, or less where it has
- * less.
+ * less. Where less is asked than it has, all is admitted.
  */
 export function computeAdmittedPart(
   tokens: number,
@@ -17,7 +17,8 @@
   { perSecond, lagMs }: OtherDemand,
 ): number {
   const asked = (perSecond * lagMs) / MS_PER_SECOND;
-  if (asked === 0) {
+  // The others can't take together what is there.
+  if (asked <= tokens) {
     return 1;
   }
   const gained = (ratePerSecond * lagMs) / MS_PER_SECOND;
