--- a/packages/gateway/src/testing/find_port.ts
+++ b/packages/gateway/src/testing/find_port.ts
@@ -1,11 +1,16 @@
 import { createServer } from "node:net";
 
-/** Finds a free port on the loopback address. */
+/** Ports that no system hands out to outgoing connections. */
+const FIRST_PORT = 16_000;
+const PORT_COUNT = 16_000;
+
+/** Finds a free port on the loopback address that no other connection gets. */
 export function findPort(): Promise<number> {
+  const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
   return new Promise((resolve) => {
-    const server = createServer().listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      const port = typeof address === "object" ? (address?.port ?? 0) : 0;
+    const server = createServer();
+    server.once("error", () => resolve(findPort()));
+    server.listen(port, "127.0.0.1", () => {
       server.close(() => resolve(port));
     });
   });
