--- a/packages/gateway/src/http/planned_stop_test.ts
+++ b/packages/gateway/src/http/planned_stop_test.ts
@@ -5,8 +5,12 @@
 
 const HOST = "127.0.0.1";
 
+function buildRequest(path: string): string {
+  return `POST ${path} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n`;
+}
+
 function writeRequest(socket: Socket, path: string): void {
-  socket.write(`POST ${path} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n`);
+  socket.write(buildRequest(path));
 }
 
 /** Collects what comes on a connection. */
@@ -154,8 +158,7 @@
   const { port, upstream, close } = await startServing();
   const socket = connect(port, HOST);
   const got = collectBytes(socket);
-  writeRequest(socket, "/slow/x");
-  writeRequest(socket, "/short/x");
+  socket.write(buildRequest("/slow/x") + buildRequest("/short/x"));
   await expect.poll(() => got.countAnswers()).toBe(2);
   expect(got.text).toMatch(/200 OK[\s\S]*HTTP\/1.1 50[34] /);
   expect(upstream.seen).toHaveLength(1);
