--- a/packages/core/src/crashes/crash_load_fixture.ts
+++ b/packages/core/src/crashes/crash_load_fixture.ts
@@ -189,4 +189,4 @@
 }
 
 /** Loads of tests during which upstreams crash. */
-export const crashLoadFixture = { runLoad, EVENT_MS } as const;
+export const crashLoadFixture = { runLoad } as const;
