--- a/packages/core/src/logs/request_events.ts
+++ b/packages/core/src/logs/request_events.ts
@@ -22,9 +22,10 @@
       "status",
       "reason",
       "events",
+      "isCloseDelimited",
       "tookMs",
     ],
-    text: "A request is over: where it went, what was expected, how it ended",
+    text: "A request is over: where it went, what was expected, how it ended; whether the upstream's answer ended with its connection alone",
   },
   "request-turn": {
     fields: [
--- a/packages/gateway/src/requests/caller_answer.ts
+++ b/packages/gateway/src/requests/caller_answer.ts
@@ -46,6 +46,11 @@
     return this.#head?.status ?? 0;
   }
 
+  /** Whether the last attempt's answer ends with its connection alone. */
+  get isCloseDelimited(): boolean {
+    return this.#head?.isCloseDelimited === true;
+  }
+
   /** Id of the last event sent to the caller. */
   get lastEventId(): number | undefined {
     return this.#relay.lastEventId;
--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -216,7 +216,7 @@
   }
 
   #handleComplete(): void {
-    const { status, isStream, hasStarted } = this.#answer;
+    const { status, isStream, hasStarted, isCloseDelimited } = this.#answer;
     if (isStream) {
       this.#finishStream(status);
       return;
@@ -228,7 +228,7 @@
       return;
     }
     if (this.#answer.sendWhole()) {
-      this.#ending.finish("answered", { status });
+      this.#ending.finish("answered", { status, isCloseDelimited });
     } else {
       this.#ending.breakOff(`an answer of ${status}`);
     }
@@ -236,8 +236,8 @@
 
   #finishStream(status: number): void {
     if (this.#answer.finishStream()) {
-      const events = this.#answer.eventCount;
-      this.#ending.finish("answered", { status, events });
+      const { eventCount: events, isCloseDelimited } = this.#answer;
+      this.#ending.finish("answered", { status, events, isCloseDelimited });
       return;
     }
     this.#tracker.recordFailure();
--- a/packages/gateway/src/requests/types.ts
+++ b/packages/gateway/src/requests/types.ts
@@ -63,5 +63,5 @@
 
 /** Fields of a log event about a request. */
 export type RequestFields = Readonly<
-  Record<string, string | number | undefined>
+  Record<string, string | number | boolean | undefined>
 >;
