Take an answer that ends with its connection for whole only while its upstream lives

Cause: a stream whose upstream gave neither length nor chunks ends with its connection. The kernel ends the connections of a killed process in order, so the part of a killed upstream's stream passed for the whole, and got its last chunk.

If it refuses, the answer is lost: it goes on elsewhere, or is cut off.

--- a/packages/gateway/src/exchange/constants.ts
+++ b/packages/gateway/src/exchange/constants.ts
@@ -5,6 +5,11 @@
    * compared to a latency objective.
    */
   CONNECT_TIMEOUT_MS: 120,
+  /**
+   * Time in which a process that ends stops listening after its connections have
+   * ended, in ms.
+   */
+  PROCESS_END_MS: 20,
   /**
    * Time after which idle connections are closed, shorter than the upstreams'
    * own timeout, in ms.
--- /dev/null
+++ b/packages/gateway/src/exchange/find_close_end.ts
@@ -0,0 +1,43 @@
+import { assertNever } from "@gooseberryline/core";
+import { waitMs } from "../wait_ms.ts";
+import { checkPort } from "./check_port.ts";
+import { EXCHANGE } from "./constants.ts";
+import type { CloseWatch, ExchangeEnd, ExchangeOptions } from "./types.ts";
+
+type CloseOptions = Pick<
+  ExchangeOptions,
+  "address" | "isIdempotent" | "isLeaving"
+>;
+
+/**
+ * Finds out whether an answer that has neither length nor chunks is whole, after its
+ * end. The system ends the connections of a killed process in order, so an end in
+ * order counts only while the upstream still listens.
+ */
+export async function findCloseEnd(
+  watch: CloseWatch,
+  { address, isIdempotent, isLeaving }: CloseOptions,
+): Promise<ExchangeEnd> {
+  const close = await watch();
+  switch (close) {
+    case "open":
+      return { kind: "whole" };
+    case "reset":
+      return buildLost("the connection was reset at the answer's end");
+    case "in-order": {
+      if (!isIdempotent && isLeaving?.() === true) {
+        return { kind: "whole" };
+      }
+      await waitMs(EXCHANGE.PROCESS_END_MS);
+      return (await checkPort(address)) === "refused"
+        ? buildLost("the upstream was gone at the answer's end")
+        : { kind: "whole" };
+    }
+    default:
+      return assertNever(close);
+  }
+}
+
+function buildLost(reason: string): ExchangeEnd {
+  return { kind: "lost", reason, isSilent: false };
+}
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -26,6 +26,11 @@
   readonly hasActivitySince?: (sinceMs: number) => boolean;
   /** Timeout between chunks of the body, in ms. */
   readonly stallTimeoutMs: number;
+  /**
+   * Returns whether the upstream is about to end as planned, so that it may refuse
+   * connections while it still completes answers. False by default.
+   */
+  readonly isLeaving?: () => boolean;
 };
 
 export type ExchangeHead = {
@@ -55,6 +60,12 @@
       readonly isSilent: boolean;
     };
 
+/** How an answer ended: without its connection, by its end in order, by a reset. */
+export type AnswerClose = "open" | "in-order" | "reset";
+
+/** Tells, once an answer has ended, what became of its connection. */
+export type CloseWatch = () => Promise<AnswerClose>;
+
 export type ExchangeEvents = {
   /** Called when a new connection has opened for this request. */
   readonly onConnect?: () => void;
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -10,9 +10,15 @@
 import { EXCHANGE } from "./constants.ts";
 import { describeHead } from "./describe_head.ts";
 import { drainRefusal } from "./drain_refusal.ts";
+import { findCloseEnd } from "./find_close_end.ts";
 import { findForeignReason } from "./find_foreign_reason.ts";
 import { StallTimer } from "./stall_timer.ts";
-import type { ExchangeEnd, ExchangeEvents, ExchangeOptions } from "./types.ts";
+import type {
+  CloseWatch,
+  ExchangeEnd,
+  ExchangeEvents,
+  ExchangeOptions,
+} from "./types.ts";
 import { watchClose } from "./watch_close.ts";
 
 /** The request that was last refused on a connection, by the connection. */
@@ -36,7 +42,7 @@
   readonly #stallTimer: StallTimer;
   #answer: IncomingMessage | undefined;
   /** Set for an answer that ends with its connection. */
-  #closeWatch: ReturnType<typeof watchClose> | undefined;
+  #closeWatch: CloseWatch | undefined;
   /** Whether its end has come, and it is being found out how. */
   #isClosing = false;
   #connectTimer: NodeJS.Timeout | undefined;
@@ -217,12 +223,10 @@
       return;
     }
     this.#isClosing = true;
-    this.#closeWatch((isReset) => {
-      const reason = "the connection was reset at the answer's end";
-      this.#end(
-        isReset ? { kind: "lost", reason, isSilent: false } : { kind: "whole" },
-      );
-    });
+    this.#stallTimer.start(this.#options.stallTimeoutMs);
+    void findCloseEnd(this.#closeWatch, this.#options).then((end) =>
+      this.#end(end),
+    );
   }
 
   #handleStall(): void {
--- a/packages/gateway/src/fleet/upstream_directory.ts
+++ b/packages/gateway/src/fleet/upstream_directory.ts
@@ -61,6 +61,17 @@
     return this.#held.get(id)?.entry;
   }
 
+  /** Whether a process is about to end as planned, or its entry is gone. */
+  isLeaving({ id, bornMs }: LeavingUpstream): boolean {
+    const known = this.#held.get(id);
+    return (
+      known === undefined ||
+      known.entry.bornMs !== bornMs ||
+      known.entry.isDraining ||
+      known.isLeaving === true
+    );
+  }
+
   remove(id: string, nowMs: number): void {
     const known = this.#held.get(id);
     if (known === undefined) {
--- a/packages/gateway/src/requests/start_attempt.ts
+++ b/packages/gateway/src/requests/start_attempt.ts
@@ -45,7 +45,7 @@
       route: route.name,
       tokens,
     },
-    options,
+    { ...options, isLeaving: () => parts.view.directory.isLeaving(upstream) },
     parts,
     {
       ...events,
