Bound what long heads hold, with and without a body behind them

Change: a request without room is refused before anything else, its headers are dropped at once, and its connection takes no other. Connections keep no head of a request that is over. The parser's limit is 1.25 times the configured one and 8 KiB.

--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -5,6 +5,7 @@
 import { RequestIntake } from "../intake/request_intake.ts";
 import type { RefusalRecorder } from "../refusals/refusal_recorder.ts";
 import { reportRefusals } from "../refusals/report_refusals.ts";
+import { callErrors } from "../requests/call_errors.ts";
 import { REQUESTS } from "../requests/constants.ts";
 import type { RequestRun } from "../requests/request_run.ts";
 import type { CallError } from "../requests/types.ts";
@@ -32,10 +33,12 @@
  * checked separately.
  */
 const MAX_HEADER_BYTES = 262_144;
-/** Least header limit of the parser once there is a configuration. */
-const MIN_PARSED_BYTES = 65_536;
-/** The parser's limit as a multiple of the configured one. */
-const PARSED_FACTOR = 4;
+/**
+ * The parser's limit as a multiple of the configured one, and the bytes that it
+ * allows beyond, as it counts the request line as well.
+ */
+const PARSED_FACTOR = 1.25;
+const REQUEST_LINE_BYTES = 8_192;
 /** Interval at which Node checks connections for header timeouts, in ms. */
 const CHECK_INTERVAL_MS = 500;
 
@@ -105,9 +108,8 @@
     if (limits !== undefined) {
       this.#server.headersTimeout = limits.headerTimeoutMs;
       this.#server.keepAliveTimeout = limits.idleTimeoutMs;
-      const parsedBytes = Math.max(
-        MIN_PARSED_BYTES,
-        limits.headerBytes * PARSED_FACTOR,
+      const parsedBytes = Math.ceil(
+        limits.headerBytes * PARSED_FACTOR + REQUEST_LINE_BYTES,
       );
       // Read by the runtime for each new connection; its types lack it.
       Object.assign(this.#server, {
@@ -190,6 +192,9 @@
       place.end();
     };
     res.once("close", end);
+    if (!intake.hasRoom) {
+      place.refuse();
+    }
     await place.previous;
     // An answer before it has ended the connection, or its caller has.
     if (!socket.writable) {
@@ -210,6 +215,11 @@
     const reply = reportRefusals(buildReply(res, endsConnection), (error) =>
       this.#recordRefusal(error, req),
     );
+    if (!intake.hasRoom) {
+      res.shouldKeepAlive = false;
+      reply.sendError(callErrors.crowded());
+      return;
+    }
     await serveCall(this.#parts, {
       req,
       headerBytes: intake.headerBytes,
--- a/packages/gateway/src/http/connections.ts
+++ b/packages/gateway/src/http/connections.ts
@@ -16,16 +16,20 @@
   idleBytes: number;
   /** Bytes that had been read with the last head, or piece of a body. */
   parsedBytes: number;
-  /** The request that arrived last; its body may still come when it is answered. */
-  lastRequest: IncomingMessage | undefined;
+  /** The request whose body may still come when it is answered. */
+  openRequest: IncomingMessage | undefined;
   /** Whether nothing is read from it while so many calls wait. */
   isPaused: boolean;
+  /** Whether no further call is taken, since one had no room. */
+  isClosing: boolean;
 };
 
 /** A call's place among those of its connection. */
 type CallPlace = {
   /** Settled when the calls before it on the connection are over. */
   readonly previous: Promise<void>;
+  /** Takes no further call on the connection, which closes behind this one. */
+  readonly refuse: () => void;
   /** Whether no other call has arrived on the connection behind it. */
   readonly isLast: () => boolean;
   /** Ends the call's place; later calls of this function do nothing. */
@@ -83,8 +87,9 @@
       idleSinceMs: this.#parts.readNowMs(),
       idleBytes: 0,
       parsedBytes: 0,
-      lastRequest: undefined,
+      openRequest: undefined,
       isPaused: false,
+      isClosing: false,
     };
     this.#connections.set(socket, connection);
     // The runtime resumes it for each body.
@@ -102,16 +107,25 @@
     const connection = this.#connections.get(socket);
     if (connection === undefined) {
       const previous = Promise.resolve();
-      return { previous, isLast: () => true, end: () => undefined };
+      const isLast = (): boolean => true;
+      const refuse = (): void => undefined;
+      return { previous, refuse, isLast, end: () => undefined };
     }
     const previous = connection.lastCall;
+    const isFirst = connection.openCalls === 0;
     const state = { isOver: false, settle: (): void => undefined };
     const own = new Promise<void>((resolve) => {
       state.settle = resolve;
     });
     connection.lastCall = own;
     connection.openCalls += 1;
-    connection.lastRequest = req;
+    connection.openRequest = req;
+    // Its head may be long, and the connection may stay.
+    req.once("end", () => {
+      if (connection.openRequest === req) {
+        connection.openRequest = undefined;
+      }
+    });
     const noteParsed = (): void => {
       connection.parsedBytes = socket.bytesRead;
     };
@@ -138,7 +152,15 @@
         state.settle();
       }
     };
-    return { previous, isLast: () => connection.lastCall === own, end };
+    const isLast = (): boolean => connection.lastCall === own;
+    const refuse = (): void => {
+      connection.isClosing = true;
+      if (!isFirst) {
+        // The call would be held until those before it are over.
+        socket.destroy();
+      }
+    };
+    return { previous, refuse, isLast, end };
   }
 
   /** Whether a connection without a call had one in the last `idleMs`. */
@@ -160,7 +182,7 @@
       .filter(
         ([socket, connection]) =>
           connection.openCalls === 0 &&
-          connection.lastRequest?.complete !== false &&
+          connection.openRequest?.complete !== false &&
           connection.idleBytes === socket.bytesRead &&
           this.#countIdleMs(connection) >= idleMs,
       )
@@ -207,11 +229,13 @@
 
   /** Whether one more call may arrive on a connection; closes it if not. */
   #canTakeNext(socket: Socket): boolean {
-    const openCalls = this.#connections.get(socket)?.openCalls ?? 0;
-    if (openCalls < INTAKE_CONSTANTS.MAX_AHEAD) {
+    const { openCalls = 0, isClosing } = this.#connections.get(socket) ?? {};
+    if (openCalls < INTAKE_CONSTANTS.MAX_AHEAD && isClosing !== true) {
       return true;
     }
-    this.#parts.onClosed?.("too-far-ahead");
+    if (isClosing !== true) {
+      this.#parts.onClosed?.("too-far-ahead");
+    }
     socket.destroy();
     return false;
   }
--- a/packages/gateway/src/http/watch_parser.ts
+++ b/packages/gateway/src/http/watch_parser.ts
@@ -1,9 +1,11 @@
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { dropHead } from "../intake/drop_head.ts";
 
 /** The runtime's parser of a connection, as far as it is used here. */
 type Parser = {
   /** Called for each head; a result above 2 makes the parser stop. */
-  onIncoming: (...parts: readonly unknown[]) => number;
+  onIncoming: (req: IncomingMessage, ...parts: readonly unknown[]) => number;
 };
 
 const STOP_PARSING = 3;
@@ -23,7 +25,12 @@
   if (parser === undefined || typeof onIncoming !== "function") {
     return false;
   }
-  parser.onIncoming = (...parts) =>
-    canTakeNext() ? onIncoming(...parts) : STOP_PARSING;
+  parser.onIncoming = (req, ...parts) => {
+    if (canTakeNext()) {
+      return onIncoming(req, ...parts);
+    }
+    dropHead(req);
+    return STOP_PARSING;
+  };
   return true;
 }
--- a/packages/gateway/src/intake/request_intake.ts
+++ b/packages/gateway/src/intake/request_intake.ts
@@ -3,6 +3,7 @@
 import { BodyIntake, type BodyRead } from "./body_intake.ts";
 import type { ByteBudget } from "./byte_budget.ts";
 import { INTAKE_CONSTANTS } from "./constants.ts";
+import { dropHead } from "./drop_head.ts";
 import type { Holding } from "./types.ts";
 
 /**
@@ -15,6 +16,8 @@
   readonly #holding: Holding;
   readonly #body: BodyIntake;
   #isInTurn = false;
+  /** Whether there is room for its head; without, nothing of it is counted. */
+  readonly hasRoom: boolean;
   /** Length of the request's headers. */
   readonly headerBytes: number;
 
@@ -27,7 +30,7 @@
       isPaused: () => req.socket.isPaused(),
     });
     this.headerBytes = countHeaderBytes(req.rawHeaders);
-    const hasRoom = this.#holding.take(
+    this.hasRoom = this.#holding.take(
       INTAKE_CONSTANTS.REQUEST_OVERHEAD + this.headerBytes,
     );
     // It may be settled at once, when its turn has not come.
@@ -36,7 +39,8 @@
         this.#holding.keep();
       }
     });
-    if (!hasRoom) {
+    if (!this.hasRoom) {
+      dropHead(req);
       this.#body.abandon("crowded");
     }
   }
@@ -69,6 +73,7 @@
     if (this.#isInTurn) {
       this.#body.abandon("crowded");
     } else {
+      dropHead(this.#req);
       this.#req.socket.destroy();
     }
   }
