Count requests ahead until their connection has closed

Seen: clients that send requests ahead on many connections end a process by its memory: 300 connections, 5,000 requests each, 200 MB and 4,000 descriptors (as a small machine has; with 400 descriptors it held).

Its requests were counted out at once (500 counted of 13,500 made), while the runtime holds them until the connections have closed, after the turn. At status pages nothing counts them at all.

Change: a request ahead takes only room that is free, and gives it back two turns later; without room its connection is closed. Peers and status pages, whose clients send nothing ahead, may have 4.

--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -185,7 +185,9 @@
     const place = this.#connections.placeCall(req);
     const { table } = this.#parts.view;
     const maxBytes = table?.config.limits.bodyBytes ?? 0;
-    const intake = new RequestIntake(req, this.#parts.budget, maxBytes);
+    const { isFirst } = place;
+    const about = { maxBytes, isFirst };
+    const intake = new RequestIntake(req, this.#parts.budget, about);
     const end = (): void => {
       intake.end();
       call.remove();
--- a/packages/gateway/src/http/connections.ts
+++ b/packages/gateway/src/http/connections.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import { INTAKE_CONSTANTS } from "../intake/constants.ts";
+import { dropHead } from "../intake/drop_head.ts";
 import type { CloseReason } from "./types.ts";
 import { watchParser } from "./watch_parser.ts";
 
@@ -28,6 +29,8 @@
 type CallPlace = {
   /** Settled when the calls before it on the connection are over. */
   readonly previous: Promise<void>;
+  /** Whether no call before it was open when it arrived. */
+  readonly isFirst: boolean;
   /** Takes no further call on the connection, which closes behind this one. */
   readonly refuse: () => void;
   /** Whether no other call has arrived on the connection behind it. */
@@ -40,6 +43,8 @@
   readonly readNowMs: () => number;
   /** Connections that may be open at once. */
   readonly max: number;
+  /** Calls that may be open on a connection before it is closed. */
+  readonly maxAhead?: number;
   /** Makes one of those with calls give way; returns false if none can. */
   readonly yieldOne?: () => boolean;
   readonly onClosed?: ((reason: CloseReason) => void) | undefined;
@@ -108,8 +113,9 @@
     if (connection === undefined) {
       const previous = Promise.resolve();
       const isLast = (): boolean => true;
-      const refuse = (): void => undefined;
-      return { previous, refuse, isLast, end: () => undefined };
+      const refuse = (): void => dropHead(req);
+      const isFirst = true;
+      return { previous, isFirst, refuse, isLast, end: () => undefined };
     }
     const previous = connection.lastCall;
     const isFirst = connection.openCalls === 0;
@@ -155,12 +161,13 @@
     const isLast = (): boolean => connection.lastCall === own;
     const refuse = (): void => {
       connection.isClosing = true;
+      dropHead(req);
       if (!isFirst) {
         // The call would be held until those before it are over.
         socket.destroy();
       }
     };
-    return { previous, refuse, isLast, end };
+    return { previous, isFirst, refuse, isLast, end };
   }
 
   /** Whether a connection without a call had one in the last `idleMs`. */
@@ -230,11 +237,12 @@
   /** Whether one more call may arrive on a connection; closes it if not. */
   #canTakeNext(socket: Socket): boolean {
     const { openCalls = 0, isClosing } = this.#connections.get(socket) ?? {};
-    if (openCalls < INTAKE_CONSTANTS.MAX_AHEAD && isClosing !== true) {
+    const { maxAhead = INTAKE_CONSTANTS.MAX_AHEAD, onClosed } = this.#parts;
+    if (openCalls < maxAhead && isClosing !== true) {
       return true;
     }
     if (isClosing !== true) {
-      this.#parts.onClosed?.("too-far-ahead");
+      onClosed?.("too-far-ahead");
     }
     socket.destroy();
     return false;
--- a/packages/gateway/src/http/status_listener.ts
+++ b/packages/gateway/src/http/status_listener.ts
@@ -31,6 +31,7 @@
     const connections = new Connections({
       readNowMs: () => performance.now(),
       max: maxConnections,
+      maxAhead: INTAKE_CONSTANTS.MAX_AHEAD_INSIDE,
     });
     const app = new Koa();
     app.use(async (ctx) => {
--- a/packages/gateway/src/intake/body_intake_test.ts
+++ b/packages/gateway/src/intake/body_intake_test.ts
@@ -15,11 +15,10 @@
     socket: { isPaused: () => state.isPaused },
   });
   const budget = new ByteBudget(1_000_000);
-  const intake = new RequestIntake(
-    req as unknown as IncomingMessage,
-    budget,
-    ANNOUNCED,
-  );
+  const intake = new RequestIntake(req as unknown as IncomingMessage, budget, {
+    maxBytes: ANNOUNCED,
+    isFirst: true,
+  });
   intake.beginTurn();
   const sweep = (atMs: number): void => budget.sweep(atMs, IDLE_MS);
   return { state, req, intake, sweep, budget };
--- a/packages/gateway/src/intake/byte_budget.ts
+++ b/packages/gateway/src/intake/byte_budget.ts
@@ -53,6 +53,8 @@
         return holder.bytes;
       },
       take: (bytes) => this.#take(holder, bytes),
+      takeFree: (bytes) =>
+        this.#total + bytes <= this.#limit && this.#take(holder, bytes),
       recordReceived: (bytes) => {
         holder.received += bytes;
       },
--- a/packages/gateway/src/intake/constants.ts
+++ b/packages/gateway/src/intake/constants.ts
@@ -12,6 +12,8 @@
   PAUSED_AHEAD: 16,
   /** Requests ahead with which the connection is closed. */
   MAX_AHEAD: 512,
+  /** The same for connections of peers and of status pages, which send none ahead. */
+  MAX_AHEAD_INSIDE: 4,
   /** Interval at which stalled bodies are looked for, in ms. */
   SWEEP_INTERVAL_MS: 1_000,
   /** Interval at which unfinished heads are counted, in ms. */
--- a/packages/gateway/src/intake/request_intake.ts
+++ b/packages/gateway/src/intake/request_intake.ts
@@ -6,6 +6,12 @@
 import { dropHead } from "./drop_head.ts";
 import type { Holding } from "./types.ts";
 
+type RequestPlace = {
+  readonly maxBytes: number;
+  /** Whether it is the first on its connection that is not over. */
+  readonly isFirst: boolean;
+};
+
 /**
  * What a request holds from its head to the end of its answer. It gives way while it
  * waits behind others of its connection, or its body is not complete: then nothing
@@ -21,8 +27,15 @@
   /** Length of the request's headers. */
   readonly headerBytes: number;
 
-  /** `maxBytes` limits the body. */
-  constructor(req: IncomingMessage, budget: ByteBudget, maxBytes: number) {
+  /**
+   * `maxBytes` limits the body. Nothing gives way to a request ahead of its turn: what
+   * waits on other connections is held until these have closed.
+   */
+  constructor(
+    req: IncomingMessage,
+    budget: ByteBudget,
+    { maxBytes, isFirst }: RequestPlace,
+  ) {
     this.#req = req;
     this.#holding = budget.open({
       onYield: () => this.#yield(),
@@ -30,9 +43,10 @@
       isPaused: () => req.socket.isPaused(),
     });
     this.headerBytes = countHeaderBytes(req.rawHeaders);
-    this.hasRoom = this.#holding.take(
-      INTAKE_CONSTANTS.REQUEST_OVERHEAD + this.headerBytes,
-    );
+    const bytes = INTAKE_CONSTANTS.REQUEST_OVERHEAD + this.headerBytes;
+    this.hasRoom = isFirst
+      ? this.#holding.take(bytes)
+      : this.#holding.takeFree(bytes);
     // It may be settled at once, when its turn has not come.
     this.#body = new BodyIntake(req, this.#holding, maxBytes, () => {
       if (this.#isInTurn) {
@@ -40,7 +54,6 @@
       }
     });
     if (!this.hasRoom) {
-      dropHead(req);
       this.#body.abandon("crowded");
     }
   }
@@ -63,16 +76,26 @@
     return this.#body.read();
   }
 
-  /** Gives back all room; what comes of the body later is dropped. */
+  /**
+   * Gives back all room; what comes of the body later is dropped. One whose turn has
+   * not come is held by the runtime until its connection has closed, which is after
+   * this turn of the event loop.
+   */
   end(): void {
     this.#body.abandon("aborted");
-    this.#holding.release();
+    const release = (): void => this.#holding.release();
+    if (this.#isInTurn) {
+      release();
+    } else {
+      setImmediate(() => setImmediate(release));
+    }
   }
 
   #yield(): void {
     if (this.#isInTurn) {
       this.#body.abandon("crowded");
     } else {
+      this.#body.abandon("aborted");
       dropHead(this.#req);
       this.#req.socket.destroy();
     }
--- a/packages/gateway/src/intake/types.ts
+++ b/packages/gateway/src/intake/types.ts
@@ -5,6 +5,8 @@
   readonly bytes: number;
   /** Takes more room; returns false if there is none. */
   readonly take: (bytes: number) => boolean;
+  /** The same, but nothing gives way to it. */
+  readonly takeFree: (bytes: number) => boolean;
   /** Notes bytes that have come, whether or not they took room. */
   readonly recordReceived: (bytes: number) => void;
   /** From now on it does not give way. */
--- a/packages/gateway/src/store/relay_listener.ts
+++ b/packages/gateway/src/store/relay_listener.ts
@@ -73,14 +73,18 @@
     const connections = new Connections({
       readNowMs: () => performance.now(),
       max: maxConnections,
+      maxAhead: INTAKE_CONSTANTS.MAX_AHEAD_INSIDE,
       yieldOne: () => budget.yieldOne(),
       onClosed,
     });
     const app = new Koa();
     app.use(async (ctx) => {
       const { req, res } = ctx;
-      const intake = new RequestIntake(req, budget, MAX_BODY_BYTES);
       const place = connections.placeCall(req);
+      const intake = new RequestIntake(req, budget, {
+        maxBytes: MAX_BODY_BYTES,
+        isFirst: place.isFirst,
+      });
       res.once("close", () => {
         intake.end();
         place.end();
@@ -92,6 +96,9 @@
         await other.handle(req, res, intake);
         return;
       }
+      if (!intake.hasRoom) {
+        place.refuse();
+      }
       const body = await intake.read();
       const call = body.kind === "read" ? parseCall(body.bytes) : undefined;
       if (call === undefined) {
