Send no request whose time is up when its turn comes

Cause, by a trace at the upstream: the second request's time (300 ms) had run out when its turn came (402 ms). Its timer of 0 ms and the sending were then a race, so it was at times sent, and cancelled: an upstream worked in vain, and the caller heard that it may have run.

Change: without time left it is refused at once.

--- a/packages/gateway/src/requests/request_run.ts
+++ b/packages/gateway/src/requests/request_run.ts
@@ -65,6 +65,10 @@
   start(): void {
     const leftMs = this.#tracker.computeRemainingMs();
     const late = callErrors.timedOut("the time is up", false);
+    if (leftMs === 0) {
+      this.expire(late.message, late);
+      return;
+    }
     this.#timer = setTimeout(() => this.expire(late.message, late), leftMs);
     const { turns, passer } = this.#parts;
     this.#turn.request(this.#call, passer?.isNeeded ? undefined : turns, {
@@ -121,7 +125,7 @@
       case "full":
       case "none": {
         const { reason, freeInMs } = describeLack(target, this.#origin);
-        this.#abandon(reason, freeInMs);
+        this.#ending.abandon(reason, freeInMs, this.#answer.hasStarted);
         return;
       }
       default:
@@ -263,7 +267,7 @@
       case "break-off":
       case "refuse":
       case "fail":
-        this.#abandon(next.reason, 0);
+        this.#ending.abandon(next.reason, 0, hasStarted);
         return;
       case "done":
         return;
@@ -272,10 +276,6 @@
     }
   }
 
-  #abandon(reason: string, availableInMs: number): void {
-    this.#ending.abandon(reason, availableInMs, this.#answer.hasStarted);
-  }
-
   /** Ends the request; `notRun` is the error of one that can't have run. */
   expire(reason: string, notRun = callErrors.notReady(reason)): void {
     if (this.#ending.isEnded) {
--- a/packages/gateway/src/requests/request_run_test.ts
+++ b/packages/gateway/src/requests/request_run_test.ts
@@ -198,3 +198,12 @@
   expect(second.seen).toHaveLength(0);
   await Promise.all([first.close(), second.close()]);
 });
+
+// Guards against a request that is sent although its time is up when its turn comes.
+test("a request without time left is not sent", async () => {
+  const { answer, seen } = await runWithUpstreams([buildStream([1])], {
+    route: { timeoutMs: 0 },
+  });
+  expect(answer).toMatchObject({ status: 504, run: "not run" });
+  expect(seen).toEqual([[]]);
+});
