--- a/packages/gateway/src/http/connections.ts
+++ b/packages/gateway/src/http/connections.ts
@@ -161,6 +161,7 @@
     const isLast = (): boolean => connection.lastCall === own;
     const refuse = (): void => {
       connection.isClosing = true;
+      this.#parts.onClosed?.("no-room");
       dropHead(req);
       if (!isFirst) {
         // The call would be held until those before it are over.
--- a/packages/gateway/src/http/types.ts
+++ b/packages/gateway/src/http/types.ts
@@ -17,7 +17,11 @@
 };
 
 /** Why a connection was closed that could have gone on. */
-export type CloseReason = "too-many" | "too-far-ahead" | "heads-too-long";
+export type CloseReason =
+  | "too-many"
+  | "too-far-ahead"
+  | "heads-too-long"
+  | "no-room";
 
 /** Moments of a planned stop, on the monotonic clock, in ms. */
 export type StopTimes = {
--- a/packages/gateway/src/testing/start_serving.ts
+++ b/packages/gateway/src/testing/start_serving.ts
@@ -1,4 +1,5 @@
 import { CALL_SHAPES, type Route } from "@gooseberryline/core";
+import type { ByteBudget } from "../intake/byte_budget.ts";
 import { createEntry } from "./create_entry.ts";
 import { createView } from "./create_view.ts";
 import { JOB_ROUTE } from "./job_route.ts";
@@ -35,7 +36,7 @@
  * Starts a callers' listener and its upstream, with routes for a stream, for a slow,
  * a short and a large answer.
  */
-export async function startServing(idleTimeoutMs = 5_000) {
+export async function startServing(idleTimeoutMs = 5_000, budget?: ByteBudget) {
   const upstream = await startUpstream((req, res) => {
     if (req.url?.startsWith("/stream/") === true) {
       res.writeHead(200, { "content-type": "text/event-stream" });
@@ -65,7 +66,8 @@
   });
   const { address } = upstream;
   view.directory.set(createEntry({ service: SERVICE, address }));
-  const { listener, port } = await startListener(view);
+  const started = await startListener(view, undefined, { budget });
+  const { listener, port } = started;
   listener.applyLimits();
   /** Begins a stop whose notice is over, with this much time left. */
   const beginLateStop = (leftMs: number): void => {
