Let the fault soak kill upstreams: their connections end in order

The soak reset all connections of upstreams that end, so it could not find that the part of a killed upstream's answer passed for the whole.

--- a/packages/fakes/src/proxy/start_proxy.ts
+++ b/packages/fakes/src/proxy/start_proxy.ts
@@ -15,6 +15,8 @@
 export async function startProxy(url: string): Promise<FakeProxy> {
   const target = new URL(url);
   const sockets = new Set<Socket>();
+  /** Each ends a client's connection in order. */
+  const ends = new Set<() => void>();
   const state: ProxyState = { delayMs: 0, cutDirection: undefined };
   const count = { connections: 0 };
   const server = createServer({ allowHalfOpen: true }, (client) => {
@@ -27,11 +29,20 @@
     relayEnds(client, upstream, sockets);
     relayEnds(upstream, client, sockets);
     client.pipe(createHold(state, "out")).pipe(upstream);
-    upstream.pipe(createHold(state, "back")).pipe(client);
-  });
-  await new Promise<void>((resolve) => {
-    server.listen(0, "127.0.0.1", resolve);
+    const back = upstream.pipe(createHold(state, "back"));
+    back.pipe(client);
+    const end = (): void => {
+      back.unpipe(client);
+      client.end(() => client.destroy());
+    };
+    ends.add(end);
+    client.once("close", () => ends.delete(end));
   });
+  const listen = (port: number): Promise<void> =>
+    new Promise((resolve) => {
+      server.listen(port, "127.0.0.1", resolve);
+    });
+  await listen(0);
   const { port } = server.address() as { port: number };
   return {
     url: `http://127.0.0.1:${port}`,
@@ -47,6 +58,14 @@
         socket.resetAndDestroy();
       });
     },
+    endAsKilled: () => {
+      // Connections end before it stops listening, as the system closes files.
+      ends.forEach((end) => {
+        end();
+      });
+      server.close();
+    },
+    listenAgain: () => (server.listening ? Promise.resolve() : listen(port)),
     setDelay: (delayMs) => {
       state.delayMs = delayMs;
     },
--- a/packages/fakes/src/proxy/types.ts
+++ b/packages/fakes/src/proxy/types.ts
@@ -10,6 +10,10 @@
   readonly stopForwarding: () => void;
   /** Resets the open connections; new connections work. */
   readonly reset: () => void;
+  /** Ends open connections in order and stops listening, as a killed process does. */
+  readonly endAsKilled: () => void;
+  /** Listens again at the same address, unless it does. */
+  readonly listenAgain: () => Promise<void>;
   /** Holds each piece back for this long, on all connections. */
   readonly setDelay: (delayMs: number) => void;
   /** Holds back all that passes in a direction; undefined lets it go on. */
