--- a/packages/cli/src/commands/place_command.ts
+++ b/packages/cli/src/commands/place_command.ts
@@ -1,8 +1,8 @@
+import type { PlaceExplanation } from "@gooseberryline/core";
 import { Command, Option } from "clipanion";
 import { printTable } from "../output/print_table.ts";
 import { printOutcome } from "../place/print_outcome.ts";
 import { queryPlace } from "../place/query_place.ts";
-import type { PlaceAnswer } from "../place/types.ts";
 import { BaseCommand } from "./base_command.ts";
 
 const HEADINGS = [
@@ -47,7 +47,7 @@
     description: "time that the caller waits, ms",
   });
 
-  protected override run(): Promise<PlaceAnswer> {
+  protected override run(): Promise<PlaceExplanation> {
     return queryPlace(this.address, {
       host: this.host,
       path: this.path_,
@@ -59,7 +59,7 @@
   }
 
   protected override print(given: unknown): string {
-    const answer = given as PlaceAnswer;
+    const answer = given as PlaceExplanation;
     const rows = answer.candidates.map((one) => [
       one.upstream,
       one.dataCentre,
--- a/packages/cli/src/place/print_outcome.ts
+++ b/packages/cli/src/place/print_outcome.ts
@@ -1,7 +1,7 @@
-import type { PlaceAnswer } from "./types.ts";
+import type { PlaceExplanation } from "@gooseberryline/core";
 
 /** Formats what would happen, in one line or two. */
-export function printOutcome(answer: PlaceAnswer): string {
+export function printOutcome(answer: PlaceExplanation): string {
   const { outcome, instance, dataCentre, route, service, home } = answer;
   const by = `at ${instance} (${dataCentre}), route ${route ?? "-"}, service ${service ?? "-"}`;
   const meant =
--- a/packages/cli/src/place/query_place.ts
+++ b/packages/cli/src/place/query_place.ts
@@ -1,7 +1,7 @@
+import type { PlaceExplanation } from "@gooseberryline/core";
 import { got } from "got";
 import { AdminError } from "../client/admin_error.ts";
 import { EXIT_CODES } from "../client/exit_codes.ts";
-import type { PlaceAnswer } from "./types.ts";
 
 const PATH = "/place";
 const TIMEOUT_MS = 2_000;
@@ -12,7 +12,7 @@
 export async function queryPlace(
   address: string,
   fields: Readonly<Record<string, string>>,
-): Promise<PlaceAnswer> {
+): Promise<PlaceExplanation> {
   const { status, answer } = await request(address, fields);
   if (status === BAD) {
     const reason = String(Reflect.get(Object(answer), "error"));
@@ -52,7 +52,7 @@
   }
 }
 
-function isAnswer(answer: unknown): answer is PlaceAnswer {
+function isAnswer(answer: unknown): answer is PlaceExplanation {
   const { outcome, candidates } = Object(answer);
   return typeof outcome?.kind === "string" && Array.isArray(candidates);
 }
--- a/packages/gateway/src/placing/describe_candidate.ts
+++ b/packages/gateway/src/placing/describe_candidate.ts
@@ -1,10 +1,10 @@
 import {
   type Candidate,
+  type ConsideredUpstream,
   estimateWaitMs,
   findExclusion,
 } from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
-import type { ConsideredUpstream } from "./types.ts";
 
 const NOT_TRIED = { tried: new Set<string>() };
 
--- a/packages/gateway/src/placing/describe_placing.ts
+++ b/packages/gateway/src/placing/describe_placing.ts
@@ -2,7 +2,9 @@
   assertNever,
   chooseService,
   findRoute,
+  type PlaceExplanation,
   type Placement,
+  type PlaceOutcome,
   type Route,
 } from "@gooseberryline/core";
 import type { FleetView } from "../fleet/fleet_view.ts";
@@ -12,7 +14,7 @@
 import { REQUESTS } from "../requests/constants.ts";
 import { drawRetryAfterMs } from "../requests/draw_retry_after_ms.ts";
 import { describeCandidate } from "./describe_candidate.ts";
-import type { PlaceExplanation, PlaceOutcome, PlaceQuestion } from "./types.ts";
+import type { PlaceQuestion } from "./types.ts";
 
 const NOT_FOUND = 404;
 const UNAVAILABLE = 503;
