Say once which upstreams stay, and which fields a step's log line has

UpstreamDirectory told twice whether a process is about to end, two log events listed the same fields, and a call on a connection had two listeners for its end where one serves. Behaviour is as it was; tests of fleet, listeners, requests, roll-outs and style pass.

--- a/packages/core/src/logs/rollout_events.ts
+++ b/packages/core/src/logs/rollout_events.ts
@@ -8,6 +8,18 @@
   "oldBad",
 ] as const;
 
+/** Fields of a step, and of what decided it. */
+const STEP_FIELDS = [
+  "service",
+  "to",
+  "step",
+  "source",
+  "sinceOrderMs",
+  "evidenceAgeMs",
+  "reason",
+  ...EVIDENCE_FIELDS,
+] as const;
+
 /** Log events of roll-outs. */
 export const ROLLOUT_EVENTS = {
   "rollout-ordered": {
@@ -23,29 +35,11 @@
     text: "An order was removed; both versions get requests again",
   },
   "rollout-step": {
-    fields: [
-      "service",
-      "to",
-      "step",
-      "source",
-      "sinceOrderMs",
-      "evidenceAgeMs",
-      "reason",
-      ...EVIDENCE_FIELDS,
-    ],
+    fields: STEP_FIELDS,
     text: "A roll-out is at its next step, as the store or a peer tells",
   },
   "rollout-bad": {
-    fields: [
-      "service",
-      "to",
-      "step",
-      "source",
-      "sinceOrderMs",
-      "evidenceAgeMs",
-      "reason",
-      ...EVIDENCE_FIELDS,
-    ],
+    fields: STEP_FIELDS,
     text: "The new version is worse than the old one; it gets nothing more from here",
   },
   "rollout-not-written": {
--- a/packages/gateway/src/fleet/upstream_directory.ts
+++ b/packages/gateway/src/fleet/upstream_directory.ts
@@ -65,10 +65,7 @@
   isLeaving({ id, bornMs }: LeavingUpstream): boolean {
     const known = this.#held.get(id);
     return (
-      known === undefined ||
-      known.entry.bornMs !== bornMs ||
-      known.entry.isDraining ||
-      known.isLeaving === true
+      known === undefined || known.entry.bornMs !== bornMs || !isStaying(known)
     );
   }
 
@@ -129,10 +126,9 @@
   list(service: string, nowMs: number): readonly UpstreamEntry[] {
     this.#dropExpired(nowMs);
     return [...this.#held.values()]
-      .filter(({ isLeaving }) => isLeaving !== true)
+      .filter(isStaying)
       .map(({ entry }) => entry)
       .filter((entry) => entry.service === service)
-      .filter(({ isDraining }) => !isDraining)
       .filter(({ dataCentre }) => !this.#evacuated.has(dataCentre));
   }
 
@@ -165,3 +161,8 @@
       });
   }
 }
+
+/** Whether a process is not about to end, by its entry or its own word. */
+function isStaying({ entry, isLeaving }: DirectoryEntry): boolean {
+  return !entry.isDraining && isLeaving !== true;
+}
--- a/packages/gateway/src/http/caller_listener.ts
+++ b/packages/gateway/src/http/caller_listener.ts
@@ -184,10 +184,10 @@
     const call = this.openCalls.add();
     const place = this.#connections.placeCall(req);
     const { table } = this.#parts.view;
-    const maxBytes = table?.config.limits.bodyBytes ?? 0;
-    const { isFirst } = place;
-    const about = { maxBytes, isFirst };
-    const intake = new RequestIntake(req, this.#parts.budget, about);
+    const intake = new RequestIntake(req, this.#parts.budget, {
+      maxBytes: table?.config.limits.bodyBytes ?? 0,
+      isFirst: place.isFirst,
+    });
     const end = (): void => {
       intake.end();
       call.remove();
--- a/packages/gateway/src/http/connections.ts
+++ b/packages/gateway/src/http/connections.ts
@@ -126,18 +126,18 @@
     connection.lastCall = own;
     connection.openCalls += 1;
     connection.openRequest = req;
-    // Its head may be long, and the connection may stay.
-    req.once("end", () => {
-      if (connection.openRequest === req) {
-        connection.openRequest = undefined;
-      }
-    });
     const noteParsed = (): void => {
       connection.parsedBytes = socket.bytesRead;
     };
     noteParsed();
     req.on("data", noteParsed);
-    req.once("end", noteParsed);
+    req.once("end", () => {
+      noteParsed();
+      // Its head may be long, and the connection may stay.
+      if (connection.openRequest === req) {
+        connection.openRequest = undefined;
+      }
+    });
     if (connection.openCalls >= INTAKE_CONSTANTS.PAUSED_AHEAD) {
       connection.isPaused = true;
       socket.pause();
