--- a/packages/cli/src/fleet/fleet_test.ts
+++ b/packages/cli/src/fleet/fleet_test.ts
@@ -1,8 +1,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { PassThrough, Readable } from "node:stream";
 import { afterEach, expect, test } from "vitest";
-import { runTool } from "../run_tool.ts";
+import { runCommand } from "../testing/run_command.ts";
 import { findQuantileBound } from "./find_quantile_bound.ts";
 import { parseMetrics } from "./parse_metrics.ts";
 
@@ -35,15 +34,6 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-async function runCommand(...argv: string[]) {
-  const stdout = new PassThrough();
-  const stderr = new PassThrough();
-  const stdin = Readable.from([]);
-  const code = await runTool(argv, { stdin, stdout, stderr, env: {} });
-  const read = (stream: PassThrough): string => String(stream.read() ?? "");
-  return { code, out: read(stdout), err: read(stderr) };
-}
-
 test("prints each instance and reports unreachable ones separately", async () => {
   const [up, other] = await Promise.all([serve(METRICS), serve("up 1\n")]);
   const { code, out } = await runCommand("--json", "fleet", up, other);
--- a/packages/cli/src/place/place_test.ts
+++ b/packages/cli/src/place/place_test.ts
@@ -1,8 +1,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { PassThrough, Readable } from "node:stream";
 import { afterEach, expect, test } from "vitest";
-import { runTool } from "../run_tool.ts";
+import { runCommand } from "../testing/run_command.ts";
 
 const ANSWER = {
   instance: "i1",
@@ -51,15 +50,6 @@
   };
 }
 
-async function runCommand(...argv: string[]) {
-  const stdout = new PassThrough();
-  const stderr = new PassThrough();
-  const stdin = Readable.from([]);
-  const code = await runTool(argv, { stdin, stdout, stderr, env: {} });
-  const read = (stream: PassThrough): string => String(stream.read() ?? "");
-  return { code, out: read(stdout), err: read(stderr) };
-}
-
 const WHAT = ["--host", "h", "--path", "/p/"];
 
 test("prints where a request would go, and what was considered", async () => {
--- a/packages/core/src/waiting/count_room_test.ts
+++ b/packages/core/src/waiting/count_room_test.ts
@@ -1,18 +1,11 @@
 import { expect, test } from "vitest";
+import { ENTRY_FIXTURE } from "../placing/entry_fixture.ts";
 import type { Candidate } from "../placing/types.ts";
 import { countRoom } from "./count_room.ts";
 
 function createCandidate(fields: Partial<Candidate> = {}): Candidate {
   return {
-    entry: {
-      id: "u1",
-      service: "s",
-      address: "127.0.0.1:1",
-      dataCentre: "a",
-      slots: 8,
-      isDraining: false,
-      coldUntilMs: 0,
-    },
+    entry: ENTRY_FIXTURE,
     open: { online: 3, batch: 0 },
     unseen: 0,
     suspectUntilMs: 0,
--- a/packages/measure/src/placing_at_size/leaving_test.ts
+++ b/packages/measure/src/placing_at_size/leaving_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { countAll } from "./count_all.ts";
 import { simulatePlacing } from "./simulate_placing.ts";
-import type { PlacingCounts } from "./types.ts";
 
 const FLEET = {
   lullRate: 1.8,
@@ -41,12 +41,10 @@
       onTime: (nowMs) => vi.setSystemTime(nowMs),
     }),
   );
-  const countAll = (name: keyof PlacingCounts): number =>
-    fleets.reduce((total, counts) => total + counts[name], 0);
   return {
-    waitMs: countAll("waitMs") / countAll("requests"),
-    late: countAll("late") / countAll("requests"),
-    crossed: countAll("crossed") / countAll("requests"),
+    waitMs: countAll(fleets, "waitMs") / countAll(fleets, "requests"),
+    late: countAll(fleets, "late") / countAll(fleets, "requests"),
+    crossed: countAll(fleets, "crossed") / countAll(fleets, "requests"),
   };
 }
 
--- a/packages/measure/src/placing_at_size/placing_at_size_test.ts
+++ b/packages/measure/src/placing_at_size/placing_at_size_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { countAll } from "./count_all.ts";
 import { simulatePlacing } from "./simulate_placing.ts";
-import type { PlacingCounts, PlacingOptions } from "./types.ts";
+import type { PlacingOptions } from "./types.ts";
 
 /** Load of each upstream: four fifths of its slots are needed in bursts. */
 const LOAD = { lullRate: 1.8, burstRate: 8.6, itemRate: 0.57 };
@@ -61,13 +62,11 @@
   const fleets = Array.from({ length: LARGE / edges }, (_, n) =>
     simulate(edges, n + 1),
   );
-  const countAll = (name: keyof PlacingCounts): number =>
-    fleets.reduce((total, counts) => total + counts[name], 0);
   return {
-    attempts: countAll("attempts") / countAll("requests"),
-    late: countAll("late") / countAll("requests"),
-    cuts: countAll("cut") / countAll("itemsDone"),
-    itemsLate: countAll("itemsLate"),
+    attempts: countAll(fleets, "attempts") / countAll(fleets, "requests"),
+    late: countAll(fleets, "late") / countAll(fleets, "requests"),
+    cuts: countAll(fleets, "cut") / countAll(fleets, "itemsDone"),
+    itemsLate: countAll(fleets, "itemsLate"),
   };
 }
 
--- a/packages/measure/src/placing_at_size/speeds_test.ts
+++ b/packages/measure/src/placing_at_size/speeds_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { countAll } from "./count_all.ts";
 import { simulatePlacing } from "./simulate_placing.ts";
-import type { PlacingCounts } from "./types.ts";
 
 /** More than the upstreams can take in bursts. */
 const LOAD = { lullRate: 2, burstRate: 11, itemRate: 0, keepsHeadroom: true };
@@ -32,11 +32,9 @@
       onTime: (nowMs) => vi.setSystemTime(nowMs),
     }),
   );
-  const countAll = (name: keyof PlacingCounts): number =>
-    fleets.reduce((total, counts) => total + counts[name], 0);
   return {
-    waitMs: countAll("waitMs") / countAll("requests"),
-    late: countAll("late") / countAll("requests"),
+    waitMs: countAll(fleets, "waitMs") / countAll(fleets, "requests"),
+    late: countAll(fleets, "late") / countAll(fleets, "requests"),
   };
 }
 
