--- a/review/stand_ins_2/store.mjs
+++ b/review/stand_ins_2/store.mjs
@@ -9,10 +9,14 @@
 
 /**
  * `decideFate(call)` may return "refused" (503, nothing done), "lost" (done, never
- * answered) or { lateMs } (done that much later if its condition still holds, never
- * answered); anything else is a sound call.
+ * answered) or { after, onDone } (done after that promise if its condition still holds,
+ * never answered); anything else is a sound call. `onAnswer(call, status)` is told of
+ * each call that was answered.
  */
-export async function startStore({ decideFate = () => "done" } = {}) {
+export async function startStore({
+  decideFate = () => "done",
+  onAnswer = () => undefined,
+} = {}) {
   const items = new Map();
   const history = [];
   const leases = new Map();
@@ -143,9 +147,9 @@
         return;
       }
       if (typeof fate === "object") {
-        setTimeout(() => {
-          void answer(req.method, url, body, () => true);
-        }, fate.lateMs);
+        await fate.after;
+        const [status] = await answer(req.method, url, body, () => true);
+        fate.onDone?.(status);
         return;
       }
       const isOpen = () => !res.destroyed;
@@ -153,6 +157,7 @@
       if (fate !== "lost" && !res.destroyed) {
         res.writeHead(status, { "content-type": "application/json" });
         res.end(JSON.stringify(value));
+        onAnswer(call, status);
       }
     } catch {
       res.destroy();
