--- a/review/stand_ins_2/system.mjs
+++ b/review/stand_ins_2/system.mjs
@@ -40,7 +40,13 @@
   return port + 2 * PORTS < 65_535 ? port : findBasePort();
 }
 
-export async function startSystem({ edges, workers, store, zones = ["a"] }) {
+export async function startSystem({
+  edges,
+  workers,
+  store,
+  zones = ["a"],
+  edgeMemoryMb = 350,
+}) {
   const folder = mkdtempSync(join(tmpdir(), "review-"));
   const basePort = await findBasePort();
   const machines = [
@@ -70,7 +76,7 @@
         }
       : {}),
     graceSeconds: 8,
-    memoryMb: role === "gateway" ? 350 : 380,
+    memoryMb: role === "gateway" ? edgeMemoryMb : 380,
     maxFds: role === "gateway" ? 4200 : 8200,
     isFirstStart: starts === 0,
     quotaSlack: 20,
