Ask every call for a key once the last customer has left

Cause: the decoder read a missing list of customers as an empty one, and requests and readers of jobs each took an empty list for 'asks for no key'. Change: who may call is a fact of its own (CallerAccess), decided once where the configuration is read; readers of jobs ask the same function as requests. The log says who may call when a configuration is adopted. Why it works: nothing asks for the size of the list any more; only a configuration without the field is open.

--- a/packages/core/src/logs/log_events.ts
+++ b/packages/core/src/logs/log_events.ts
@@ -155,8 +155,8 @@
     text: "Texts of unfinished items were not saved this time",
   },
   "config-adopted": {
-    fields: ["revision", "routes"],
-    text: "A configuration is in force here",
+    fields: ["revision", "routes", "access", "customers"],
+    text: "A configuration is in force here; `access`: who may call",
   },
   "config-unreadable": {
     fields: ["revision", "reason"],
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -143,6 +143,7 @@
 export type * from "./rollouts/types.ts";
 export { ROLLOUT_STEPS } from "./rollouts/types.ts";
 export { authenticateCaller } from "./routes/authenticate_caller.ts";
+export { buildAccess } from "./routes/build_access.ts";
 export { buildRouteTable } from "./routes/build_route_table.ts";
 export { canRefuseByTable } from "./routes/can_refuse_by_table.ts";
 export { chooseService } from "./routes/choose_service.ts";
--- a/packages/core/src/routes/authenticate_caller.ts
+++ b/packages/core/src/routes/authenticate_caller.ts
@@ -1,6 +1,9 @@
 import type { Caller, Route, RouteTable } from "./types.ts";
 
-/** Identifies the caller by the API key of a request for `route`. */
+/**
+ * Identifies the caller by the API key of a request for `route`; undefined for a
+ * call that no route's openness concerns.
+ */
 export function authenticateCaller(
   table: RouteTable,
   route: Route | undefined,
@@ -11,7 +14,7 @@
   if (customer !== undefined) {
     return { kind: "customer", customer };
   }
-  // A configuration without customers requires no key.
-  const isOpen = route?.isPublic === true || table.customers.size === 0;
+  const isOpen =
+    route?.isPublic === true || table.config.access.kind === "open";
   return { kind: isOpen ? "anyone" : "unknown" };
 }
--- a/packages/core/src/routes/list_dropped_test.ts
+++ b/packages/core/src/routes/list_dropped_test.ts
@@ -14,7 +14,10 @@
   const customer = { name: "c", keys, ratePerSecond: 0, burst: 0 };
   const routes = prefixes.map((prefix) => ({ host: "H", prefix }) as Route);
   const config = { revision: 1, services: [], limits, routes };
-  return buildRouteTable({ ...config, customers: [customer] });
+  return buildRouteTable({
+    ...config,
+    access: { kind: "customers", customers: [customer] },
+  });
 }
 
 test("what a newer table has no more is named as a call that asks for it", () => {
--- a/packages/core/src/routes/types.ts
+++ b/packages/core/src/routes/types.ts
@@ -70,13 +70,23 @@
   readonly burst: number;
 };
 
+/** Who may call the routes that aren't public. */
+export type CallerAccess =
+  /** The configuration says nothing of customers: no key is asked for. */
+  | { readonly kind: "open" }
+  /** Only customers, by their keys; nobody while there is none. */
+  | {
+      readonly kind: "customers";
+      readonly customers: readonly RouteCustomer[];
+    };
+
 /** A valid configuration; a higher revision replaces a lower one. */
 export type ServingConfig = {
   readonly revision: number;
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly limits: CallLimits;
-  readonly customers: readonly RouteCustomer[];
+  readonly access: CallerAccess;
 };
 
 /** A configuration indexed for lookups on the request path. */
--- a/packages/gateway/src/fleet/record_watches.ts
+++ b/packages/gateway/src/fleet/record_watches.ts
@@ -215,6 +215,8 @@
       log.info("config-adopted", {
         revision: config.value.revision,
         routes: config.value.routes.length,
+        access: config.value.access.kind,
+        customers: view.table?.customers.size,
       });
       freshness.recordAdopted();
       onConfig(view.table === undefined ? [] : listDropped(before, view.table));
--- a/packages/gateway/src/http/early_answer_test.ts
+++ b/packages/gateway/src/http/early_answer_test.ts
@@ -41,7 +41,7 @@
     { ...ROUTE, prefix: "/plain/", shape: CALL_SHAPES.plain },
     { ...ROUTE, name: "s", prefix: "/stream/", shape: CALL_SHAPES.stream },
   ];
-  const rest = { services: [], customers: [], limits };
+  const rest = { services: [], access: { kind: "open" } as const, limits };
   view.adoptConfig({ revision: 1, routes, ...rest });
   view.directory.set(createEntry({ service: "s", address }));
   return startListener(view);
--- a/packages/gateway/src/http/odd_answer_test.ts
+++ b/packages/gateway/src/http/odd_answer_test.ts
@@ -42,7 +42,7 @@
     headerTimeoutMs: 1_000,
     idleTimeoutMs: 5_000,
   };
-  const rest = { services: [], customers: [], limits };
+  const rest = { services: [], access: { kind: "open" } as const, limits };
   view.adoptConfig({ revision: 1, routes: [route], ...rest });
   view.directory.set(createEntry({ service: "s", address: upstream.address }));
   const { listener, port } = await startListener(view);
--- a/packages/gateway/src/http/odd_status_test.ts
+++ b/packages/gateway/src/http/odd_status_test.ts
@@ -38,7 +38,7 @@
         { ...ROUTE, name: "s", prefix: "/stream/", shape: CALL_SHAPES.stream },
       ],
       services: [],
-      customers: [],
+      access: { kind: "open" },
       limits: {
         headerBytes: 10_000,
         bodyBytes: 10_000,
--- a/packages/gateway/src/http/old_limits_test.ts
+++ b/packages/gateway/src/http/old_limits_test.ts
@@ -27,7 +27,7 @@
       revision: 1,
       routes: [{ ...JOB_ROUTE, host: "h", prefix: "/", isPublic: true }],
       services: [],
-      customers: [],
+      access: { kind: "open" },
       limits: LIMITS,
     });
     const send = async () => {
@@ -57,7 +57,7 @@
     revision: 1,
     routes: [],
     services: [],
-    customers: [],
+    access: { kind: "open" },
     limits: LIMITS,
   });
   const send = () =>
--- a/packages/gateway/src/http/open_upload_test.ts
+++ b/packages/gateway/src/http/open_upload_test.ts
@@ -32,7 +32,7 @@
       },
     ],
     services: [],
-    customers: [CUSTOMER],
+    access: { kind: "customers", customers: [CUSTOMER] },
     limits: {
       headerBytes: 10_000,
       bodyBytes: 100_000,
--- a/packages/gateway/src/jobs/authenticate_reader.ts
+++ b/packages/gateway/src/jobs/authenticate_reader.ts
@@ -1,15 +1,26 @@
-import type { RouteTable } from "@gooseberryline/core";
+import {
+  assertNever,
+  authenticateCaller,
+  type RouteTable,
+} from "@gooseberryline/core";
 
 /**
- * Returns the customer whose jobs a key may read: "" where no customers are
- * configured, undefined for a missing or unknown key.
+ * Returns the customer whose jobs a key may read: "" where no key is asked for,
+ * undefined for a missing or unknown key.
  */
 export function authenticateReader(
   table: RouteTable,
   key: string | undefined,
 ): string | undefined {
-  if (table.customers.size === 0) {
-    return "";
+  const caller = authenticateCaller(table, undefined, key);
+  switch (caller.kind) {
+    case "customer":
+      return caller.customer.name;
+    case "anyone":
+      return "";
+    case "unknown":
+      return undefined;
+    default:
+      return assertNever(caller);
   }
-  return key === undefined ? undefined : table.customersByKey.get(key)?.name;
 }
--- a/packages/gateway/src/placing/answer_question_test.ts
+++ b/packages/gateway/src/placing/answer_question_test.ts
@@ -21,8 +21,9 @@
 /** Creates an instance in `a`, with requests in flight at each upstream. */
 function createInstance(online: readonly number[]) {
   const view = createView("serve", { crossingMsPerKb: 1 });
-  const customers = { services: [], customers: [], limits: LIMITS };
-  view.adoptConfig({ revision: 1, routes: [ROUTE], ...customers });
+  const access = { kind: "open" } as const;
+  const rest = { services: [], access, limits: LIMITS };
+  view.adoptConfig({ revision: 1, routes: [ROUTE], ...rest });
   UPSTREAMS.forEach((entry, n) => {
     view.directory.set(entry);
     Array.from({ length: online[n] ?? 0 }).forEach(() => {
--- a/packages/gateway/src/refusals/refusal_recorder_test.ts
+++ b/packages/gateway/src/refusals/refusal_recorder_test.ts
@@ -38,7 +38,7 @@
     revision: 7,
     routes: [],
     services: [],
-    customers: [],
+    access: { kind: "open" },
     limits: SMALL_LIMITS,
   });
   clock.nowMs = 100;
--- a/packages/gateway/src/testing/create_item_pool.ts
+++ b/packages/gateway/src/testing/create_item_pool.ts
@@ -42,7 +42,7 @@
       revision,
       routes: hasRoute ? [ROUTE, LOST_ROUTE] : [],
       services: [],
-      customers: [],
+      access: { kind: "open" },
       limits: SMALL_LIMITS,
     });
   adoptConfig(1, true);
--- a/packages/gateway/src/testing/start_acceptors.ts
+++ b/packages/gateway/src/testing/start_acceptors.ts
@@ -82,7 +82,13 @@
     headerTimeoutMs: 1,
     idleTimeoutMs: 1,
   };
-  return { revision, routes: [route], services: [], limits, customers: [] };
+  return {
+    revision,
+    routes: [route],
+    services: [],
+    limits,
+    access: { kind: "open" } as const,
+  };
 }
 
 function buildReply(onAnswer: (answer: SubmitAnswer) => void): CallReply {
--- a/packages/gateway/src/testing/start_cut_fleet.ts
+++ b/packages/gateway/src/testing/start_cut_fleet.ts
@@ -28,7 +28,12 @@
 const SERVICE = "s";
 const UPSTREAMS = 4;
 const NEWS_INTERVAL_MS = 25;
-const CUSTOMER_BURST = 10_000;
+const CUSTOMER = {
+  name: "c",
+  keys: ["k"],
+  ratePerSecond: 10_000,
+  burst: 10_000,
+};
 
 const dialect: CallDialect = {
   ...plainDialect,
@@ -159,9 +164,7 @@
     revision: 1,
     routes: ROUTES,
     services: [],
-    customers: [
-      { name: "c", keys: ["k"], ratePerSecond: 10_000, burst: CUSTOMER_BURST },
-    ],
+    access: { kind: "customers", customers: [CUSTOMER] },
     limits: {
       headerBytes: 10_000,
       bodyBytes: 100_000,
--- a/packages/gateway/src/testing/start_runner.ts
+++ b/packages/gateway/src/testing/start_runner.ts
@@ -92,7 +92,7 @@
         targets,
       })),
       services: [],
-      customers: [],
+      access: { kind: "open" },
       limits: SMALL_LIMITS,
     });
   };
--- a/packages/gateway/src/testing/start_serving.ts
+++ b/packages/gateway/src/testing/start_serving.ts
@@ -61,7 +61,7 @@
     revision: 1,
     routes: ROUTES,
     services: [],
-    customers: [],
+    access: { kind: "open" },
     limits,
   });
   const { address } = upstream;
--- a/packages/measure/src/capacity/measure_gateway.ts
+++ b/packages/measure/src/capacity/measure_gateway.ts
@@ -109,12 +109,15 @@
     revision: 1,
     routes: [],
     services: [],
-    customers: Array.from({ length: customers }, (_, index) => ({
-      name: `customer-${index}`,
-      keys: [`key-${index}`],
-      ratePerSecond: 100,
-      burst: 20,
-    })),
+    access: {
+      kind: "customers",
+      customers: Array.from({ length: customers }, (_, index) => ({
+        name: `customer-${index}`,
+        keys: [`key-${index}`],
+        ratePerSecond: 100,
+        burst: 20,
+      })),
+    },
     limits: {
       headerBytes: 1,
       bodyBytes: 1,
--- a/packages/measure/src/load_messages/simulate_load_messages.ts
+++ b/packages/measure/src/load_messages/simulate_load_messages.ts
@@ -136,7 +136,7 @@
     routes: [],
     services: [],
     limits,
-    customers: listed,
+    access: { kind: "customers", customers: listed },
   });
   return view;
 }
