Take no request of nobody from a peer where a key is asked for

An instance out of date, whose configuration asked for no key, passed on requests without a customer, and a peer that knew customers ran them. Cause: the peer checked the customer's name only if there was one. Change: without a name the peer asks what it would ask of a caller without a key.

--- a/packages/gateway/src/passing/cut_off_test.ts
+++ b/packages/gateway/src/passing/cut_off_test.ts
@@ -253,6 +253,24 @@
   expect(fleet.runs).toEqual([]);
 });
 
+// Guards against a request without a key that an instance out of date passes on.
+test("a peer takes no request of nobody where its configuration asks for a key", async () => {
+  const fleet = await startFleet();
+  const { near, far } = fleet;
+  const { config } = near.view.table ?? {};
+  if (config === undefined) {
+    throw new Error("the instance has no configuration");
+  }
+  near.view.adoptConfig({ ...config, revision: 2, access: { kind: "open" } });
+  far.view.adoptConfig({ ...config, revision: 3 });
+  await fleet.cut(near, "refuse");
+  await waitForCut(fleet);
+  const { statusCode, body } = await send(near.callers, "/once/", "nobody");
+  expect(statusCode).toBe(503);
+  expect(body).toContain('"not run"');
+  expect(fleet.runs).not.toContain("nobody");
+});
+
 test("only instances of the fleet are heard on the link between them", async () => {
   const fleet = await startFleet();
   const { near, far } = fleet;
--- a/packages/gateway/src/passing/taken_requests.ts
+++ b/packages/gateway/src/passing/taken_requests.ts
@@ -1,5 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { findRoute, type RouteTable } from "@gooseberryline/core";
+import {
+  authenticateCaller,
+  findRoute,
+  type RouteTable,
+} from "@gooseberryline/core";
 import { RequestKey } from "../crashes/request_key.ts";
 import type { CallerListener } from "../http/caller_listener.ts";
 import type { RequestIntake } from "../intake/request_intake.ts";
@@ -149,7 +153,10 @@
       request.customer === undefined
         ? undefined
         : table.customers.get(request.customer);
-    const isKnown = customer !== undefined || request.customer === undefined;
+    const isKnown =
+      request.customer === undefined
+        ? authenticateCaller(table, route, undefined).kind === "anyone"
+        : customer !== undefined;
     if (route?.name !== request.route || !isKnown) {
       return undefined;
     }
