Hear no answer that may be an earlier run's

Cause: all runs of a request share its id, so that on a connection which has answered one run a copy of that answer can't be told from the next run's. Only the last refusal of a connection was guarded. Change: a connection remembers the requests it answered, 64 at most; one place decides for all statuses. What may be a copy is not heard, and its connection is closed. Cost: an honest failure on the connection of the run before is not heard, so an item with one upstream and three attempts is errored after five answers, not three.

--- a/packages/gateway/src/exchange/constants.ts
+++ b/packages/gateway/src/exchange/constants.ts
@@ -26,6 +26,10 @@
   MIN_ANSWER_BYTES: 64 * 1_024,
   /** Longest event of a stream, in bytes. */
   MAX_EVENT_BYTES: 256 * 1_024,
+  /** Requests whose answers a connection remembers. */
+  MAX_ANSWERED_IDS: 64,
+  /** Longest id that it remembers, in characters. */
+  MAX_ANSWERED_ID_LENGTH: 256,
   /** Longest body of a refusal that is read to keep the connection, in bytes. */
   MAX_REFUSAL_BYTES: 64 * 1_024,
   /** Time in which such a body has to end, in ms. */
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -60,6 +60,9 @@
       readonly isSilent: boolean;
     };
 
+/** How a connection has answered other runs of a request before, at best. */
+export type EarlierAnswer = "none" | "failure" | "success";
+
 /** How an answer ended: without its connection, by its end in order, by a reset. */
 export type AnswerClose = "open" | "in-order" | "reset";
 
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -7,11 +7,13 @@
 import type { ConnectionPool } from "@gooseberryline/daemon";
 import { describeError } from "../describe_error.ts";
 import type { CallDialect } from "../dialect/types.ts";
+import { connectionAnswers } from "./connection_answers.ts";
 import { EXCHANGE } from "./constants.ts";
 import { describeHead } from "./describe_head.ts";
 import { drainRefusal } from "./drain_refusal.ts";
 import { findCloseEnd } from "./find_close_end.ts";
 import { findForeignReason } from "./find_foreign_reason.ts";
+import { isSuccess } from "./is_success.ts";
 import { StallTimer } from "./stall_timer.ts";
 import type {
   CloseWatch,
@@ -21,9 +23,6 @@
 } from "./types.ts";
 import { watchClose } from "./watch_close.ts";
 
-/** The request that was last refused on a connection, by the connection. */
-const lastRefused = new WeakMap<Socket, string>();
-
 type UpstreamExchangeParts = ExchangeEvents & {
   readonly pool: ConnectionPool;
   readonly dialect: CallDialect;
@@ -154,24 +153,21 @@
     const { requestId } = this.#options;
     const status = response.statusCode ?? 0;
     const isReused = request.reusedSocket;
-    const asked = { requestId, isReused };
+    const { socket } = response;
+    const earlier = connectionAnswers.find(socket, requestId);
+    const asked = { requestId, isReused, earlier };
     const reason = findForeignReason(asked, responseHead, status);
     if (reason !== undefined) {
       this.#endLost(reason);
       request.destroy();
       return;
     }
-    if (responseHead.requestId === undefined) {
-      // Nothing could tell its next answer from what comes after this one.
+    const named = responseHead.requestId;
+    if (!connectionAnswers.record(socket, named, isSuccess(status))) {
       request.shouldKeepAlive = false;
     }
     this.#parts.onAnswer?.(status, responseHead);
     if (responseHead.isUnexecuted) {
-      if (this.#mayBeEarlierRefusal(response.socket, request)) {
-        this.#endLost("the refusal may be an earlier one");
-        request.destroy();
-        return;
-      }
       drainRefusal(response, request);
       this.#end({ kind: "unexecuted", status });
       return;
@@ -191,17 +187,6 @@
     onHead(head);
   }
 
-  /**
-   * Returns whether a refusal may have been written for an earlier request on the
-   * connection, so that this one may be running. Remembers what was refused.
-   */
-  #mayBeEarlierRefusal(socket: Socket, request: ClientRequest): boolean {
-    const { requestId } = this.#options;
-    const isSameAsBefore = lastRefused.get(socket) === requestId;
-    lastRefused.set(socket, requestId ?? "");
-    return request.reusedSocket && isSameAsBefore;
-  }
-
   #handleChunk(response: IncomingMessage, chunk: Buffer): void {
     if (this.#isEnded) {
       return;
