--- a/packages/gateway/src/exchange/answers_across_runs_test.ts
+++ b/packages/gateway/src/exchange/answers_across_runs_test.ts
@@ -97,7 +97,7 @@
  * Sends runs one after the other, by one pool to one upstream. `isShared`: the runs of
  * a request know of each other, as they do unless their owner changes.
  */
-async function playRuns(
+async function runAll(
   runs: readonly Run[],
   isShared = true,
 ): Promise<readonly Played[]> {
@@ -163,7 +163,7 @@
       fc.array(RUN, { minLength: 2, maxLength: 8 }),
       fc.boolean(),
       async (runs, isShared) => {
-        const played = await playRuns(runs, isShared);
+        const played = await runAll(runs, isShared);
         played.forEach(({ end, heard, isDoubtful, run }, index) => {
           if (HEARD.includes(end.kind)) {
             expect(heard).toBe(index);
@@ -183,10 +183,10 @@
   async (kind) => {
     const run = { id: "a", kind, copy: undefined };
     const runs = [run, run, run, run, run];
-    const played = await playRuns(runs);
+    const played = await runAll(runs);
     expect(played.map(({ heard }) => heard)).toEqual([0, 1, 2, 3, 4]);
     expect(played.every(({ end }) => HEARD.includes(end.kind))).toBe(true);
-    const apart = await playRuns(runs, false);
+    const apart = await runAll(runs, false);
     const isHeard = apart.map(({ end }) => HEARD.includes(end.kind));
     expect(isHeard).toEqual([true, false, true, false, true]);
   },
@@ -196,7 +196,7 @@
   "a success that follows on one connection after %s is heard at once",
   async (kind) => {
     const failed = { id: "a", kind, copy: undefined };
-    const played = await playRuns([failed, { ...failed, kind: "success" }]);
+    const played = await runAll([failed, { ...failed, kind: "success" }]);
     expect(played.at(-1)).toMatchObject({ end: { kind: "whole" }, heard: 1 });
   },
 );
--- a/packages/gateway/src/exchange/find_foreign_reason.ts
+++ b/packages/gateway/src/exchange/find_foreign_reason.ts
@@ -33,7 +33,7 @@
   if (head.requestId === undefined && isReused) {
     return "the answer names no request, on a connection used before";
   }
-  if (mayBeCopy(earlier, status)) {
+  if (canBeCopy(earlier, status)) {
     return "the answer may be an earlier run's, on the same connection";
   }
   return isSuccess(status) && !head.isSigned
@@ -42,6 +42,6 @@
 }
 
 /** After failures alone, a success is no copy. */
-function mayBeCopy(earlier: EarlierAnswer, status: number): boolean {
+function canBeCopy(earlier: EarlierAnswer, status: number): boolean {
   return earlier === "success" || (earlier === "failure" && !isSuccess(status));
 }
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -1,14 +1,13 @@
 import {
-  type Agent,
   type ClientRequest,
   type IncomingMessage,
   request as sendRequest,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Duplex } from "node:stream";
 import type { ConnectionPool } from "@gooseberryline/daemon";
 import { describeError } from "../describe_error.ts";
 import type { CallDialect } from "../dialect/types.ts";
+import { chooseAgent } from "./choose_agent.ts";
 import { connectionAnswers } from "./connection_answers.ts";
 import { EXCHANGE } from "./constants.ts";
 import { describeHead } from "./describe_head.ts";
@@ -92,25 +91,10 @@
       host: url.hostname,
       port: url.port,
       headers: { ...headers, ...describeBody(method, body) },
-      agent: this.#chooseAgent(url.origin),
+      agent: chooseAgent(url.origin, this.#options, this.#parts.pool),
     });
   }
 
-  /**
-   * Returns the pooled connections, or false for a new one. If the connection of the
-   * last run is idle, it is closed, in case the upstream takes no more of them.
-   */
-  #chooseAgent(origin: string): Agent | false {
-    const { pool } = this.#parts;
-    const { lastConnection } = this.#options;
-    if (!canShareConnection(this.#options)) {
-      return false;
-    }
-    const isLast = (connection: Duplex): boolean =>
-      lastConnection?.is(connection) === true;
-    return pool.closeIdle(origin, isLast) > 0 ? false : pool.find(origin);
-  }
-
   #send(request: ClientRequest): void {
     request.on("socket", (socket) => this.#watchConnect(socket, request));
     request.on("response", (response) =>
@@ -285,14 +269,6 @@
   }
 }
 
-/** A request without an id could not tell its answer from another's. */
-function canShareConnection({
-  isIdempotent,
-  requestId,
-}: ExchangeOptions): boolean {
-  return isIdempotent && requestId !== undefined;
-}
-
 function describeBody(method: string, body: Buffer): Record<string, string> {
   const hasBody = body.length > 0 || method === "POST" || method === "PUT";
   return hasBody ? { "content-length": String(body.length) } : {};
--- a/packages/gateway/src/jobs/item_pool.ts
+++ b/packages/gateway/src/jobs/item_pool.ts
@@ -4,11 +4,10 @@
   decideItemStep,
   ITEM_RESULTS,
 } from "@gooseberryline/core";
-import { LastConnection } from "../exchange/last_connection.ts";
 import type { AttemptParts } from "../requests/attempt.ts";
 import { buildNextRun } from "./build_next_run.ts";
+import { buildWaitingItems } from "./build_waiting_items.ts";
 import { JOB_CONSTANTS } from "./constants.ts";
-import { describeItem } from "./describe_item.ts";
 import { describeUrgency } from "./describe_urgency.ts";
 import {
   type ItemLocation,
@@ -49,26 +48,8 @@
   }
 
   addJob(loaded: LoadedJob): void {
-    const { job, items, claim, listed, texts } = loaded;
-    this.#jobs.set(job.id, loaded);
-    const added = [...items]
-      .map(([index, item]) => {
-        const text = texts.get(index);
-        return {
-          jobId: job.id,
-          index,
-          dueAtMs: claim.dueAtMs,
-          ranMs: text?.ranMs ?? 0,
-          item,
-          ...describeItem(item, this.#parts.dialect),
-          text: text ?? { texts: [], lastEventId: undefined },
-          failures: 0,
-          tried: new Set<string>(),
-          lastConnection: new LastConnection(),
-          notBeforeMs: 0,
-        };
-      })
-      .filter(({ index }) => !listed.includes(index));
+    this.#jobs.set(loaded.job.id, loaded);
+    const added = buildWaitingItems(loaded, this.#parts.dialect);
     this.#waiting = [...this.#waiting, ...added];
   }
 
