--- a/packages/core/src/routes/authenticate_caller.ts
+++ b/packages/core/src/routes/authenticate_caller.ts
@@ -1,8 +1,8 @@
 import type { Caller, Route, RouteTable } from "./types.ts";
 
 /**
- * Identifies the caller by the API key of a request for `route`; undefined for a
- * call that no route's openness concerns.
+ * Identifies the caller by its API key. `route` is undefined for calls about jobs,
+ * which are never public.
  */
 export function authenticateCaller(
   table: RouteTable,
--- a/packages/gateway/src/exchange/answers_across_runs_test.ts
+++ b/packages/gateway/src/exchange/answers_across_runs_test.ts
@@ -2,11 +2,12 @@
 import { ConnectionPool } from "@gooseberryline/daemon";
 import fc from "fast-check";
 import { expect, test } from "vitest";
+import type { CallDialect } from "../dialect/types.ts";
 import { plainDialect } from "../testing/plain_dialect.ts";
+import { sendExchange } from "../testing/send_exchange.ts";
 import { startRawUpstream } from "../testing/start_raw_upstream.ts";
 import { LastConnection } from "./last_connection.ts";
 import type { ExchangeEnd } from "./types.ts";
-import { UpstreamExchange } from "./upstream_exchange.ts";
 
 const KINDS = {
   success: "HTTP/1.1 200 OK\r\n",
@@ -57,40 +58,24 @@
     : kinds.length > 0;
 }
 
-function sendRun(
+/** Sends one run; returns how it ended, and the run whose head came last. */
+async function sendRun(
   address: string,
-  id: string,
   pool: ConnectionPool,
+  requestId: string,
   lastConnection: LastConnection,
-) {
-  return new Promise<Pick<Played, "end" | "heard">>((resolve) => {
-    let heard: number | undefined;
-    const options = {
-      address,
-      method: "POST",
-      path: "/x",
-      buildHeaders: () => ({}),
-      body: Buffer.from("prompt"),
-      requestId: id,
-      lastConnection,
-      isIdempotent: true,
-      headTimeoutMs: 1_000,
-      stallTimeoutMs: 1_000,
-    };
-    new UpstreamExchange(options, {
-      pool,
-      dialect: {
-        ...plainDialect,
-        readResponseHead: (headers) => {
-          heard = Number(headers.run);
-          return plainDialect.readResponseHead(headers);
-        },
-      },
-      onHead: () => undefined,
-      onChunk: () => true,
-      onEnd: (end) => resolve({ end, heard }),
-    });
-  });
+): Promise<Pick<Played, "end" | "heard">> {
+  let heard: number | undefined;
+  const dialect: CallDialect = {
+    ...plainDialect,
+    readResponseHead: (headers) => {
+      heard = Number(headers.run);
+      return plainDialect.readResponseHead(headers);
+    },
+  };
+  const parts = { requestId, dialect, lastConnection };
+  const end = await sendExchange(address, pool, parts);
+  return { end, heard };
 }
 
 /**
@@ -133,7 +118,7 @@
       const known = isShared ? last.get(run.id) : undefined;
       const own = known ?? new LastConnection();
       last.set(run.id, own);
-      const result = await sendRun(upstream.address, run.id, pool, own);
+      const result = await sendRun(upstream.address, pool, run.id, own);
       // The connection is idle once the runtime has seen the end.
       await new Promise((resolve) => setImmediate(resolve));
       return [...done, { run, ...result, isDoubtful: doubtful.has(index) }];
@@ -154,6 +139,7 @@
 /** Kinds of ends of exchanges that rest on an answer. */
 const HEARD = ["whole", "unexecuted"];
 
+/** Number of draws; more of them by hand. */
 const RUNS = process.env.INTERLEAVINGS ?? "60";
 
 // Guards against an item errored by a second copy of an earlier run's answer.
--- a/packages/gateway/src/requests/repeated_refusal_test.ts
+++ b/packages/gateway/src/requests/repeated_refusal_test.ts
@@ -2,11 +2,9 @@
 import { CALL_SHAPES } from "@gooseberryline/core";
 import { ConnectionPool } from "@gooseberryline/daemon";
 import { expect, test } from "vitest";
-import type { ExchangeEnd } from "../exchange/types.ts";
-import { UpstreamExchange } from "../exchange/upstream_exchange.ts";
 import { createView } from "../testing/create_view.ts";
-import { plainDialect } from "../testing/plain_dialect.ts";
 import { runRequest } from "../testing/run_request.ts";
+import { sendExchange } from "../testing/send_exchange.ts";
 import { startRawUpstream } from "../testing/start_raw_upstream.ts";
 import { waitMs } from "../wait_ms.ts";
 
@@ -124,40 +122,18 @@
   await upstream.close();
 });
 
-/** Sends one request on the pool's connection; returns how it ended. */
-function sendOnce(address: string, pool: ConnectionPool): Promise<ExchangeEnd> {
-  return new Promise((resolve) => {
-    const options = {
-      address,
-      method: "POST",
-      path: "/x",
-      buildHeaders: () => ({}),
-      body: Buffer.from("prompt"),
-      requestId: "r1",
-      isIdempotent: true,
-      headTimeoutMs: 1_000,
-      stallTimeoutMs: 1_000,
-    };
-    new UpstreamExchange(options, {
-      pool,
-      dialect: plainDialect,
-      onHead: () => undefined,
-      onChunk: () => true,
-      onEnd: resolve,
-    });
-  });
-}
+const RUN = { requestId: "r1" };
 
 test("a refusal written twice does not refuse the next run of the same request", async () => {
   const upstream = await startRawUpstream((socket) => {
     socket.write(buildRefusal("r1"));
   });
   const pool = new ConnectionPool(1_000);
-  expect(await sendOnce(upstream.address, pool)).toMatchObject({
+  expect(await sendExchange(upstream.address, pool, RUN)).toMatchObject({
     kind: "unexecuted",
   });
   await waitMs(20);
-  expect(await sendOnce(upstream.address, pool)).toMatchObject({
+  expect(await sendExchange(upstream.address, pool, RUN)).toMatchObject({
     kind: "lost",
   });
   pool.stop();
