Check the bytes of an answer's head, whatever the parser lets pass

Cause: only the runtime's parser said what a head is, and how strict it is depends on the release (package.json allows every Node from 20 on) and on flags. This release rejects all such heads by default, so the fault did not show here. The same parser when asked to be lenient ends a head at a line that begins with a line feed or a carriage return, and joins a line that begins with a blank to the one before. Neither shows in the fields that it gives, so a check of names and values would not have found them. A name with a blank before its colon was passed on, and threw where it was written to the caller. Other releases were not run. Change: the bytes that come until the head are kept, and checked when the runtime says that the head has come: each line a name of token characters, a colon and a value, an end in order; the heads of a 1xx as well. One check in the core, used by the exchanges of gateways (requests, streams, items, requests passed to peers) and by the daemon's. Evidence: with a lenient parser 21 of 115 tests of odd_head_test failed before (a 200 with "X-Odd: v", with a body that begins "X-Odd: v", or an exception), 7 of 10 of exchange/odd_heads_test and 3 of 4 of the daemon's; all pass now. With the parser's default all of odd_head_test passed before, too. Sound heads are answers as before: in single bytes, after 100 and 103, after empty lines, with empty values, all token characters, bytes over 127. Why it works: it looks at what came, not at what a parser made of it. Empty lines before a head, which no parser bounds, are not kept.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -1,5 +1,8 @@
 /** Decision logic of the serving system, as pure functions without I/O. */
 
+export { checkAnswerHead } from "./answers/check_answer_head.ts";
+export { dropEmptyLines } from "./answers/drop_empty_lines.ts";
+export type * from "./answers/types.ts";
 export { ATTEMPTS } from "./attempts/constants.ts";
 export { decideNextStep } from "./attempts/decide_next_step.ts";
 export type * from "./attempts/types.ts";
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -4,4 +4,5 @@
 export type * from "./settings/types.ts";
 export type * from "./start/types.ts";
 export { startDaemon } from "./start_daemon.ts";
+export { AnswerHeadWatch } from "./tasks/answer_head_watch.ts";
 export { ConnectionPool } from "./tasks/connection_pool.ts";
--- a/packages/daemon/src/tasks/upstream_attempt.ts
+++ b/packages/daemon/src/tasks/upstream_attempt.ts
@@ -5,6 +5,7 @@
   FaultCode,
   FaultStep,
 } from "@gooseberryline/core";
+import { AnswerHeadWatch } from "./answer_head_watch.ts";
 import { AnswerTracker } from "./answer_tracker.ts";
 import { describeHead } from "./describe_head.ts";
 import type { AnswerHead, AttemptOrder } from "./types.ts";
@@ -55,7 +56,10 @@
     const request = parts.pool.open(order);
     this.#request = request;
     request.on("socket", (socket) => this.#watchConnect(socket));
-    request.on("response", (answer) => this.#handleAnswer(answer));
+    const headWatch = new AnswerHeadWatch(request);
+    request.on("response", (answer) =>
+      this.#handleAnswer(answer, headWatch.finish()),
+    );
     request.on("error", (error) => this.#handleDisconnect(error.message));
     request.on("close", () => this.#handleClose());
     request.end(order.call.body);
@@ -105,7 +109,12 @@
     }
   }
 
-  #handleAnswer(answer: IncomingMessage): void {
+  /** Handles the head of an answer; `headFault` says why it is none. */
+  #handleAnswer(answer: IncomingMessage, headFault: string | undefined): void {
+    if (headFault !== undefined) {
+      this.#fail("upstream_error", headFault);
+      return;
+    }
     const order = this.#order;
     const answeredId = answer.headers["x-request-id"];
     const status = answer.statusCode ?? 0;
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -4,7 +4,7 @@
   request as sendRequest,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { ConnectionPool } from "@gooseberryline/daemon";
+import { AnswerHeadWatch, type ConnectionPool } from "@gooseberryline/daemon";
 import { describeError } from "../describe_error.ts";
 import type { CallDialect } from "../dialect/types.ts";
 import { chooseAgent } from "./choose_agent.ts";
@@ -97,8 +97,11 @@
 
   #send(request: ClientRequest): void {
     request.on("socket", (socket) => this.#watchConnect(socket, request));
+    const headWatch = new AnswerHeadWatch(request);
     request.on("response", (response) =>
-      this.#handleEvent(() => this.#handleHead(response, request)),
+      this.#handleEvent(() =>
+        this.#handleHead(response, request, headWatch.finish()),
+      ),
     );
     request.on("error", (error) => this.#endLost(error.message));
     request.end(this.#options.body);
@@ -143,7 +146,12 @@
     });
   }
 
-  #handleHead(response: IncomingMessage, request: ClientRequest): void {
+  /** Handles a head; `fault` says why it is none. */
+  #handleHead(
+    response: IncomingMessage,
+    request: ClientRequest,
+    fault: string | undefined,
+  ): void {
     if (this.#isEnded) {
       return;
     }
@@ -155,7 +163,7 @@
     const { socket } = response;
     const earlier = connectionAnswers.find(socket, requestId);
     const asked = { requestId, isReused, earlier };
-    const reason = findForeignReason(asked, responseHead, status);
+    const reason = fault ?? findForeignReason(asked, responseHead, status);
     if (reason !== undefined) {
       this.#endLost(reason);
       request.destroy();
--- a/packages/gateway/src/requests/endless_answer_test.ts
+++ b/packages/gateway/src/requests/endless_answer_test.ts
@@ -20,6 +20,7 @@
   ["chunks", `${OK_HEAD}Transfer-Encoding: chunked\r\n\r\n`, CHUNK],
   ["a head", OK_HEAD, `X: ${BLOCK}`],
   ["header lines", OK_HEAD, "X-More: y\r\n".repeat(1_000)],
+  ["empty lines", "", "\r\n".repeat(1_000)],
   ["early heads", "", "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(1_000)],
   [
     "trailers",
