Pass on no answer whose body has a coding that is not read

Cause: "ends with its connection" was decided by the absence of two fields. The runtime reads to the end of the connection whenever its parser finds neither a length nor chunks as the last coding, so such an answer counted as framed, and nobody looked at how its connection ended. The daemon took every value that ends with "chunked" for chunks, and the value "Chunked" for none. Change: findBodyEnd says of a head how its body ends: none, length, chunks, connection, unreadable. What is unreadable is no answer; a refusal is still heard by its head. Apart from the head, it is seen whether the end of the connection is what ended an answer (watchConnectionEnd): with a head that names another end it is lost. The daemon judges by that, too. "identity" and an empty value name no coding, so such answers are whole if they end in order, as before. A tab behind the codings, which the runtime's parser does not read over though its fields don't show it, makes the line no field. Why it works: whether a part is whole no longer depends on reading the head as the parser does, but on what ended the answer.

--- a/packages/core/src/answers/check_answer_head.ts
+++ b/packages/core/src/answers/check_answer_head.ts
@@ -6,6 +6,8 @@
 const STATUS_LINE = /^[^\r\n]+$/;
 /** A name of token characters, a colon, a value without control characters. */
 const FIELD_LINE = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*$/;
+/** A tab behind the codings hides them from some parsers, but from no reader of fields. */
+const HIDDEN_CODING = /^transfer-encoding:.*\t[\t ]*$/i;
 const NO_BYTES: Buffer = Buffer.alloc(0);
 
 /**
@@ -25,7 +27,9 @@
     .split(LINE_END);
   const isHead =
     STATUS_LINE.test(statusLine) &&
-    fieldLines.every((line) => FIELD_LINE.test(line));
+    fieldLines.every(
+      (line) => FIELD_LINE.test(line) && !HIDDEN_CODING.test(line),
+    );
   return {
     fault: isHead ? undefined : "a line of the answer's head is no field",
     rest: bytes.subarray(end + HEAD_END.length),
--- a/packages/core/src/answers/check_answer_head_test.ts
+++ b/packages/core/src/answers/check_answer_head_test.ts
@@ -18,6 +18,8 @@
   ["all token characters", ["!#$%&'*+-.^_`|~09azAZ: v"]],
   ["bytes over 127 in a value", ["X-A: \u0080\u00e9\u00ff"]],
   ["colons in a value", ["X-A: b: c:"]],
+  ["a tab behind a value", ["X-A: b\t"]],
+  ["a tab before its coding", ["Transfer-Encoding:\tchunked "]],
 ])("a head with %s is one", (_, lines) => {
   const { fault, rest } = check(lines, "text");
   expect(fault).toBeUndefined();
@@ -35,6 +37,7 @@
   ["a blank at its start, which continues the line before", " X-A: v"],
   ["a blank before the colon", "X-A : v"],
   ["a control character in its value", "X-A: a\u007fb"],
+  ["a tab behind its coding", "Transfer-Encoding: chunked\t "],
   ["a line feed in its value", "X-A: a\nb"],
   ["a carriage return in its value", "X-A: a\rb"],
 ])("a line with %s is no field", (_, line) => {
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -2,6 +2,7 @@
 
 export { checkAnswerHead } from "./answers/check_answer_head.ts";
 export { dropEmptyLines } from "./answers/drop_empty_lines.ts";
+export { findBodyEnd } from "./answers/find_body_end.ts";
 export type * from "./answers/types.ts";
 export { ATTEMPTS } from "./attempts/constants.ts";
 export { decideNextStep } from "./attempts/decide_next_step.ts";
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -6,3 +6,5 @@
 export { startDaemon } from "./start_daemon.ts";
 export { AnswerHeadWatch } from "./tasks/answer_head_watch.ts";
 export { ConnectionPool } from "./tasks/connection_pool.ts";
+export { readBodyEnd } from "./tasks/read_body_end.ts";
+export { watchConnectionEnd } from "./tasks/watch_connection_end.ts";
--- a/packages/daemon/src/tasks/answer_tracker.ts
+++ b/packages/daemon/src/tasks/answer_tracker.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { AttemptCall } from "./types.ts";
+import { watchConnectionEnd } from "./watch_connection_end.ts";
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
@@ -18,17 +19,19 @@
 export class AnswerTracker {
   readonly isEventStream: boolean;
   readonly #requiresDoneMarker: boolean;
-  readonly #isHead: boolean;
   readonly #answer: IncomingMessage;
+  #hasEndedWithConnection = false;
   #tokens = 0;
   #lastEvents: Buffer = EMPTY_BUFFER;
   #held: Buffer = EMPTY_BUFFER;
 
-  constructor(answer: IncomingMessage, { method, isPlain }: AttemptCall) {
+  constructor(answer: IncomingMessage, { isPlain }: AttemptCall) {
     const type = answer.headers["content-type"] ?? "";
     this.#answer = answer;
+    watchConnectionEnd(answer, () => {
+      this.#hasEndedWithConnection = true;
+    });
     this.isEventStream = type.startsWith("text/event-stream");
-    this.#isHead = method === "HEAD";
     this.#requiresDoneMarker = this.isEventStream && isPlain !== true;
   }
 
@@ -74,8 +77,7 @@
         this.#held.length > 0 ? this.#held : this.#lastEvents,
       );
     }
-    const hasEnd = this.#isHead || hasDelimitedBody(this.#answer);
-    return this.#answer.complete && hasEnd;
+    return this.#answer.complete && !this.#hasEndedWithConnection;
   }
 
   /** Returns the number of events of a streamed answer. */
@@ -127,12 +129,3 @@
   const isEntire = bytes.length <= TAIL_BYTES;
   return DONE_MARKER.test(isEntire ? `\n${tail}` : tail);
 }
-
-function hasDelimitedBody({ headers, statusCode }: IncomingMessage): boolean {
-  const isBodiless = statusCode === 204 || statusCode === 304;
-  return (
-    isBodiless ||
-    headers["content-length"] !== undefined ||
-    (headers["transfer-encoding"] ?? "").endsWith("chunked")
-  );
-}
--- a/packages/daemon/src/tasks/attempt_answer_test.ts
+++ b/packages/daemon/src/tasks/attempt_answer_test.ts
@@ -130,6 +130,39 @@
   expect(received.text.length).toBeLessThan(300_000);
 });
 
+// Guards against a body that is not what its head, as the caller gets it, says.
+test.each([
+  "gzip",
+  "gzip, chunked",
+  "chunked, chunked",
+  "identity",
+  "chunked\t",
+])("an answer coded as %j is not relayed", async (coding) => {
+  const head = `HTTP/1.1 200 OK\r\ntransfer-encoding: ${coding}\r\n\r\n`;
+  const raw = await fixture.startRawUpstream((socket) =>
+    socket.end(`${head}${chunk("{}")}0\r\n\r\n`),
+  );
+  const { attemptId, taken: received } = fixture.start(raw.url);
+  expect(await fixture.end(attemptId)).toMatchObject({
+    kind: "failed",
+    isRelayed: false,
+  });
+  expect(received.text).toBe("");
+});
+
+test.each(["chunked", "Chunked", "identity, chunked"])(
+  "an answer coded as %j is relayed",
+  async (coding) => {
+    const head = `HTTP/1.1 200 OK\r\ntransfer-encoding: ${coding}\r\n\r\n`;
+    const raw = await fixture.startRawUpstream((socket) =>
+      socket.end(`${head}${chunk("{}")}0\r\n\r\n`),
+    );
+    const { attemptId, taken: received } = fixture.start(raw.url);
+    expect((await fixture.end(attemptId)).kind).toBe("completed");
+    expect(received.text).toBe("{}");
+  },
+);
+
 // Guards against a status that Node reads but refuses to write to a caller.
 test.each(["000", "099"])(
   "a status of %s is an upstream's error",
--- a/packages/daemon/src/tasks/upstream_attempt.ts
+++ b/packages/daemon/src/tasks/upstream_attempt.ts
@@ -8,6 +8,7 @@
 import { AnswerHeadWatch } from "./answer_head_watch.ts";
 import { AnswerTracker } from "./answer_tracker.ts";
 import { describeHead } from "./describe_head.ts";
+import { readBodyEnd } from "./read_body_end.ts";
 import type { AnswerHead, AttemptOrder } from "./types.ts";
 import type { UpstreamPool } from "./upstream_pool.ts";
 
@@ -132,6 +133,11 @@
       this.#handleErrorStatus(status, answer.headers["x-run"] === "not run");
       return;
     }
+    if (readBodyEnd(answer, order.call.method) === "unreadable") {
+      const message = "the answer's body has a coding that is not read";
+      this.#fail("upstream_error", message);
+      return;
+    }
     const tracker = new AnswerTracker(answer, order.call);
     this.#tracker = tracker;
     this.#head = describeHead(answer, tracker.isEventStream);
--- a/packages/gateway/src/exchange/find_close_end.ts
+++ b/packages/gateway/src/exchange/find_close_end.ts
@@ -2,7 +2,7 @@
 import { waitMs } from "../wait_ms.ts";
 import { checkPort } from "./check_port.ts";
 import { EXCHANGE } from "./constants.ts";
-import type { CloseWatch, ExchangeEnd, ExchangeOptions } from "./types.ts";
+import type { AnswerClose, ExchangeEnd, ExchangeOptions } from "./types.ts";
 
 type CloseOptions = Pick<
   ExchangeOptions,
@@ -15,13 +15,11 @@
  * order counts only while the upstream still listens.
  */
 export async function findCloseEnd(
-  watch: CloseWatch,
+  closing: Promise<AnswerClose>,
   { address, isIdempotent, isLeaving }: CloseOptions,
 ): Promise<ExchangeEnd> {
-  const close = await watch();
+  const close = await closing;
   switch (close) {
-    case "open":
-      return { kind: "whole" };
     case "reset":
       return buildLost("the connection was reset at the answer's end");
     case "in-order": {
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -66,11 +66,14 @@
 /** How a connection has answered other runs of a request before, at best. */
 export type EarlierAnswer = "none" | "failure" | "success";
 
-/** How an answer ended: without its connection, by its end in order, by a reset. */
-export type AnswerClose = "open" | "in-order" | "reset";
+/** How a connection ended. */
+export type AnswerClose = "in-order" | "reset";
 
-/** Tells, once an answer has ended, what became of its connection. */
-export type CloseWatch = () => Promise<AnswerClose>;
+/**
+ * Tells, once an answer has ended, how its connection did; undefined if that is not
+ * what ended the answer.
+ */
+export type CloseWatch = () => Promise<AnswerClose> | undefined;
 
 export type ExchangeEvents = {
   /** Called when a new connection has opened for this request. */
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -4,7 +4,11 @@
   request as sendRequest,
 } from "node:http";
 import type { Socket } from "node:net";
-import { AnswerHeadWatch, type ConnectionPool } from "@gooseberryline/daemon";
+import {
+  AnswerHeadWatch,
+  type ConnectionPool,
+  readBodyEnd,
+} from "@gooseberryline/daemon";
 import { describeError } from "../describe_error.ts";
 import type { CallDialect } from "../dialect/types.ts";
 import { chooseAgent } from "./choose_agent.ts";
@@ -41,8 +45,9 @@
   readonly #request: ClientRequest | undefined;
   readonly #stallTimer: StallTimer;
   #answer: IncomingMessage | undefined;
-  /** Set for an answer that ends with its connection. */
   #closeWatch: CloseWatch | undefined;
+  /** Whether the answer ends with its connection, by its head. */
+  #isCloseDelimited = false;
   /** Whether its end has come, and it is being found out how. */
   #isClosing = false;
   #connectTimer: NodeJS.Timeout | undefined;
@@ -180,6 +185,12 @@
       this.#end({ kind: "unexecuted", status });
       return;
     }
+    const bodyEnd = readBodyEnd(response, this.#options.method);
+    if (bodyEnd === "unreadable") {
+      this.#endLost("the answer's body has a coding that is not read");
+      request.destroy();
+      return;
+    }
     this.#answer = response;
     response.on("data", (chunk: Buffer) =>
       this.#handleEvent(() => this.#handleChunk(response, chunk)),
@@ -188,11 +199,9 @@
     response.on("error", (error) => this.#endLost(error.message));
     response.on("close", () => this.#endLost("the answer broke off"));
     this.#stallTimer.start(this.#options.stallTimeoutMs);
-    const head = describeHead(response, status);
-    if (head.isCloseDelimited) {
-      this.#closeWatch = watchClose(response.socket);
-    }
-    onHead(head);
+    this.#closeWatch = watchClose(response);
+    this.#isCloseDelimited = bodyEnd === "connection";
+    onHead(describeHead(response, status, bodyEnd));
   }
 
   #handleChunk(response: IncomingMessage, chunk: Buffer): void {
@@ -211,15 +220,18 @@
       this.#endLost("the answer broke off");
       return;
     }
-    if (this.#closeWatch === undefined) {
+    const closing = this.#closeWatch?.();
+    if (closing === undefined) {
       this.#end({ kind: "whole" });
       return;
     }
+    if (!this.#isCloseDelimited) {
+      this.#endLost("the answer ended with its connection, against its head");
+      return;
+    }
     this.#isClosing = true;
     this.#stallTimer.start(this.#options.stallTimeoutMs);
-    void findCloseEnd(this.#closeWatch, this.#options).then((end) =>
-      this.#end(end),
-    );
+    void findCloseEnd(closing, this.#options).then((end) => this.#end(end));
   }
 
   #handleStall(): void {
--- a/packages/gateway/src/exchange/watch_close.ts
+++ b/packages/gateway/src/exchange/watch_close.ts
@@ -1,4 +1,6 @@
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { watchConnectionEnd } from "@gooseberryline/daemon";
 import type { AnswerClose, CloseWatch } from "./types.ts";
 
 /** Bytes after a request that its reader passes over. */
@@ -10,14 +12,14 @@
  * does not after an end in order. An end while bytes of the request are left unsent is
  * in order only if they are taken.
  */
-export function watchClose(socket: Socket): CloseWatch {
+export function watchClose(answer: IncomingMessage): CloseWatch {
+  const { socket } = answer;
   let found: Promise<AnswerClose> | undefined;
   // Before the runtime's own listener, which lets nothing more be written.
-  socket.prependListener("end", () => {
+  watchConnectionEnd(answer, () => {
     found = queryEnd(socket);
   });
-  // An answer without a body leaves the connection open.
-  return () => found ?? Promise.resolve("open");
+  return () => found;
 }
 
 function queryEnd(socket: Socket): Promise<AnswerClose> {
--- a/packages/gateway/src/http/early_answer_test.ts
+++ b/packages/gateway/src/http/early_answer_test.ts
@@ -1,11 +1,7 @@
-import { CALL_SHAPES } from "@gooseberryline/core";
 import { expect, test } from "vitest";
-import { createEntry } from "../testing/create_entry.ts";
-import { createView } from "../testing/create_view.ts";
-import { JOB_ROUTE } from "../testing/job_route.ts";
 import { sendUpload, type UploadForm } from "../testing/send_upload.ts";
 import { startCuttingUpstream } from "../testing/start_cutting_upstream.ts";
-import { startListener } from "../testing/start_listener.ts";
+import { startRoutesTo } from "../testing/start_routes_to.ts";
 
 const BODY = Buffer.alloc(2_000_000, "x");
 const LONG = "y".repeat(3_000_000);
@@ -19,33 +15,8 @@
   "http/1.0",
 ];
 
-const ROUTE = {
-  ...JOB_ROUTE,
-  isIdempotent: false,
-  isPublic: true,
-  targets: [{ service: "s", weight: 1 }],
-  timeoutMs: 3_000,
-  maxAttempts: 2,
-};
-
-/** Starts a listener with a plain and a stream route to this upstream. */
-async function startGateway(address: string) {
-  const view = createView();
-  const limits = {
-    headerBytes: 10_000,
-    bodyBytes: 4_000_000,
-    headerTimeoutMs: 3_000,
-    idleTimeoutMs: 5_000,
-  };
-  const routes = [
-    { ...ROUTE, prefix: "/plain/", shape: CALL_SHAPES.plain },
-    { ...ROUTE, name: "s", prefix: "/stream/", shape: CALL_SHAPES.stream },
-  ];
-  const rest = { services: [], access: { kind: "open" } as const, limits };
-  view.adoptConfig({ revision: 1, routes, ...rest });
-  view.directory.set(createEntry({ service: "s", address }));
-  return startListener(view);
-}
+const CODINGS = ["identity", "gzip", "chunked, identity", "chunked\t", ""];
+const FIELDS = { timeoutMs: 3_000, maxAttempts: 2 } as const;
 
 /** Whether bytes on a connection are a success that looks whole to its caller. */
 function isWholeSuccess(text: string, isOrderly: boolean): boolean {
@@ -77,16 +48,53 @@
   ),
 );
 
+/** Sends an upload that is answered with these bytes at once, and then reset. */
+async function sendToCutting(
+  answer: string,
+  afterMs: number,
+  path: string,
+  form: UploadForm,
+): Promise<void> {
+  const upstream = await startCuttingUpstream(Buffer.from(answer), afterMs);
+  const { listener, port } = await startRoutesTo(upstream.address, FIELDS);
+  const heard = await sendUpload(port, path, form, BODY);
+  expect(upstream.countAnswers()).toBeGreaterThan(0);
+  expect(isWholeSuccess(heard.text, heard.isOrderly)).toBe(false);
+  listener.stop();
+  await upstream.close();
+}
+
 // Guards against the part of an answer that a caller gets as a whole one.
 test.each(CASES)(
   "an upload ($form, $path) that is answered early by $name and reset after $afterMs ms has no whole answer",
   async ({ form, path, answer, afterMs }) => {
-    const upstream = await startCuttingUpstream(Buffer.from(answer), afterMs);
-    const { listener, port } = await startGateway(upstream.address);
-    const heard = await sendUpload(port, path, form, BODY);
-    expect(upstream.countAnswers()).toBeGreaterThan(0);
-    expect(isWholeSuccess(heard.text, heard.isOrderly)).toBe(false);
-    listener.stop();
-    await upstream.close();
+    await sendToCutting(answer, afterMs, path, form);
+  },
+);
+
+// Guards against an answer that is not known to end with its connection.
+test.each(CODINGS)(
+  "no upload has a whole answer by a part that is coded as '%s'",
+  async (coding) => {
+    const fields = `${STREAM_TYPE}Transfer-Encoding: ${coding}\r\n`;
+    const parts = [
+      [
+        "/plain/x",
+        `HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\npart`,
+      ],
+      [
+        "/safe/x",
+        `HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\npart`,
+      ],
+      ["/stream/x", `HTTP/1.1 200 OK\r\n${fields}\r\n${EVENT}`],
+    ] as const;
+    const sent = parts.flatMap(([path, answer]) =>
+      (["length", "chunks", "slow"] as const).flatMap((form) =>
+        [0, 10, 20, 40, 80, 150].map((afterMs) =>
+          sendToCutting(answer, afterMs, path, form),
+        ),
+      ),
+    );
+    await Promise.all(sent);
   },
 );
--- a/packages/gateway/src/jobs/reset_item_test.ts
+++ b/packages/gateway/src/jobs/reset_item_test.ts
@@ -4,7 +4,16 @@
 import { startCuttingUpstream } from "../testing/start_cutting_upstream.ts";
 import { startUpstream } from "../testing/start_upstream.ts";
 
-const HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+const HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+const FRAMINGS = [
+  "",
+  "Transfer-Encoding: identity\r\n",
+  "Transfer-Encoding: gzip\r\n",
+  "Transfer-Encoding: chunked\t\r\n",
+];
+const CASES = FRAMINGS.flatMap((framing) =>
+  [1, 20, 39].map((count) => ({ framing, count })),
+);
 const EVENTS = 40;
 
 function buildEvents(first: number, last: number): string {
@@ -15,10 +24,11 @@
 }
 
 // Guards against the part of an output that is listed as the whole one.
-test.each([1, 20, 39])(
-  "an item whose upstream resets after event %i is completed by another",
-  async (count) => {
-    const bytes = Buffer.from(HEAD + buildEvents(1, count));
+test.each(CASES)(
+  "an item whose upstream resets after event $count ('$framing') is completed by another",
+  async ({ framing, count }) => {
+    const events = buildEvents(1, count);
+    const bytes = Buffer.from(`${HEAD}${framing}\r\n${events}`);
     const cutting = await startCuttingUpstream(bytes, 0);
     const sound = await startUpstream((req, res) => {
       const last = Number(req.headers["last-event"] ?? 0);
--- a/packages/gateway/src/passing/reset_answer_test.ts
+++ b/packages/gateway/src/passing/reset_answer_test.ts
@@ -9,6 +9,17 @@
 const SHORT = "part";
 const LONG = "y".repeat(500_000);
 
+const FRAMINGS = [
+  "",
+  "Transfer-Encoding: identity\r\n",
+  "Transfer-Encoding: gzip\r\n",
+];
+const CASES = ["/plain/", "/once/"].flatMap((path) =>
+  [SHORT, LONG].flatMap((text) =>
+    FRAMINGS.map((framing) => ({ path, text, framing })),
+  ),
+);
+
 const open: Fleet[] = [];
 
 afterEach(async () => {
@@ -16,16 +27,11 @@
 });
 
 // Guards against the part of an answer that comes by way of a peer as a whole one.
-test.each([
-  ["/plain/", SHORT],
-  ["/plain/", LONG],
-  ["/once/", SHORT],
-  ["/once/", LONG],
-])(
-  "an answer (%s) without a length that is reset is not passed on by a peer",
-  async (path, text) => {
+test.each(CASES)(
+  "an answer ($path, '$framing') without a length that is reset is not passed on by a peer",
+  async ({ path, text, framing }) => {
     const fleet = await startCutFleet({ handle: (_, res) => res.end() });
-    const bytes = Buffer.from(`HTTP/1.1 200 OK\r\n\r\n${text}`);
+    const bytes = Buffer.from(`HTTP/1.1 200 OK\r\n${framing}\r\n${text}`);
     const cutting = await startCuttingUpstream(bytes, 20);
     const { directory, settings } = fleet.far.view;
     const entry = createEntry({ service: "s", address: cutting.address });
