Take an answer whose status is 000 for a failure in the operators' tool

What operators saw: the body of an answer with a status of 000 or 099 printed as the answer, with exit code 0. Cause: the client of the administration API took every status below 400 for a success. Change: a success is 200 to 399; what has no status of an answer counts as unreachable. Why it works: nothing below 200 reaches the branch of successes.

--- a/packages/cli/src/client/admin_client.ts
+++ b/packages/cli/src/client/admin_client.ts
@@ -3,6 +3,7 @@
 import { EXIT_CODES } from "./exit_codes.ts";
 
 const TIMEOUT_MS = 15_000;
+const FIRST_FINAL_STATUS = 200;
 const FIRST_REFUSAL_STATUS = 400;
 const FIRST_SERVER_STATUS = 500;
 
@@ -50,14 +51,15 @@
     }).catch((error: unknown) => {
       throw this.#describeFailure(error);
     });
-    if (statusCode < FIRST_REFUSAL_STATUS) {
+    const isFinal = statusCode >= FIRST_FINAL_STATUS;
+    if (isFinal && statusCode < FIRST_REFUSAL_STATUS) {
       return body as Body;
     }
     const { error = {} } = body as ErrorBody;
     const exitCode =
-      statusCode >= FIRST_SERVER_STATUS
-        ? EXIT_CODES.UNREACHABLE
-        : EXIT_CODES.REFUSED;
+      isFinal && statusCode < FIRST_SERVER_STATUS
+        ? EXIT_CODES.REFUSED
+        : EXIT_CODES.UNREACHABLE;
     const message = error.message ?? `status ${statusCode}`;
     throw new AdminError(message, exitCode, { ...error });
   }
