--- a/packages/gateway/src/jobs/item_answers_test.ts
+++ b/packages/gateway/src/jobs/item_answers_test.ts
@@ -5,12 +5,18 @@
 
 const STREAM = "Content-Type: text/event-stream\r\n";
 
-function buildAnswer(type: string, body: string): string {
-  return `HTTP/1.1 200 OK\r\n${type}Content-Length: ${body.length}\r\n\r\n${body}`;
+function buildAnswer(type: string, body: string, status = "200"): string {
+  return `HTTP/1.1 ${status} OK\r\n${type}Content-Length: ${body.length}\r\n\r\n${body}`;
 }
 
 const FAULTS = [
   ["another type", buildAnswer("Content-Type: text/html\r\n", "data: no\n\n")],
+  ["a status of 000", buildAnswer(STREAM, "id: 2\ndata: no\n\n", "000")],
+  ["a status of 099", buildAnswer(STREAM, "id: 2\ndata: no\n\n", "099")],
+  [
+    "a body coded by gzip",
+    `HTTP/1.1 200 OK\r\n${STREAM}Transfer-Encoding: gzip\r\n\r\nid: 2\ndata: no\n\n`,
+  ],
   ["an event without an id", buildAnswer(STREAM, "data: no\n\n")],
 ] as const;
 
