--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -1,8 +1,4 @@
-import {
-  type ClientRequest,
-  type IncomingMessage,
-  request as sendRequest,
-} from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import {
   AnswerHeadWatch,
@@ -11,7 +7,6 @@
 } from "@gooseberryline/daemon";
 import { describeError } from "../describe_error.ts";
 import type { CallDialect } from "../dialect/types.ts";
-import { chooseAgent } from "./choose_agent.ts";
 import { connectionAnswers } from "./connection_answers.ts";
 import { EXCHANGE } from "./constants.ts";
 import { describeHead } from "./describe_head.ts";
@@ -19,6 +14,7 @@
 import { findCloseEnd } from "./find_close_end.ts";
 import { findForeignReason } from "./find_foreign_reason.ts";
 import { isSuccess } from "./is_success.ts";
+import { openRequest } from "./open_request.ts";
 import { StallTimer } from "./stall_timer.ts";
 import type {
   CloseWatch,
@@ -61,7 +57,7 @@
     this.#parts = parts;
     this.#stallTimer = new StallTimer(() => this.#handleStall());
     try {
-      this.#request = this.#open();
+      this.#request = openRequest(options, parts.pool);
       this.#send(this.#request);
     } catch (error) {
       this.#endUnbuilt(describeError(error));
@@ -86,20 +82,6 @@
     }
   }
 
-  #open(): ClientRequest {
-    const { address, method, path, body } = this.#options;
-    const headers = this.#options.buildHeaders();
-    const url = new URL(`http://${address}`);
-    return sendRequest({
-      method,
-      path,
-      host: url.hostname,
-      port: url.port,
-      headers: { ...headers, ...describeBody(method, body) },
-      agent: chooseAgent(url.origin, this.#options, this.#parts.pool),
-    });
-  }
-
   #send(request: ClientRequest): void {
     request.on("socket", (socket) => this.#watchConnect(socket, request));
     const headWatch = new AnswerHeadWatch(request);
@@ -288,8 +270,3 @@
     clearTimeout(this.#connectTimer);
   }
 }
-
-function describeBody(method: string, body: Buffer): Record<string, string> {
-  const hasBody = body.length > 0 || method === "POST" || method === "PUT";
-  return hasBody ? { "content-length": String(body.length) } : {};
-}
