End an exchange at once when its connection closes without an answer

Cause: for such an answer the runtime raises neither an answer nor an error, only the close of the request, which the gateway's exchange did not listen to (the daemon's does). It waited for its timer. Change: the close of a request without an answer ends the exchange as lost. Why it works: every end of a request of the runtime ends in its close.

--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -92,6 +92,7 @@
     );
     request.on("error", (error) => this.#endLost(error.message));
     request.end(this.#options.body);
+    request.on("close", () => this.#handleClose());
     this.#stallTimer.start(this.#options.headTimeoutMs);
   }
 
@@ -216,6 +217,13 @@
     void findCloseEnd(closing, this.#options).then((end) => this.#end(end));
   }
 
+  /** Some ends, as by a status of 101, are neither an answer nor an error. */
+  #handleClose(): void {
+    if (this.#answer === undefined) {
+      this.#endLost("the connection was closed without an answer");
+    }
+  }
+
   #handleStall(): void {
     if (this.#canExtendHeadTimeout()) {
       this.#isHeadTimeoutExtended = true;
