--- a/packages/gateway/src/http/odd_answer_test.ts
+++ b/packages/gateway/src/http/odd_answer_test.ts
@@ -1,11 +1,7 @@
 import { request } from "node:http";
-import { CALL_SHAPES } from "@gooseberryline/core";
 import { expect, test } from "vitest";
-import { createEntry } from "../testing/create_entry.ts";
-import { createView } from "../testing/create_view.ts";
-import { JOB_ROUTE } from "../testing/job_route.ts";
-import { startListener } from "../testing/start_listener.ts";
 import { startRawUpstream } from "../testing/start_raw_upstream.ts";
+import { startRoutesTo } from "../testing/start_routes_to.ts";
 
 /** The route's time, much more than an answer takes. */
 const TIMEOUT_MS = 5_000;
@@ -26,26 +22,9 @@
   const upstream = await startRawUpstream((socket) => {
     socket.write(Buffer.from(bytes, "latin1"));
   });
-  const view = createView();
-  const route = {
-    ...JOB_ROUTE,
-    prefix: "/plain/",
-    shape: CALL_SHAPES.plain,
-    isIdempotent: false,
-    isPublic: true,
-    targets: [{ service: "s", weight: 1 }],
-    timeoutMs: TIMEOUT_MS,
-  };
-  const limits = {
-    headerBytes: 10_000,
-    bodyBytes: 10_000,
-    headerTimeoutMs: 1_000,
-    idleTimeoutMs: 5_000,
-  };
-  const rest = { services: [], access: { kind: "open" } as const, limits };
-  view.adoptConfig({ revision: 1, routes: [route], ...rest });
-  view.directory.set(createEntry({ service: "s", address: upstream.address }));
-  const { listener, port } = await startListener(view);
+  const { address } = upstream;
+  const fields = { timeoutMs: TIMEOUT_MS };
+  const { listener, port } = await startRoutesTo(address, fields);
   const startedMs = performance.now();
   const end = await sendCall(port);
   const tookMs = performance.now() - startedMs;
--- a/packages/gateway/src/http/odd_status_test.ts
+++ b/packages/gateway/src/http/odd_status_test.ts
@@ -1,24 +1,12 @@
-import { CALL_SHAPES } from "@gooseberryline/core";
 import { expect, test } from "vitest";
-import { createEntry } from "../testing/create_entry.ts";
-import { createView } from "../testing/create_view.ts";
-import { JOB_ROUTE } from "../testing/job_route.ts";
 import { sendUpload } from "../testing/send_upload.ts";
-import { startListener } from "../testing/start_listener.ts";
 import { startRawUpstream } from "../testing/start_raw_upstream.ts";
+import { startRoutesTo } from "../testing/start_routes_to.ts";
 
 const STATUSES = ["000", "099", "99", "2e2", "-200", "0200", "", "100", "199"];
 const FRAMINGS = ["Content-Length: 4\r\n", ""];
-const ROUTE = {
-  ...JOB_ROUTE,
-  isIdempotent: false,
-  isPublic: true,
-  targets: [{ service: "s", weight: 1 }],
-  timeoutMs: 1_000,
-};
-
 const CASES = STATUSES.flatMap((status) =>
-  ["/plain/x", "/stream/x"].flatMap((path) =>
+  ["/plain/x", "/safe/x", "/stream/x"].flatMap((path) =>
     FRAMINGS.map((framing) => ({ status, path, framing })),
   ),
 );
@@ -30,25 +18,7 @@
     const upstream = await startRawUpstream((socket) => {
       socket.end(`HTTP/1.1 ${status} OK\r\n${framing}\r\ntext`);
     });
-    const view = createView();
-    view.adoptConfig({
-      revision: 1,
-      routes: [
-        { ...ROUTE, prefix: "/plain/", shape: CALL_SHAPES.plain },
-        { ...ROUTE, name: "s", prefix: "/stream/", shape: CALL_SHAPES.stream },
-      ],
-      services: [],
-      access: { kind: "open" },
-      limits: {
-        headerBytes: 10_000,
-        bodyBytes: 10_000,
-        headerTimeoutMs: 1_000,
-        idleTimeoutMs: 5_000,
-      },
-    });
-    const { address } = upstream;
-    view.directory.set(createEntry({ service: "s", address }));
-    const { listener, port } = await startListener(view);
+    const { listener, port } = await startRoutesTo(upstream.address);
     const body = Buffer.from("prompt");
     const { text } = await sendUpload(port, path, "length", body);
     expect(text).toMatch(/^HTTP\/1.1 50[24] /);
