--- a/packages/gateway/src/passing/pass_attempt_test.ts
+++ b/packages/gateway/src/passing/pass_attempt_test.ts
@@ -121,3 +121,17 @@
     "whole",
   );
 });
+
+// Guards against a broken answer of a peer that is taken for an upstream's.
+test.each([
+  "HTTP/1.1 000 OK\r\nContent-Length: 4",
+  "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX Odd: v",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked",
+])("a peer's answer that begins with %j is no answer", async (head) => {
+  const id = `${PASSING.ID_HEADER}: own`;
+  const answer: Answer = (_, res) => {
+    res.socket?.end(`${head}\r\n${id}\r\n\r\ntext`);
+  };
+  expect(await relayTo(answer)).toBe("lost");
+});
