Probe only connections whose end may be the end of an answer

Since the watch follows every answer, the end of a connection in the middle of a framed one was followed by a write that says nothing more. What ends against its head is now a kind of its own, decided where the others are.

--- a/packages/gateway/src/exchange/find_close_end.ts
+++ b/packages/gateway/src/exchange/find_close_end.ts
@@ -10,8 +10,8 @@
 >;
 
 /**
- * Finds out whether an answer that has neither length nor chunks is whole, after its
- * end. The system ends the connections of a killed process in order, so an end in
+ * Finds out whether an answer that the end of its connection has ended is whole. The
+ * system ends the connections of a killed process in order, so an end in
  * order counts only while the upstream still listens.
  */
 export async function findCloseEnd(
@@ -20,6 +20,10 @@
 ): Promise<ExchangeEnd> {
   const close = await closing;
   switch (close) {
+    case "unexpected":
+      return buildLost(
+        "the answer ended with its connection, against its head",
+      );
     case "reset":
       return buildLost("the connection was reset at the answer's end");
     case "in-order": {
--- a/packages/gateway/src/exchange/types.ts
+++ b/packages/gateway/src/exchange/types.ts
@@ -66,8 +66,11 @@
 /** How a connection has answered other runs of a request before, at best. */
 export type EarlierAnswer = "none" | "failure" | "success";
 
-/** How a connection ended. */
-export type AnswerClose = "in-order" | "reset";
+/**
+ * How a connection ended; `unexpected` if the answer's head names another end of its
+ * body.
+ */
+export type AnswerClose = "in-order" | "reset" | "unexpected";
 
 /**
  * Tells, once an answer has ended, how its connection did; undefined if that is not
--- a/packages/gateway/src/exchange/upstream_exchange.ts
+++ b/packages/gateway/src/exchange/upstream_exchange.ts
@@ -42,8 +42,6 @@
   readonly #stallTimer: StallTimer;
   #answer: IncomingMessage | undefined;
   #closeWatch: CloseWatch | undefined;
-  /** Whether the answer ends with its connection, by its head. */
-  #isCloseDelimited = false;
   /** Whether its end has come, and it is being found out how. */
   #isClosing = false;
   #connectTimer: NodeJS.Timeout | undefined;
@@ -182,8 +180,7 @@
     response.on("error", (error) => this.#endLost(error.message));
     response.on("close", () => this.#endLost("the answer broke off"));
     this.#stallTimer.start(this.#options.stallTimeoutMs);
-    this.#closeWatch = watchClose(response);
-    this.#isCloseDelimited = bodyEnd === "connection";
+    this.#closeWatch = watchClose(response, bodyEnd === "connection");
     onHead(describeHead(response, status, bodyEnd));
   }
 
@@ -208,10 +205,6 @@
       this.#end({ kind: "whole" });
       return;
     }
-    if (!this.#isCloseDelimited) {
-      this.#endLost("the answer ended with its connection, against its head");
-      return;
-    }
     this.#isClosing = true;
     this.#stallTimer.start(this.#options.stallTimeoutMs);
     void findCloseEnd(closing, this.#options).then((end) => this.#end(end));
